--- /dev/null
+++ b/dalehollow/__init__.py
@@ -0,0 +1,10 @@
+"""Balance load over expert-parallel model groups and the plain services beside them."""
+
+from __future__ import annotations
+
+from dalehollow.errors import Failure, Reason
+from dalehollow.verdict import Step, Verdict, judge_failure
+
+__all__ = ["Failure", "Reason", "Step", "Verdict", "__version__", "judge_failure"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/dalehollow/cli.py
@@ -0,0 +1,229 @@
+"""Offer each role and each operator's task as a command."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import signal
+import sys
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn, Protocol
+
+import fire
+from result import Err, Ok
+
+from dalehollow.config import Applied, Conflict, apply_text, check_text, read_manifest
+from dalehollow.config.store import ApplyError, part_key
+from dalehollow.errors import PlatformError, SettingsError
+from dalehollow.platform import HttpKeyValue
+from dalehollow.protocol import Dump, DumpText, PeerLink
+from dalehollow.settings import ROLES, Settings, read_settings
+from dalehollow.telemetry import setup_logs
+
+EXIT_FAILED = 1
+EXIT_BAD_USE = 2
+_DUMP_TIMEOUT_MS = 2_000
+_STACK_BYTES = 256 * 1024
+
+
+class _Process(Protocol):
+    def start(self) -> None: ...
+
+    def stop(self) -> int: ...
+
+
+def run(settings: str) -> None:
+    """Run the process that a settings file describes, until SIGTERM or SIGINT."""
+    cfg = _load_settings(settings)
+    setup_logs(cfg.name, cfg.log_level)
+    threading.stack_size(_STACK_BYTES)
+    process = _make_process(cfg)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    process.start()
+    print(
+        f"event=ready http={process.server.address} control={process.control.address}", flush=True
+    )
+    stopping.wait()
+    cut_off = process.stop()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Threads of broken connections must not hold the exit up.
+    os._exit(EXIT_FAILED if cut_off else 0)
+
+
+def check(file: str, json_output: bool = False) -> None:
+    """Check an operators' file and print every mistake in it."""
+    checked = check_text(_read_file(file))
+    if isinstance(checked, Err):
+        mistakes = checked.err_value
+        _print(json_output, [dataclasses.asdict(m) for m in mistakes], map(str, mistakes))
+        sys.exit(EXIT_FAILED)
+    cfg = checked.ok_value
+    summary = {
+        "deployment": cfg.deployment,
+        "halls": len(cfg.halls),
+        "client_accounts": len(cfg.accounts),
+        "upstreams": len(cfg.upstreams),
+        "services": len(cfg.services),
+        "groups": len(cfg.groups),
+    }
+    _print(json_output, summary, [" ".join(f"{k}={v}" for k, v in summary.items())])
+
+
+def apply(file: str, platform: str, parent: int | None = None, json_output: bool = False) -> None:
+    """Apply a whole operators' file, or nothing of it.
+
+    With --parent, only if that version is still in force.
+    """
+    apply_id = uuid.uuid4().hex
+    applied = apply_text(HttpKeyValue(platform), _read_file(file), apply_id=apply_id, parent=parent)
+    match applied:
+        case Ok(Applied(manifest)):
+            pairs = {"version": manifest.version, "digest": manifest.digest, "apply_id": apply_id}
+            _print(json_output, pairs, [" ".join(f"{k}={v}" for k, v in pairs.items())])
+        case Err(error):
+            _fail(_describe_apply_error(error))
+
+
+def show(platform: str) -> None:
+    """Print the configuration that the platform holds."""
+    kv = HttpKeyValue(platform)
+    manifest = read_manifest(kv)
+    if isinstance(manifest, Err):
+        _fail(str(manifest.err_value))
+    if not manifest.ok_value.version:
+        _fail("no configuration was ever applied")
+    text = kv.get(part_key(manifest.ok_value.digest))
+    if isinstance(text, Err):
+        _fail(str(text.err_value))
+    print(f"// version {manifest.ok_value.version}, digest {manifest.ok_value.digest}")
+    print(text.ok_value.value.decode())
+
+
+def dump(address: str, section: str = "") -> None:
+    """Print the state of the process at a control address; --section recent adds decisions."""
+    print(json.dumps(_fetch_dump(address, section), indent=2))
+
+
+def status(*addresses: str, json_output: bool = False) -> None:
+    """Print the configuration version in force in each process, by control address."""
+    rows = []
+    for address in addresses:
+        state = _fetch_dump(address, "", may_fail=True)
+        rows.append(
+            {
+                "address": address,
+                "name": state.get("name", "unreachable"),
+                "config_version": state.get("config_version"),
+                "is_leaving": state.get("is_leaving"),
+            }
+        )
+    lines = [" ".join(f"{k}={v}" for k, v in row.items()) for row in rows]
+    _print(json_output, rows, lines)
+    if any(row["config_version"] is None for row in rows):
+        sys.exit(EXIT_FAILED)
+
+
+def explain(request_id: str, address: str) -> None:
+    """Print an entry's recent decision on one request."""
+    state = _fetch_dump(address, "recent")
+    found = [d for d in state["recent"] if d["request_id"] == request_id]
+    if not found:
+        _fail(f"request {request_id!r} is not among the {len(state['recent'])} most recent ones")
+    for decision in found:
+        print(" ".join(f"{k}={v}" for k, v in decision.items()))
+
+
+def check_settings(settings: str) -> None:
+    """Check a settings file and print every value that is in force."""
+    print(json.dumps(dataclasses.asdict(_load_settings(settings)), indent=2))
+
+
+COMMANDS: dict[str, Callable[..., Any]] = {
+    "run": run,
+    "check": check,
+    "apply": apply,
+    "show": show,
+    "dump": dump,
+    "status": status,
+    "explain": explain,
+    "check-settings": check_settings,
+}
+
+
+def main() -> None:
+    """Run one command; a user's mistake ends in one line and exit code 2."""
+    try:
+        fire.Fire(COMMANDS, name="dalehollow")
+    except SettingsError as exc:
+        print(f"dalehollow: {exc}", file=sys.stderr)
+        sys.exit(EXIT_BAD_USE)
+
+
+def _make_process(cfg: Settings) -> Any:
+    # Imported here so that operators' commands start fast.
+    if cfg.role == ROLES[0]:
+        from dalehollow.entry import EntryProcess
+
+        return EntryProcess(cfg)
+    from dalehollow.sidecar import Sidecar
+
+    return Sidecar(cfg)
+
+
+def _load_settings(path: str) -> Settings:
+    return read_settings(path)
+
+
+def _read_file(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"file {path!r} cannot be read: {exc}") from exc
+
+
+def _fetch_dump(address: str, section: str, *, may_fail: bool = False) -> dict[str, Any]:
+    link = PeerLink(address)
+    try:
+        asked = link.ask(Dump(section), timeout_ms=_DUMP_TIMEOUT_MS)
+    finally:
+        link.close()
+    if isinstance(asked, Ok) and isinstance(asked.ok_value, DumpText):
+        state: dict[str, Any] = json.loads(asked.ok_value.state_json)
+        return state
+    if may_fail:
+        return {}
+    _fail(f"process at {address!r} did not answer")
+
+
+def _describe_apply_error(error: ApplyError) -> str:
+    if isinstance(error, Conflict):
+        winner = error.winner
+        applied_at = time.strftime("%H:%M:%S", time.gmtime(winner.applied_at_ms / 1000))
+        return (
+            f"version {winner.version} (apply {winner.apply_id}, {applied_at} UTC) came first; "
+            "nothing of this file is in force"
+        )
+    if isinstance(error, PlatformError):
+        return f"the platform failed: {error}"
+    return "\n".join(str(mistake) for mistake in error)
+
+
+def _print(as_json: bool, value: object, lines: Any) -> None:
+    if as_json:
+        print(json.dumps(value))
+        return
+    for line in lines:
+        print(line)
+
+
+def _fail(message: str) -> NoReturn:
+    print(message, file=sys.stderr)
+    sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/dalehollow/config/__init__.py
@@ -0,0 +1,34 @@
+"""Check, apply and spread the operators' configuration."""
+
+from __future__ import annotations
+
+from dalehollow.config.check import Mistake, check_text
+from dalehollow.config.model import (
+    PRIORITIES,
+    Account,
+    Config,
+    Group,
+    Hall,
+    Operation,
+    Service,
+    Upstream,
+)
+from dalehollow.config.store import Applied, Conflict, Manifest, apply_text, read_manifest
+
+__all__ = [
+    "PRIORITIES",
+    "Account",
+    "Applied",
+    "Config",
+    "Conflict",
+    "Group",
+    "Hall",
+    "Manifest",
+    "Mistake",
+    "Operation",
+    "Service",
+    "Upstream",
+    "apply_text",
+    "check_text",
+    "read_manifest",
+]
--- /dev/null
+++ b/dalehollow/config/spread.py
@@ -0,0 +1,149 @@
+"""Bring each accepted configuration to this process, with few calls to the platform.
+
+No process is appointed to watch. Each one reads the manifest itself when the newest word it has
+on it is older than a limit of its own, drawn between `POLL_MIN_MS` and `POLL_MAX_MS` from its
+name. Word spreads on the beats that processes exchange anyway, so within a hall the process with
+the lowest limit reads, and the others rest as long as they hear of it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+from result import Ok
+
+from dalehollow.config.holder import ConfigHolder
+from dalehollow.config.store import MANIFEST_KEY, Manifest, decode_manifest, part_key
+from dalehollow.platform import KeyValue
+from dalehollow.protocol import ConfigText, FetchConfig, PeerLink
+from dalehollow.telemetry import log_event
+
+POLL_MIN_MS = 1_000
+POLL_MAX_MS = 3_000
+_POLL_BACKOFF_MAX_MS = 10_000
+_TICK_S = 0.1
+_FETCH_TIMEOUT_MS = 2_000
+_READ_TIMEOUT_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+def wall_ms() -> int:
+    """Return the wall clock in Unix milliseconds."""
+    return int(time.time() * 1000)
+
+
+def draw_poll_limit_ms(name: str) -> int:
+    """Draw how old word may grow before the process of this name reads the manifest itself."""
+    digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+    share = int.from_bytes(digest, "big") / 2**32
+    return round(POLL_MIN_MS + share * (POLL_MAX_MS - POLL_MIN_MS))
+
+
+def is_poll_due(age_ms: int, since_poll_ms: int, limit_ms: int, failures: int) -> bool:
+    """Return whether to read the manifest; after failures, less often."""
+    pause_ms = min(limit_ms * 2 ** min(failures, 8), max(limit_ms, _POLL_BACKOFF_MAX_MS))
+    return age_ms >= limit_ms and since_poll_ms >= pause_ms
+
+
+class Spreader:
+    """Run the reading of the manifest and the fetching of texts for one process."""
+
+    def __init__(
+        self,
+        name: str,
+        holder: ConfigHolder,
+        kv: KeyValue | None,
+        clock_ms: Callable[[], int] = wall_ms,
+    ) -> None:
+        """Prepare; without a key-value service, all word comes from peers."""
+        self._limit_ms = draw_poll_limit_ms(name)
+        self._holder = holder
+        self._kv = kv
+        self._clock_ms = clock_ms
+        self._heard: tuple[int, int, str] | None = None
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="config", daemon=True)
+        self.polls = 0
+        self.failures = 0
+
+    def start(self) -> None:
+        """Begin to spread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop spreading."""
+        self._stopping.set()
+        self._wake.set()
+
+    def hear(self, version: int, confirmed_at_ms: int, address: str) -> None:
+        """Take a peer's word; a newer version is fetched from it in the background."""
+        # Word dated ahead of this clock would hide a stale configuration; cap it.
+        confirmed_at_ms = min(confirmed_at_ms, self._clock_ms())
+        if version == self._holder.version:
+            self._holder.confirm(version, confirmed_at_ms)
+        elif version > self._holder.version and address:
+            self._heard = (version, confirmed_at_ms, address)
+            self._wake.set()
+
+    def _run(self) -> None:
+        polled_at_ms = 0
+        while not self._stopping.is_set():
+            heard, self._heard = self._heard, None
+            if heard is not None:
+                self._fetch_from_peer(*heard)
+            now_ms = self._clock_ms()
+            age_ms = now_ms - self._holder.confirmed_at_ms
+            since_ms = now_ms - polled_at_ms
+            if self._kv and is_poll_due(age_ms, since_ms, self._limit_ms, self.failures):
+                polled_at_ms = now_ms
+                self.poll()
+            self._wake.wait(_TICK_S)
+            self._wake.clear()
+
+    def poll(self) -> bool:
+        """Read the manifest once, and its text if it is new; return whether it was read."""
+        if self._kv is None:
+            return False
+        self.polls += 1
+        asked_at_ms = self._clock_ms()
+        found = self._kv.get(MANIFEST_KEY, timeout_s=_READ_TIMEOUT_S)
+        if not isinstance(found, Ok):
+            self.failures += 1
+            return False
+        self.failures = 0
+        manifest = decode_manifest(found.ok_value)
+        if manifest.version > self._holder.version:
+            self._read_text(manifest)
+        # The version was current no earlier than the question was asked.
+        self._holder.confirm(manifest.version, asked_at_ms)
+        return True
+
+    def _read_text(self, manifest: Manifest) -> None:
+        assert self._kv is not None
+        found = self._kv.get(part_key(manifest.digest), timeout_s=_READ_TIMEOUT_S)
+        if isinstance(found, Ok) and found.ok_value.revision:
+            self._take(manifest, found.ok_value.value.decode(), "platform")
+
+    def _fetch_from_peer(self, version: int, confirmed_at_ms: int, address: str) -> None:
+        if version <= self._holder.version:
+            return
+        link = PeerLink(address)
+        try:
+            asked = link.ask(FetchConfig(version), timeout_ms=_FETCH_TIMEOUT_MS)
+        finally:
+            link.close()
+        if isinstance(asked, Ok) and isinstance(asked.ok_value, ConfigText):
+            manifest = msgspec.json.decode(asked.ok_value.manifest_json, type=Manifest)
+            self._take(manifest, asked.ok_value.text, address)
+            self._holder.confirm(version, confirmed_at_ms)
+
+    def _take(self, manifest: Manifest, text: str, source: str) -> None:
+        if self._holder.offer(manifest, text):
+            log_event(_log, "config_in_force", version=manifest.version, source=source)
--- /dev/null
+++ b/dalehollow/entry/attempt.py
@@ -0,0 +1,135 @@
+"""Try a job at one upstream and tell how far it came."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from dalehollow.entry.admit import Job
+from dalehollow.errors import Failure, Reason
+from dalehollow.membership import UpstreamView
+from dalehollow.protocol import headers as hdr
+from dalehollow.routing import LoadReport
+from dalehollow.verdict import Step, Verdict, judge_failure
+from dalehollow.web import Answer, CallError, HttpClient
+from dalehollow.web.client import AnswerCutError
+from dalehollow.web.refusal import read_refusal
+
+_MS_PER_S = 1000
+_RETRY_UNREACHABLE_MS = 1_000
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """Hold what tries need: the connections and the key that sidecars ask for."""
+
+    client: HttpClient
+    inner_key: str
+    answer_timeout_s: float
+
+    def try_view(self, job: Job, view: UpstreamView) -> Result[Answer, Failure]:
+        """Send a job to a known upstream and keep count of it until its answer ends."""
+        view.note_sent()
+        is_direct = view.upstream.control is None
+        tried = self.try_address(job, view.upstream.http, is_direct=is_direct)
+        now_s = time.monotonic()
+        if isinstance(tried, Err):
+            view.note_done()
+            failure = tried.err_value
+            if failure.reason in (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_FAILED):
+                is_unreachable = failure.reason is Reason.UPSTREAM_UNREACHABLE
+                view.note_failure(now_s, is_unreachable=is_unreachable)
+            elif failure.reason is Reason.LEAVING:
+                view.is_leaving = True
+            return tried
+        view.note_success()
+        report = read_load(tried.ok_value.headers.get(hdr.LOAD))
+        if report is not None:
+            view.take_report(report, now_s)
+        return tried
+
+    def try_address(self, job: Job, address: str, *, is_direct: bool) -> Result[Answer, Failure]:
+        """Send a job to an address and wait for the head of an answer."""
+        left_s = job.deadline_s - time.monotonic()
+        if left_s <= 0:
+            return Err(Failure(Reason.DEADLINE, Verdict.NOT_RUN, "the deadline has passed"))
+        sent = self.client.call(
+            job.method,
+            address,
+            job.target,
+            headers=_outgoing_headers(job, left_s, self.inner_key, is_direct=is_direct),
+            body=job.body,
+            timeout_s=min(left_s, self.answer_timeout_s),
+        )
+        if isinstance(sent, Err):
+            return Err(_judge_call(job, sent.err_value, is_direct=is_direct))
+        return _read_inner_refusal(sent.ok_value, is_direct=is_direct)
+
+
+def _read_inner_refusal(answer: Answer, *, is_direct: bool) -> Result[Answer, Failure]:
+    if is_direct or hdr.REASON not in answer.headers:
+        return Ok(answer)
+    try:
+        body = answer.read()
+    except AnswerCutError:
+        body = b""
+    failure = read_refusal(answer.headers, body)
+    assert failure is not None
+    return Err(failure)
+
+
+def _judge_call(job: Job, error: CallError, *, is_direct: bool) -> Failure:
+    connect = Step.CONNECT_UPSTREAM if is_direct else Step.CONNECT_SIDECAR
+    send = Step.SEND_UPSTREAM if is_direct else Step.SEND_SIDECAR
+    step = send if error.sent else connect
+    ruling = judge_failure(step, repeatable=job.repeatable)
+    is_deadline = error.sent and error.timed_out and job.deadline_s <= time.monotonic()
+    reason = Reason.UPSTREAM_FAILED if error.sent else Reason.UPSTREAM_UNREACHABLE
+    return Failure(
+        Reason.DEADLINE if is_deadline else reason,
+        ruling.verdict,
+        f"the request failed at step {step}",
+        retry_after_ms=_RETRY_UNREACHABLE_MS,
+        may_retry=ruling.may_retry and not is_deadline,
+    )
+
+
+def _outgoing_headers(
+    job: Job, left_s: float, inner_key: str, *, is_direct: bool
+) -> dict[str, str]:
+    headers = dict(job.headers)
+    if is_direct:
+        headers[hdr.ENGINE_PRIORITY] = job.priority
+        return headers
+    headers[hdr.INNER_KEY] = inner_key
+    headers[hdr.REQUEST_ID] = job.request_id
+    headers[hdr.SERVICE] = job.service.name
+    headers[hdr.ACCOUNT] = job.account.name
+    headers[hdr.PRIORITY] = job.priority
+    headers[hdr.REPEATABLE] = "true" if job.repeatable else "false"
+    headers[hdr.DEADLINE_MS] = str(max(1, int(left_s * _MS_PER_S)))
+    return headers
+
+
+def read_load(value: str | None) -> LoadReport | None:
+    """Read the load that rides on a sidecar's answer."""
+    if value is None:
+        return None
+    try:
+        running, waiting, slots, service_ms = value.split(",")
+        return LoadReport(int(running), int(waiting), max(1, int(slots)), float(service_ms))
+    except ValueError:
+        return None
+
+
+def stream_answer(answer: Answer, view: UpstreamView | None) -> Iterator[bytes]:
+    """Yield an answer as it comes; its end, however it comes, closes it upstream too."""
+    try:
+        yield from answer.stream()
+    finally:
+        answer.close()
+        if view is not None:
+            view.note_done()
--- /dev/null
+++ b/dalehollow/entry/pool.py
@@ -0,0 +1,106 @@
+"""Keep the views of all upstreams that one entry speaks with."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import asdict
+
+from dalehollow.config.holder import InForce
+from dalehollow.config.model import Service, Upstream
+from dalehollow.membership import UpstreamView, choose_subset
+from dalehollow.membership.view import select_usable
+from dalehollow.protocol import BeatReply
+from dalehollow.routing import LoadReport, choose
+
+FAR_DISTANCE_MS = 3.0
+NEAR_DISTANCE_MS = 0.2
+
+
+class Pool:
+    """Hold a view for each upstream in this entry's subsets."""
+
+    def __init__(self, entry: str, hall: str, subset_size: int, clock: Callable[[], float]) -> None:
+        """Begin empty; `clock` gives monotonic seconds."""
+        self._entry = entry
+        self._hall = hall
+        self._subset_size = subset_size
+        self._clock = clock
+        self._rng = random.Random(entry)
+        self._views: dict[str, UpstreamView] = {}
+        self._subsets: dict[str, tuple[str, ...]] = {}
+        self._lock = threading.Lock()
+
+    def apply(self, in_force: InForce) -> dict[str, str]:
+        """Follow a configuration; return the control addresses of the sidecars to speak with."""
+        cfg = in_force.config
+        assert cfg is not None
+        subsets = {
+            service.name: choose_subset(
+                self._entry,
+                self._hall,
+                [cfg.upstreams[name] for name in service.upstreams],
+                self._subset_size,
+            )
+            for service in cfg.services.values()
+        }
+        wanted = {u.name: u for subset in subsets.values() for u in subset}
+        with self._lock:
+            self._views = {name: self._keep_view(u) for name, u in wanted.items()}
+            self._subsets = {s: tuple(u.name for u in subset) for s, subset in subsets.items()}
+        return {u.name: u.control for u in wanted.values() if u.control is not None}
+
+    def pick(self, service: Service, tried: Iterable[str]) -> UpstreamView | None:
+        """Pick an upstream that was not tried, or None if there is none."""
+        excluded = set(tried)
+        with self._lock:
+            names = self._subsets.get(service.name, ())
+            views = [self._views[name] for name in names]
+        usable = select_usable(views, self._clock())
+        open_views = {v.upstream.name: v for v in usable if v.upstream.name not in excluded}
+        if not open_views:
+            return None
+        chosen = choose([v.as_candidate() for v in open_views.values()], self._rng)
+        return open_views[chosen.name]
+
+    def find(self, name: str) -> UpstreamView | None:
+        """Return the view of an upstream, if this entry speaks with it."""
+        with self._lock:
+            return self._views.get(name)
+
+    def take_beat(self, name: str, reply: BeatReply) -> None:
+        """Take a sidecar's word."""
+        view = self.find(name)
+        if view is None:
+            return
+        report = LoadReport(reply.running, reply.waiting, reply.slots, reply.service_ms)
+        view.take_report(report, self._clock())
+        view.mark_leaving(reply.is_leaving, reply.incarnation_ms)
+
+    def dump(self) -> list[dict[str, object]]:
+        """Return what is known of each upstream."""
+        now_s = self._clock()
+        with self._lock:
+            views = list(self._views.values())
+        return [
+            {
+                "upstream": view.upstream.name,
+                "hall": view.upstream.hall,
+                "report": asdict(view.report) if view.report else None,
+                "report_age_ms": round((now_s - view.reported_at_s) * 1000)
+                if view.report
+                else None,
+                "in_flight": view.in_flight,
+                "is_leaving": view.is_leaving,
+                "is_ejected": view.is_ejected(now_s),
+            }
+            for view in views
+        ]
+
+    def _keep_view(self, upstream: Upstream) -> UpstreamView:
+        known = self._views.get(upstream.name)
+        if known is not None and known.upstream == upstream:
+            return known
+        is_near = upstream.hall == self._hall
+        return UpstreamView(upstream, is_near, NEAR_DISTANCE_MS if is_near else FAR_DISTANCE_MS)
--- /dev/null
+++ b/dalehollow/entry/process.py
@@ -0,0 +1,255 @@
+"""Run an entry: its servers, its peers, its configuration and its planned stop."""
+
+from __future__ import annotations
+
+import json
+import logging
+import threading
+import time
+from collections import deque
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from dalehollow.config.holder import ConfigHolder, InForce
+from dalehollow.config.model import Account
+from dalehollow.config.spread import Spreader, wall_ms
+from dalehollow.entry.admit import Job, admit, index_keys, read_request_id
+from dalehollow.entry.attempt import Attempt
+from dalehollow.entry.pool import Pool
+from dalehollow.entry.serve import JobServer
+from dalehollow.errors import Failure, Reason
+from dalehollow.limits import TokenBucket
+from dalehollow.membership import PeerTasks
+from dalehollow.platform import HttpKeyValue
+from dalehollow.protocol import (
+    Beat,
+    BeatReply,
+    ConfigText,
+    ControlServer,
+    Dump,
+    DumpText,
+    FetchConfig,
+    Refused,
+    Reply,
+    Request,
+)
+from dalehollow.settings import Settings, split_address
+from dalehollow.telemetry import Metrics, log_event
+from dalehollow.verdict import Verdict
+from dalehollow.web import HttpClient, HttpRequest, HttpResponse, HttpServer
+from dalehollow.web.refusal import make_refusal
+
+RECENT_DECISIONS = 500
+_MS_PER_S = 1000
+_RETRY_NO_CONFIG_MS = 1_000
+_log = logging.getLogger(__name__)
+
+
+class EntryProcess:
+    """Hold the state of one entry process."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Bind the servers; nothing is served before start."""
+        self.settings = settings
+        self.is_leaving = False
+        self.metrics = Metrics()
+        self.holder = ConfigHolder()
+        kv = HttpKeyValue(settings.platform) if settings.platform else None
+        self.spreader = Spreader(settings.name, self.holder, kv)
+        self.pool = Pool(settings.name, settings.hall, settings.subset_size, time.monotonic)
+        attempt = Attempt(
+            client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
+            inner_key=settings.inner_key,
+            answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
+        )
+        self.jobs = JobServer(settings.name, self.holder, self.pool, attempt, wall_ms)
+        host, port = split_address(settings.http)
+        self.server = HttpServer(host, port, self.handle, name="dalehollow")
+        host, port = split_address(settings.control)
+        self.control = ControlServer(host, port, self.handle_control)
+        self.peers = PeerTasks(self._make_beat, self._take_reply, settings.beat_interval_ms)
+        self._keys: Mapping[str, Account] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+        self._recent: deque[dict[str, object]] = deque(maxlen=RECENT_DECISIONS)
+        self._lock = threading.Lock()
+        self.holder.on_change(self._apply)
+        self.metrics.watch_gauge("config_version", lambda: self.holder.version)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.peers.keep(self._seed_peers())
+        self.spreader.poll()
+        self.spreader.start()
+        self.control.start()
+        self.server.start()
+
+    def stop(self) -> int:
+        """Let requests in hand finish, and return how many were cut off."""
+        self.is_leaving = True
+        log_event(_log, "leaving")
+        # The balancer sees the health answer change and sends elsewhere; late ones are served.
+        self.server.begin_closing()
+        time.sleep(self.settings.leave_ms / _MS_PER_S)
+        left = self.server.wait_idle(self.settings.drain_timeout_ms / _MS_PER_S)
+        self.server.stop()
+        self.control.stop()
+        self.peers.stop()
+        self.spreader.stop()
+        log_event(_log, "stopped", cut_off=left)
+        return left
+
+    def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request from a caller."""
+        if req.path == "/dalehollow/health":
+            return self._answer_health()
+        if req.path == "/dalehollow/metrics":
+            return HttpResponse(200, {"content-type": "text/plain"}, self.metrics.expose().encode())
+        began_s = time.monotonic()
+        request_id = read_request_id(req)
+        served = self._admit(req, request_id, began_s).and_then(self.jobs.serve)
+        if isinstance(served, Ok):
+            response = served.ok_value
+        else:
+            response = make_refusal(served.err_value, request_id=request_id)
+        self._record(req, request_id, response, served, began_s)
+        return response
+
+    def handle_control(self, request: Request) -> Reply:
+        """Answer one message from a peer."""
+        match request:
+            case FetchConfig():
+                return ConfigText(self.holder.manifest_json(), self.holder.in_force.text)
+            case Beat():
+                self.spreader.hear(request.version, request.confirmed_at_ms, request.address)
+                return self._make_beat_reply()
+            case Dump():
+                return DumpText(json.dumps(self.dump(request.section)).encode())
+            case _:
+                return Refused(f"{type(request).__name__} is not for an entry")
+
+    def dump(self, section: str = "") -> dict[str, object]:
+        """Return the state of this process; section `recent` adds the last decisions."""
+        state: dict[str, object] = {
+            "role": "entry",
+            "name": self.settings.name,
+            "hall": self.settings.hall,
+            "is_leaving": self.is_leaving,
+            "config_version": self.holder.version,
+            "config_confirmed_at_ms": self.holder.confirmed_at_ms,
+            "config_polls": self.spreader.polls,
+            "upstreams": self.pool.dump(),
+            "counts": self.metrics.counts(),
+        }
+        if section == "recent":
+            with self._lock:
+                state["recent"] = list(self._recent)
+        return state
+
+    def _admit(self, req: HttpRequest, request_id: str, now_s: float) -> Result[Job, Failure]:
+        cfg = self.holder.in_force.config
+        if cfg is None:
+            return Err(
+                Failure(
+                    Reason.NO_CONFIGURATION,
+                    Verdict.NOT_RUN,
+                    "this entry has no configuration yet",
+                    retry_after_ms=_RETRY_NO_CONFIG_MS,
+                )
+            )
+        admitted = admit(req, request_id, cfg, self._keys, now_s)
+        return admitted.and_then(lambda job: self._check_limit(job, now_s))
+
+    def _check_limit(self, job: Job, now_s: float) -> Result[Job, Failure]:
+        bucket = self._buckets.get(job.account.name)
+        wait_ms = bucket.take(now_s) if bucket is not None else 0
+        if not wait_ms:
+            return Ok(job)
+        message = f"account {job.account.name!r} is at its limit of requests"
+        return Err(Failure(Reason.ACCOUNT_LIMIT, Verdict.NOT_RUN, message, retry_after_ms=wait_ms))
+
+    def _apply(self, in_force: InForce) -> None:
+        cfg = in_force.config
+        assert cfg is not None
+        now_s = time.monotonic()
+        entries = cfg.count_entries()
+        buckets = {}
+        for account in cfg.accounts.values():
+            rate, burst = account.requests_per_s / entries, max(1.0, account.burst / entries)
+            bucket = self._buckets.get(account.name)
+            if bucket is None:
+                bucket = TokenBucket(rate, burst)
+            else:
+                bucket.resize(rate, burst, now_s)
+            buckets[account.name] = bucket
+        self._buckets = buckets
+        self._keys = index_keys(cfg)
+        self.peers.keep({**self._seed_peers(), **self.pool.apply(in_force)})
+
+    def _seed_peers(self) -> dict[str, str]:
+        return {address: address for address in self.settings.peers}
+
+    def _make_beat(self) -> Beat:
+        return Beat(
+            self.settings.name,
+            self.control.address,
+            self.holder.version,
+            self.holder.confirmed_at_ms,
+        )
+
+    def _make_beat_reply(self) -> BeatReply:
+        return BeatReply(
+            sender=self.settings.name,
+            incarnation_ms=0,
+            version=self.holder.version,
+            confirmed_at_ms=self.holder.confirmed_at_ms,
+            running=0,
+            waiting=0,
+            slots=1,
+            service_ms=0.0,
+            is_leaving=self.is_leaving,
+        )
+
+    def _take_reply(self, name: str, asked: Result[Reply, str]) -> None:
+        if isinstance(asked, Err):
+            view = self.pool.find(name)
+            if view is not None and not view.is_ejected(time.monotonic()):
+                view.note_failure(time.monotonic(), is_unreachable=False)
+            return
+        reply = asked.ok_value
+        if isinstance(reply, BeatReply):
+            self.pool.take_beat(name, reply)
+            view = self.pool.find(name)
+            address = view.upstream.control if view is not None else name
+            self.spreader.hear(reply.version, reply.confirmed_at_ms, address or "")
+
+    def _answer_health(self) -> HttpResponse:
+        status = 503 if self.is_leaving or self.holder.version == 0 else 200
+        body = {"is_leaving": self.is_leaving, "config_version": self.holder.version}
+        return HttpResponse(status, {"content-type": "application/json"}, json.dumps(body).encode())
+
+    def _record(
+        self,
+        req: HttpRequest,
+        request_id: str,
+        response: HttpResponse,
+        served: Result[HttpResponse, Failure],
+        began_s: float,
+    ) -> None:
+        took_ms = (time.monotonic() - began_s) * _MS_PER_S
+        reason = served.err_value.reason if isinstance(served, Err) else "answered"
+        self.metrics.count("answers", status=str(response.status), reason=str(reason))
+        self.metrics.record_ms("head", took_ms)
+        decision = {
+            "request_id": request_id,
+            "path": req.path,
+            "status": response.status,
+            "reason": reason,
+            "verdict": response.headers.get("dalehollow-verdict"),
+            "upstream": response.headers.get("dalehollow-upstream"),
+            "tries": response.headers.get("dalehollow-tries"),
+            "head_ms": round(took_ms, 3),
+        }
+        with self._lock:
+            self._recent.append(decision)
+        log_event(_log, "answered", **decision)
--- /dev/null
+++ b/dalehollow/entry/serve.py
@@ -0,0 +1,189 @@
+"""Serve one job: try upstreams within one deadline and one retry budget."""
+
+from __future__ import annotations
+
+import json
+import logging
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok, Result
+
+from dalehollow.config.holder import ConfigHolder
+from dalehollow.entry.admit import Job
+from dalehollow.entry.attempt import Attempt, stream_answer
+from dalehollow.entry.pool import Pool
+from dalehollow.errors import Failure, Reason
+from dalehollow.limits import RetryBudget
+from dalehollow.membership import UpstreamView
+from dalehollow.once import find_owner, read_birth_ms
+from dalehollow.protocol import headers as hdr
+from dalehollow.telemetry import log_event
+from dalehollow.verdict import Verdict
+from dalehollow.web import Answer, HttpResponse
+from dalehollow.web.client import AnswerCutError
+
+MAX_TRIES = 3
+MAX_WHOLE_BYTES = 1024 * 1024
+_RETRY_NO_UPSTREAM_MS = 1_000
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Served:
+    """Hold an answer's head, its upstream and how many tries it took."""
+
+    answer: Answer
+    view: UpstreamView | None
+    upstream: str
+    tries: int
+
+
+@dataclass
+class JobServer:
+    """Hold what serving needs, and each account's retry budget."""
+
+    entry: str
+    holder: ConfigHolder
+    pool: Pool
+    attempt: Attempt
+    wall_ms: Callable[[], int]
+    _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def serve(self, job: Job) -> Result[HttpResponse, Failure]:
+        """Serve a job and return the response, or the failure with its verdict."""
+        tries = self._try_owner(job) if job.key is not None else self._try_upstreams(job)
+        if isinstance(tries, Err):
+            return tries
+        return self._make_response(job, tries.ok_value)
+
+    def _try_upstreams(self, job: Job) -> Result[Served, Failure]:
+        budget = self._budget_of(job.account.name)
+        budget.record_first_try()
+        tried: list[str] = []
+        failure: Failure | None = None
+        worst = Verdict.NOT_RUN
+        while len(tried) < MAX_TRIES:
+            view = self.pool.pick(job.service, tried)
+            if view is None:
+                break
+            if tried and not budget.take_retry():
+                break
+            tried.append(view.upstream.name)
+            outcome = self.attempt.try_view(job, view)
+            if isinstance(outcome, Ok):
+                return Ok(Served(outcome.ok_value, view, view.upstream.name, len(tried)))
+            failure = outcome.err_value
+            if failure.verdict is not Verdict.NOT_RUN:
+                worst = Verdict.MAY_HAVE_RUN
+            self._log_failed_try(job, view.upstream.name, failure)
+            if not failure.may_retry or job.deadline_s <= time.monotonic():
+                break
+        if failure is None:
+            return Err(_no_upstream(job))
+        # An earlier try may have run though the last one certainly did not.
+        return Err(failure if worst is Verdict.NOT_RUN else _keep_doubt(failure))
+
+    def _try_owner(self, job: Job) -> Result[Served, Failure]:
+        """Send a keyed job to the one upstream that may run it."""
+        in_force = self.holder.in_force
+        assert in_force.config is not None and job.key is not None
+        owner = find_owner(
+            tuple(in_force.manifest.generations.get(job.service.name, ())),
+            job.scope,
+            read_birth_ms(job.key),
+            now_ms=self.wall_ms(),
+            memory_ms=job.service.key_window_ms + 2 * in_force.config.clock_bound_ms,
+        )
+        if owner is None:
+            return Err(_no_upstream(job))
+        name, _, address = owner.member.partition("@")
+        upstream = in_force.config.upstreams.get(name)
+        if upstream is not None and upstream.control is None:
+            message = (
+                f"service {job.service.name!r} has an upstream without a sidecar "
+                f"({name!r}), which cannot run a key at most once"
+            )
+            return Err(Failure(Reason.NO_UPSTREAM, Verdict.NOT_RUN, message))
+        view = self.pool.find(name)
+        if view is not None and view.upstream.http == address:
+            outcome = self.attempt.try_view(job, view)
+        else:
+            view = None
+            outcome = self.attempt.try_address(job, address, is_direct=False)
+        if isinstance(outcome, Err):
+            self._log_failed_try(job, name, outcome.err_value)
+            return outcome
+        return Ok(Served(outcome.ok_value, view, name, 1))
+
+    def _make_response(self, job: Job, served: Served) -> Result[HttpResponse, Failure]:
+        answer = served.answer
+        headers = {
+            **hdr.strip_own(answer.end_to_end_headers()),
+            hdr.VERDICT: Verdict.RAN,
+            hdr.REQUEST_ID: job.request_id,
+            hdr.ENTRY: self.entry,
+            hdr.UPSTREAM: served.upstream,
+            "dalehollow-tries": str(served.tries),
+        }
+        if answer.headers.get("dalehollow-replayed") == "true":
+            headers["dalehollow-replayed"] = "true"
+        body = stream_answer(answer, served.view)
+        if not _is_whole(answer):
+            return Ok(HttpResponse(answer.status, headers, self._mark_cut(job, answer, body)))
+        try:
+            whole = b"".join(body)
+        except AnswerCutError:
+            message = "the answer was cut short"
+            return Err(Failure(Reason.UPSTREAM_FAILED, Verdict.RAN, message))
+        return Ok(HttpResponse(answer.status, headers, whole))
+
+    def _mark_cut(self, job: Job, answer: Answer, body: Iterator[bytes]) -> Iterator[bytes]:
+        """Relay a stream; one that is cut short ends with an error event and no clean end."""
+        is_events = answer.headers.get("content-type", "").startswith("text/event-stream")
+        try:
+            yield from body
+        except AnswerCutError:
+            log_event(_log, "answer_cut", logging.WARNING, request_id=job.request_id)
+            if is_events:
+                error = {"reason": Reason.UPSTREAM_FAILED, "verdict": Verdict.RAN}
+                yield b"event: error\ndata: " + json.dumps({"error": error}).encode() + b"\n\n"
+            raise
+
+    def _budget_of(self, account: str) -> RetryBudget:
+        with self._lock:
+            return self._budgets.setdefault(account, RetryBudget())
+
+    def _log_failed_try(self, job: Job, upstream: str, failure: Failure) -> None:
+        log_event(
+            _log,
+            "try_failed",
+            request_id=job.request_id,
+            upstream=upstream,
+            reason=failure.reason,
+            verdict=failure.verdict,
+        )
+
+
+def _is_whole(answer: Answer) -> bool:
+    length = answer.headers.get("content-length", "")
+    return length.isdigit() and int(length) <= MAX_WHOLE_BYTES
+
+
+def _keep_doubt(failure: Failure) -> Failure:
+    if failure.verdict is Verdict.RAN:
+        return failure
+    return replace(failure, verdict=Verdict.MAY_HAVE_RUN)
+
+
+def _no_upstream(job: Job) -> Failure:
+    return Failure(
+        Reason.NO_UPSTREAM,
+        Verdict.NOT_RUN,
+        f"service {job.service.name!r} has no upstream that can be used",
+        retry_after_ms=_RETRY_NO_UPSTREAM_MS,
+    )
--- /dev/null
+++ b/dalehollow/errors.py
@@ -0,0 +1,92 @@
+"""Hold the failures that reach callers and the exceptions raised inside."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from dalehollow.verdict import Verdict
+
+
+class Reason(enum.StrEnum):
+    """Name why a request was refused or failed; each maps to one HTTP status."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_KEY = "bad_key"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_ROUTE = "unknown_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    ACCOUNT_LIMIT = "account_limit"
+    NO_CONFIGURATION = "no_configuration"
+    NO_UPSTREAM = "no_upstream"
+    QUEUE_FULL = "queue_full"
+    DISPLACED = "displaced"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    RETRY_BUDGET = "retry_budget"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_FAILED = "upstream_failed"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_FROM_FUTURE = "key_from_future"
+    KEY_TABLE_FULL = "key_table_full"
+    OWNERSHIP_UNCONFIRMED = "ownership_unconfirmed"
+
+
+HTTP_STATUS: dict[Reason, int] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BAD_KEY: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.METHOD_NOT_ALLOWED: 405,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.ACCOUNT_LIMIT: 429,
+    Reason.NO_CONFIGURATION: 503,
+    Reason.NO_UPSTREAM: 503,
+    Reason.QUEUE_FULL: 503,
+    Reason.DISPLACED: 503,
+    Reason.LEAVING: 503,
+    Reason.DEADLINE: 504,
+    Reason.RETRY_BUDGET: 503,
+    Reason.UPSTREAM_UNREACHABLE: 503,
+    Reason.UPSTREAM_FAILED: 502,
+    Reason.KEY_IN_PROGRESS: 409,
+    Reason.KEY_OUTCOME_UNKNOWN: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.KEY_EXPIRED: 409,
+    Reason.KEY_FROM_FUTURE: 400,
+    Reason.KEY_TABLE_FULL: 503,
+    Reason.OWNERSHIP_UNCONFIRMED: 503,
+}
+
+
+@dataclass(frozen=True)
+class Failure:
+    """Describe one refusal or failure as the caller sees it."""
+
+    reason: Reason
+    verdict: Verdict
+    message: str
+    retry_after_ms: int | None = None
+    may_retry: bool = False
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the reason."""
+        return HTTP_STATUS[self.reason]
+
+
+class SettingsError(ValueError):
+    """Report settings that cannot be used, with the bad value and the choices."""
+
+
+class PlatformError(ConnectionError):
+    """Report a platform call that failed; `may_have_written` tells if a write may be in effect."""
+
+    def __init__(self, message: str, *, may_have_written: bool) -> None:
+        """Keep whether the write may be in effect."""
+        super().__init__(message)
+        self.may_have_written = may_have_written
--- /dev/null
+++ b/dalehollow/membership/peers.py
@@ -0,0 +1,69 @@
+"""Run one task for each peer: ask it at intervals how it is, and take its word."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from result import Ok, Result
+
+from dalehollow.protocol import Beat, PeerLink, Reply
+
+_MS_PER_S = 1000
+
+
+@dataclass
+class _Task:
+    address: str
+    stopping: threading.Event
+    thread: threading.Thread
+
+
+class PeerTasks:
+    """Keep a task for each wanted peer, named by its upstream or address."""
+
+    def __init__(
+        self,
+        make_beat: Callable[[], Beat],
+        on_reply: Callable[[str, Result[Reply, str]], None],
+        interval_ms: int,
+    ) -> None:
+        """Begin without peers; `on_reply` gets the peer's name and what came of a beat."""
+        self._make_beat = make_beat
+        self._on_reply = on_reply
+        self._interval_ms = interval_ms
+        self._tasks: dict[str, _Task] = {}
+        self._lock = threading.Lock()
+
+    def keep(self, wanted: Mapping[str, str]) -> None:
+        """Start and stop tasks so that there is one for each wanted name and address."""
+        with self._lock:
+            for name, task in list(self._tasks.items()):
+                if wanted.get(name) != task.address:
+                    task.stopping.set()
+                    del self._tasks[name]
+            for name, address in wanted.items():
+                if name not in self._tasks:
+                    self._tasks[name] = self._start(name, address)
+
+    def stop(self) -> None:
+        """Stop all tasks."""
+        self.keep({})
+
+    def _start(self, name: str, address: str) -> _Task:
+        stopping = threading.Event()
+        thread = threading.Thread(
+            target=self._run, args=(name, address, stopping), name=f"peer-{name}", daemon=True
+        )
+        thread.start()
+        return _Task(address, stopping, thread)
+
+    def _run(self, name: str, address: str, stopping: threading.Event) -> None:
+        link = PeerLink(address)
+        while not stopping.is_set():
+            asked = link.ask(self._make_beat(), timeout_ms=self._interval_ms)
+            if not stopping.is_set():
+                self._on_reply(name, asked)
+            stopping.wait(self._interval_ms / _MS_PER_S if isinstance(asked, Ok) else 0.05)
+        link.close()
--- /dev/null
+++ b/dalehollow/membership/subset.py
@@ -0,0 +1,25 @@
+"""Choose the few upstreams that an entry speaks with, so that control stays within bounds."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+
+from dalehollow.config.model import Upstream
+
+FAR_SHARE = 4
+
+
+def _score(entry: str, upstream: str) -> bytes:
+    return hashlib.blake2b(f"{entry}\0{upstream}".encode(), digest_size=8).digest()
+
+
+def choose_subset(
+    entry: str, hall: str, upstreams: Sequence[Upstream], size: int
+) -> tuple[Upstream, ...]:
+    """Choose by rendezvous: the own hall first, and some of other halls for when it fails."""
+    ranked = sorted(upstreams, key=lambda u: _score(entry, u.name), reverse=True)
+    near = [u for u in ranked if u.hall == hall]
+    far = [u for u in ranked if u.hall != hall]
+    far_count = min(len(far), max(size // FAR_SHARE, size - len(near)))
+    return tuple(near[: size - far_count] + far[:far_count])
--- /dev/null
+++ b/dalehollow/once/__init__.py
@@ -0,0 +1,18 @@
+"""Run a request that must not repeat at most once, whatever entry its retries reach."""
+
+from __future__ import annotations
+
+from dalehollow.once.birth import read_birth_ms
+from dalehollow.once.owners import Generation, Owner, extend_generations, find_owner
+from dalehollow.once.table import KeptAnswer, KeyTable, KeyTableLimits
+
+__all__ = [
+    "Generation",
+    "KeptAnswer",
+    "KeyTable",
+    "KeyTableLimits",
+    "Owner",
+    "extend_generations",
+    "find_owner",
+    "read_birth_ms",
+]
--- /dev/null
+++ b/dalehollow/platform/keyvalue.py
@@ -0,0 +1,117 @@
+"""Call the platform's key-value service: get, compare-and-swap, lease and watch."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from dalehollow.errors import PlatformError
+from dalehollow.web import Answer, CallError, HttpClient
+
+_REVISION_HEADER = "kv-revision"
+_CONNECT_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class Entry:
+    """Hold a value and the revision at which it was written; revision 0 means absent."""
+
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True)
+class Swap:
+    """Tell the outcome of a compare-and-swap and the revision now in force."""
+
+    won: bool
+    revision: int
+
+
+class KeyValue(Protocol):
+    """Name what the system needs of the platform's key-value service."""
+
+    def get(self, key: str, *, timeout_s: float = 2.0) -> Result[Entry, PlatformError]:
+        """Read a key."""
+
+    def swap(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int,
+        ttl_ms: int | None = None,
+        timeout_s: float = 2.0,
+    ) -> Result[Swap, PlatformError]:
+        """Write a key only if its revision is the expected one; `ttl_ms` makes it a lease."""
+
+    def watch(self, key: str, *, after_revision: int, wait_ms: int) -> Result[Entry, PlatformError]:
+        """Wait until the key is newer than `after_revision`, or until `wait_ms` have passed."""
+
+
+class HttpKeyValue:
+    """Speak to the service over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        """Prepare the connections; `address` is host:port."""
+        self._address = address
+        self._http = HttpClient(connect_timeout_s=_CONNECT_TIMEOUT_S, max_connections=8)
+
+    def get(self, key: str, *, timeout_s: float = 2.0) -> Result[Entry, PlatformError]:
+        """Read a key."""
+        call = self._http.call("GET", self._address, f"/kv/{key}", timeout_s=timeout_s)
+        return _read_entry(call)
+
+    def swap(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int,
+        ttl_ms: int | None = None,
+        timeout_s: float = 2.0,
+    ) -> Result[Swap, PlatformError]:
+        """Write a key only if its revision is the expected one."""
+        query = f"expect={expected_revision}" + (f"&ttl_ms={ttl_ms}" if ttl_ms else "")
+        call = self._http.call(
+            "PUT", self._address, f"/kv/{key}?{query}", body=value, timeout_s=timeout_s
+        )
+        match call:
+            case Err(error):
+                return Err(PlatformError(error.message, may_have_written=error.sent))
+            case Ok(answer):
+                return _read_swap(answer)
+
+    def watch(self, key: str, *, after_revision: int, wait_ms: int) -> Result[Entry, PlatformError]:
+        """Wait for a newer value of the key."""
+        path = f"/kv/{key}?after={after_revision}&wait_ms={wait_ms}"
+        timeout_s = wait_ms / 1000 + 2.0
+        return _read_entry(self._http.call("GET", self._address, path, timeout_s=timeout_s))
+
+
+def _read_entry(call: Result[Answer, CallError]) -> Result[Entry, PlatformError]:
+    if isinstance(call, Err):
+        return Err(PlatformError(call.err_value.message, may_have_written=False))
+    answer = call.ok_value
+    try:
+        body = answer.read()
+    except ConnectionError as exc:
+        return Err(PlatformError(str(exc), may_have_written=False))
+    if answer.status == 404:
+        return Ok(Entry(b"", 0))
+    if answer.status != 200:
+        return Err(PlatformError(f"status {answer.status}", may_have_written=False))
+    return Ok(Entry(body, int(answer.headers.get(_REVISION_HEADER, "0"))))
+
+
+def _read_swap(answer: Answer) -> Result[Swap, PlatformError]:
+    try:
+        answer.read()
+    except ConnectionError as exc:
+        return Err(PlatformError(str(exc), may_have_written=True))
+    revision = int(answer.headers.get(_REVISION_HEADER, "0"))
+    if answer.status in (200, 409):
+        return Ok(Swap(answer.status == 200, revision))
+    return Err(PlatformError(f"status {answer.status}", may_have_written=answer.status >= 500))
--- /dev/null
+++ b/dalehollow/protocol/link.py
@@ -0,0 +1,96 @@
+"""Carry messages over pynng request and reply sockets, one link for each peer."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import pynng
+from result import Err, Ok, Result
+
+from dalehollow.protocol.messages import (
+    Refused,
+    Reply,
+    Request,
+    decode_reply,
+    decode_request,
+    encode,
+)
+
+_NO_RESEND_MS = 2**31 - 1  # every retry is the system's own decision
+_MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+_RECONNECT_MIN_MS = 100
+_RECONNECT_MAX_MS = 1000
+_POLL_MS = 500
+
+ControlHandler = Callable[[Request], Reply]
+
+
+class PeerLink:
+    """Ask one peer and wait for its reply; not for use by several threads at once."""
+
+    def __init__(self, address: str) -> None:
+        """Dial in the background; `address` is host:port."""
+        self.address = address
+        self._socket = pynng.Req0(resend_time=_NO_RESEND_MS)
+        self._socket.reconnect_time_min = _RECONNECT_MIN_MS
+        self._socket.reconnect_time_max = _RECONNECT_MAX_MS
+        self._socket.recv_max_size = _MAX_MESSAGE_BYTES
+        self._socket.dial(f"tcp://{address}", block=False)
+
+    def ask(self, request: Request, *, timeout_ms: int) -> Result[Reply, str]:
+        """Send a request and wait for its reply; a reply that comes too late is dropped."""
+        self._socket.send_timeout = timeout_ms
+        self._socket.recv_timeout = timeout_ms
+        try:
+            self._socket.send(encode(request))
+            return Ok(decode_reply(self._socket.recv()))
+        except (pynng.NNGException, ValueError) as exc:
+            return Err(f"{type(exc).__name__}: {exc}")
+
+    def close(self) -> None:
+        """Close the link."""
+        self._socket.close()
+
+
+class ControlServer:
+    """Answer peers' requests, one after the other; handlers must not wait."""
+
+    def __init__(self, host: str, port: int, handler: ControlHandler) -> None:
+        """Listen at once; port 0 picks a free port."""
+        self._handler = handler
+        self._socket = pynng.Rep0(recv_timeout=_POLL_MS)
+        self._socket.recv_max_size = _MAX_MESSAGE_BYTES
+        listener = self._socket.listen(f"tcp://{host}:{port}")
+        self.address = str(listener.local_address)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._serve, name="control", daemon=True)
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop answering."""
+        self._stopping.set()
+        self._socket.close()
+
+    def _serve(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                data = self._socket.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.NNGException:
+                return
+            reply = self._answer(data)
+            try:
+                self._socket.send(encode(reply))
+            except pynng.NNGException:
+                continue
+
+    def _answer(self, data: bytes) -> Reply:
+        try:
+            return self._handler(decode_request(data))
+        except ValueError as exc:
+            return Refused(f"unreadable message: {exc}")
--- /dev/null
+++ b/dalehollow/protocol/messages.py
@@ -0,0 +1,106 @@
+"""Define the messages of the inner protocol, encoded as MessagePack arrays."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="b"):
+    """Tell a peer who is there and which configuration it knows to be current, and when."""
+
+    sender: str
+    address: str
+    version: int
+    confirmed_at_ms: int
+
+
+class BeatReply(msgspec.Struct, frozen=True, array_like=True, tag="B"):
+    """Answer a beat with the load of the upstream behind this sidecar."""
+
+    sender: str
+    incarnation_ms: int
+    version: int
+    confirmed_at_ms: int
+    running: int
+    waiting: int
+    slots: int
+    service_ms: float
+    is_leaving: bool
+
+
+class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Ask a peer for a configuration of at least this version."""
+
+    version: int
+
+
+class ConfigText(msgspec.Struct, frozen=True, array_like=True, tag="F"):
+    """Carry a whole configuration: its manifest as JSON and its text."""
+
+    manifest_json: bytes
+    text: str
+
+
+class Dump(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """Ask a process for its state."""
+
+    section: str = ""
+
+
+class DumpText(msgspec.Struct, frozen=True, array_like=True, tag="D"):
+    """Carry a process's state as JSON."""
+
+    state_json: bytes
+
+
+class VoteQuery(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+    """Put a proposed expert map to a rank's gate, and ask for its vote on it."""
+
+    group: str
+    rank: int
+    fence: int
+    sequence: int
+    base_version: int
+    switch_step: int
+    map_digest: str
+    map_json: bytes
+
+
+class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag="V"):
+    """Carry one rank's vote, which never changes, and what its engine runs."""
+
+    rank: int
+    vote: Literal["yes", "no", "pending"]
+    version: int
+    step: int
+
+
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """Tell that a message could not be answered, and why."""
+
+    message: str
+
+
+Request = Beat | FetchConfig | Dump | VoteQuery
+Reply = BeatReply | ConfigText | DumpText | VoteReply | Refused
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(Request)
+_reply_decoder = msgspec.msgpack.Decoder(Reply)
+
+
+def encode(message: Request | Reply) -> bytes:
+    """Encode a message."""
+    return _encoder.encode(message)
+
+
+def decode_request(data: bytes) -> Request:
+    """Decode a request; raise ValueError for anything else."""
+    return _request_decoder.decode(data)
+
+
+def decode_reply(data: bytes) -> Reply:
+    """Decode a reply; raise ValueError for anything else."""
+    return _reply_decoder.decode(data)
--- /dev/null
+++ b/dalehollow/settings.py
@@ -0,0 +1,105 @@
+"""Read and check one process's settings, written in JSON with comments."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from dalehollow.errors import SettingsError
+from dalehollow.telemetry.logs import LEVELS
+
+ROLES = ("entry", "sidecar")
+_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Hold one process's settings; addresses are an IP number and a port, port 0 picks one."""
+
+    role: str
+    name: str
+    hall: str
+    http: str = "127.0.0.1:0"
+    control: str = "127.0.0.1:0"
+    platform: str | None = None
+    peers: tuple[str, ...] = ()
+    upstream: str | None = None
+    upstream_http: str | None = None
+    inner_key: str = ""
+    log_level: str = "info"
+    beat_interval_ms: int = 500
+    subset_size: int = 8
+    leave_ms: int = 1_000
+    drain_timeout_ms: int = 60_000
+    answer_timeout_ms: int = 120_000
+    connect_timeout_ms: int = 500
+
+
+def read_settings(path: str) -> Settings:
+    """Read a settings file; raise SettingsError with every mistake in it."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as exc:
+        raise SettingsError(f"settings file {path!r} cannot be read: {exc.strerror}") from exc
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Check settings given as text; raise SettingsError with every mistake in it."""
+    try:
+        raw = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as exc:
+        raise SettingsError(f"settings are not JSON with comments: {exc}") from exc
+    if not isinstance(raw, dict):
+        raise SettingsError(f"settings are {raw!r}, must be an object")
+    mistakes = _find_mistakes(raw)
+    if mistakes:
+        raise SettingsError("; ".join(mistakes))
+    values: dict[str, Any] = {k: tuple(v) if isinstance(v, list) else v for k, v in raw.items()}
+    return Settings(**values)
+
+
+def _find_mistakes(raw: Mapping[str, Any]) -> list[str]:
+    fields = {f.name: f for f in dataclasses.fields(Settings)}
+    mistakes = [
+        f"{name!r} is unknown; choices: {', '.join(fields)}" for name in raw if name not in fields
+    ]
+    for name, field in fields.items():
+        if name not in raw and field.default is dataclasses.MISSING:
+            mistakes.append(f"{name!r} is missing")
+        elif name in raw:
+            mistakes += _check_value(name, raw[name], str(field.type))
+    if raw.get("role") == "sidecar":
+        mistakes += [f"{n!r} is missing" for n in ("upstream", "upstream_http") if n not in raw]
+    return mistakes
+
+
+def _check_value(name: str, value: Any, kind: str) -> list[str]:
+    choices = {"role": ROLES, "log_level": LEVELS}.get(name)
+    if choices is not None:
+        return [] if value in choices else [f"{name!r} is {value!r}, choices: {', '.join(choices)}"]
+    if kind == "int":
+        whole = isinstance(value, int) and not isinstance(value, bool) and value >= 0
+        return [] if whole else [f"{name!r} is {value!r}, must be a whole number from 0"]
+    if name == "peers":
+        is_list = isinstance(value, list) and all(_is_address(v) for v in value)
+        return [] if is_list else [f"{name!r} is {value!r}, must be a list of addresses"]
+    if name in ("http", "control", "platform", "upstream_http"):
+        return [] if _is_address(value) else [f"{name!r} is {value!r}, must be like 127.0.0.1:80"]
+    return [] if isinstance(value, str) else [f"{name!r} is {value!r}, must be text"]
+
+
+def _is_address(value: Any) -> bool:
+    return isinstance(value, str) and _ADDRESS.fullmatch(value) is not None
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split host:port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/dalehollow/sidecar/call.py
@@ -0,0 +1,88 @@
+"""Read what an entry asks of a sidecar."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from dalehollow.config.model import PRIORITIES
+from dalehollow.errors import Failure, Reason
+from dalehollow.once import read_birth_ms
+from dalehollow.protocol import headers as hdr
+from dalehollow.verdict import Verdict
+from dalehollow.web import HttpRequest
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class InnerCall:
+    """Hold one request from an entry; `deadline_s` is on this process's monotonic clock."""
+
+    request_id: str
+    service: str
+    account: str
+    priority: str
+    repeatable: bool
+    deadline_s: float
+    key: str | None
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def scope(self) -> str:
+        """Return the name under which the key is owned and remembered."""
+        return f"{self.service}\0{self.account}\0{self.key}"
+
+    @property
+    def birth_ms(self) -> int | None:
+        """Return when the key was born, if it says so."""
+        return None if self.key is None else read_birth_ms(self.key)
+
+    @property
+    def fingerprint(self) -> str:
+        """Return a digest that tells two requests under one key apart."""
+        head = f"{self.method} {self.target}\0".encode()
+        return hashlib.sha256(head + self.body).hexdigest()
+
+
+def read_call(req: HttpRequest, inner_key: str, now_s: float) -> Result[InnerCall, Failure]:
+    """Check the inner headers and return the call."""
+    headers = req.headers
+    if headers.get(hdr.INNER_KEY, "") != inner_key:
+        message = f"{hdr.INNER_KEY} is wrong; only entries may call a sidecar"
+        return Err(Failure(Reason.FORBIDDEN, Verdict.NOT_RUN, message))
+    priority = headers.get(hdr.PRIORITY, "")
+    if priority not in PRIORITIES:
+        message = f"{hdr.PRIORITY} is {priority!r}, must be one of {', '.join(PRIORITIES)}"
+        return Err(Failure(Reason.BAD_REQUEST, Verdict.NOT_RUN, message))
+    left_ms = headers.get(hdr.DEADLINE_MS, "")
+    if not left_ms.isdigit():
+        message = f"{hdr.DEADLINE_MS} is {left_ms!r}, must be milliseconds"
+        return Err(Failure(Reason.BAD_REQUEST, Verdict.NOT_RUN, message))
+    return Ok(
+        InnerCall(
+            request_id=headers.get(hdr.REQUEST_ID, "-"),
+            service=headers.get(hdr.SERVICE, ""),
+            account=headers.get(hdr.ACCOUNT, ""),
+            priority=priority,
+            repeatable=headers.get(hdr.REPEATABLE) == "true",
+            deadline_s=now_s + int(left_ms) / _MS_PER_S,
+            key=headers.get(hdr.IDEMPOTENCY_KEY),
+            method=req.method,
+            target=req.path + (f"?{req.query}" if req.query else ""),
+            headers=_headers_for_upstream(headers, priority),
+            body=req.body,
+        )
+    )
+
+
+def _headers_for_upstream(headers: Mapping[str, str], priority: str) -> dict[str, str]:
+    kept = hdr.keep_end_to_end(headers)
+    kept[hdr.ENGINE_PRIORITY] = priority
+    return kept
--- /dev/null
+++ b/dalehollow/sidecar/process.py
@@ -0,0 +1,181 @@
+"""Run a sidecar: its servers, its configuration and its planned stop."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import logging
+import time
+import uuid
+
+from result import Ok
+
+from dalehollow.config.holder import ConfigHolder, InForce
+from dalehollow.config.spread import Spreader, wall_ms
+from dalehollow.limits import Gate, GateLimits
+from dalehollow.platform import HttpKeyValue, KeyValue
+from dalehollow.protocol import (
+    Beat,
+    BeatReply,
+    ConfigText,
+    ControlServer,
+    Dump,
+    DumpText,
+    FetchConfig,
+    Refused,
+    Reply,
+    Request,
+)
+from dalehollow.settings import Settings, split_address
+from dalehollow.sidecar.call import read_call
+from dalehollow.sidecar.forward import Forwarder
+from dalehollow.sidecar.ownership import Ownership
+from dalehollow.telemetry import Metrics, log_event
+from dalehollow.web import HttpClient, HttpRequest, HttpResponse, HttpServer
+from dalehollow.web.refusal import make_refusal
+
+_MS_PER_S = 1000
+_log = logging.getLogger(__name__)
+
+
+class Sidecar:
+    """Hold the state of one sidecar process."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Bind the servers; nothing is served before start."""
+        assert settings.upstream is not None and settings.upstream_http is not None
+        self.settings = settings
+        self.upstream = settings.upstream
+        self.incarnation_ms = wall_ms()
+        self.is_leaving = False
+        self.metrics = Metrics()
+        self.holder = ConfigHolder()
+        self.kv: KeyValue | None = HttpKeyValue(settings.platform) if settings.platform else None
+        self.spreader = Spreader(settings.name, self.holder, self.kv)
+        # Closed until a configuration says how much the upstream can take.
+        self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), time.monotonic)
+        host, port = split_address(settings.http)
+        self.server = HttpServer(host, port, self.handle, name="dalehollow")
+        member = f"{self.upstream}@{self.server.address}"
+        self.ownership = Ownership(member, self.holder, self.incarnation_ms)
+        self.forwarder = Forwarder(
+            upstream=self.upstream,
+            upstream_http=settings.upstream_http,
+            client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
+            gate=self.gate,
+            ownership=self.ownership,
+            answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
+            wall_ms=wall_ms,
+        )
+        host, port = split_address(settings.control)
+        self.control = ControlServer(host, port, self.handle_control)
+        self.holder.on_change(self._apply)
+        self.metrics.watch_gauge("requests_running", lambda: self.gate.load().running)
+        self.metrics.watch_gauge("requests_waiting", lambda: self.gate.load().waiting)
+        self.metrics.watch_gauge("config_version", lambda: self.holder.version)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.ownership.is_first = self._claim_first_incarnation()
+        self.spreader.poll()
+        self.spreader.start()
+        self.control.start()
+        self.server.start()
+
+    def stop(self) -> int:
+        """Refuse new work, let what runs finish, and return how many requests were cut off."""
+        self.is_leaving = True
+        self.gate.close()
+        log_event(_log, "leaving", running=self.gate.load().running)
+        # Peers hear of the leaving on their next beat, and from every refusal until then.
+        time.sleep(self.settings.leave_ms / _MS_PER_S)
+        self.server.begin_closing()
+        left = self.server.wait_idle(self.settings.drain_timeout_ms / _MS_PER_S)
+        self.server.stop()
+        self.control.stop()
+        self.spreader.stop()
+        log_event(_log, "stopped", cut_off=left)
+        return left
+
+    def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request from an entry."""
+        if req.path == "/dalehollow/metrics":
+            return HttpResponse(200, {"content-type": "text/plain"}, self.metrics.expose().encode())
+        called = read_call(req, self.settings.inner_key, time.monotonic())
+        if not isinstance(called, Ok):
+            return make_refusal(called.err_value, request_id="-")
+        response = self.forwarder.serve(req, called.ok_value)
+        self.metrics.count("answers", status=str(response.status), service=called.ok_value.service)
+        return response
+
+    def handle_control(self, request: Request) -> Reply:
+        """Answer one message from a peer."""
+        match request:
+            case Beat():
+                self.spreader.hear(request.version, request.confirmed_at_ms, request.address)
+                return self._make_beat_reply()
+            case FetchConfig():
+                return ConfigText(self.holder.manifest_json(), self.holder.in_force.text)
+            case Dump():
+                return DumpText(json.dumps(self.dump()).encode())
+            case _:
+                return Refused(f"{type(request).__name__} is not for a sidecar")
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of this process."""
+        return {
+            "role": "sidecar",
+            "name": self.settings.name,
+            "hall": self.settings.hall,
+            "upstream": self.upstream,
+            "incarnation_ms": self.incarnation_ms,
+            "is_first_incarnation": self.ownership.is_first,
+            "is_leaving": self.is_leaving,
+            "config_version": self.holder.version,
+            "config_confirmed_at_ms": self.holder.confirmed_at_ms,
+            "config_polls": self.spreader.polls,
+            "gate": dataclasses.asdict(self.gate.load()),
+            "keys_held": self.ownership.counts(),
+            "counts": self.metrics.counts(),
+        }
+
+    def _make_beat_reply(self) -> BeatReply:
+        load = self.gate.load()
+        return BeatReply(
+            sender=self.settings.name,
+            incarnation_ms=self.incarnation_ms,
+            version=self.holder.version,
+            confirmed_at_ms=self.holder.confirmed_at_ms,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            service_ms=load.service_ms,
+            is_leaving=self.is_leaving,
+        )
+
+    def _apply(self, in_force: InForce) -> None:
+        cfg = in_force.config
+        assert cfg is not None
+        mine = cfg.upstreams.get(self.upstream)
+        services = cfg.services_of(self.upstream)
+        if mine is None or not services:
+            return
+        self.gate.resize(
+            GateLimits(
+                slots=mine.slots,
+                urgent_extra=max(s.urgent_extra_slots for s in services),
+                queue_limit=max(s.queue_limit for s in services),
+            )
+        )
+
+    def _claim_first_incarnation(self) -> bool:
+        """Return whether the platform's record shows that none ran here before this one."""
+        if self.kv is None:
+            return False
+        key = f"incarnation/{self.ownership.member}"
+        mark = f"{self.incarnation_ms}-{uuid.uuid4()}".encode()
+        claimed = self.kv.swap(key, mark, expected_revision=0)
+        if isinstance(claimed, Ok):
+            return claimed.ok_value.won
+        found = self.kv.get(key)
+        return isinstance(found, Ok) and found.ok_value.value == mark
--- /dev/null
+++ b/dalehollow/web/__init__.py
@@ -0,0 +1,8 @@
+"""Speak HTTP with callers, upstreams and the platform through cheroot and urllib3."""
+
+from __future__ import annotations
+
+from dalehollow.web.client import Answer, CallError, HttpClient
+from dalehollow.web.server import HttpRequest, HttpResponse, HttpServer
+
+__all__ = ["Answer", "CallError", "HttpClient", "HttpRequest", "HttpResponse", "HttpServer"]
--- /dev/null
+++ b/standins/hall.py
@@ -0,0 +1,260 @@
+"""Run one hall on loopback and send it real requests of both deployments."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import signal
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import fire
+import json5
+from result import Err
+
+from dalehollow.config import apply_text
+from dalehollow.platform import HttpKeyValue
+from dalehollow.web import HttpClient
+from standins.processes import Launcher, Running
+
+REQUESTS_PATH = Path(__file__).parent.parent / "examples" / "requests.json5"
+_READY_TIMEOUT_S = 20
+_POLL_S = 0.02
+
+ACCOUNT_KEYS = {
+    "colombo-city": "demo-key-colombo",
+    "lanka-hospital": "demo-key-hospital",
+    "floor-judges": "demo-key-judges",
+    "scoreboard": "demo-key-scoreboard",
+}
+
+
+@dataclass
+class Hall:
+    """Hold the processes of one hall."""
+
+    platform: Running
+    engines: list[Running] = field(default_factory=list)
+    plain: dict[str, Running] = field(default_factory=dict)
+    sidecars: dict[str, Running] = field(default_factory=dict)
+    entries: list[Running] = field(default_factory=list)
+
+
+def digest_key(key: str) -> str:
+    """Return how a configuration holds an account's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def start_hall(
+    launcher: Launcher,
+    *,
+    entries: int = 2,
+    engines: int = 3,
+    plain: tuple[str, ...] = ("gate-1", "floor-1"),
+    slots: int = 8,
+    step_ms: float = 6.0,
+    settings: dict[str, Any] | None = None,
+) -> Hall:
+    """Start a hall, apply its configuration and wait until every entry serves it."""
+    more = settings or {}
+    hall = Hall(launcher.start_standin("platform", "keyvalue"))
+    for idx in range(engines):
+        engine = launcher.start_standin(f"engine-{idx}", "engine", slots=slots, step_ms=step_ms)
+        hall.engines.append(engine)
+        name = f"model-{idx}"
+        hall.sidecars[name] = _start_sidecar(launcher, hall, name, engine.http, more)
+    for name in plain:
+        hall.plain[name] = launcher.start_standin(f"plain-{name}", "plain")
+        hall.sidecars[name] = _start_sidecar(launcher, hall, name, hall.plain[name].http, more)
+    for idx in range(entries):
+        entry = launcher.start_process(
+            role="entry", name=f"entry-{idx}", hall="cmb-a", platform=hall.platform.http, **more
+        )
+        hall.entries.append(entry)
+    apply_config(hall, make_config(hall, slots=slots))
+    return hall
+
+
+def _start_sidecar(
+    launcher: Launcher, hall: Hall, name: str, upstream_http: str, more: dict[str, Any]
+) -> Running:
+    return launcher.start_process(
+        role="sidecar",
+        name=f"sidecar-{name}",
+        hall="cmb-a",
+        platform=hall.platform.http,
+        upstream=name,
+        upstream_http=upstream_http,
+        **more,
+    )
+
+
+def make_config(hall: Hall, *, slots: int = 8, **service_fields: Any) -> dict[str, Any]:
+    """Return an operators' file for a started hall."""
+    upstreams = {
+        name: {"hall": "cmb-a", "http": run.http, "control": run.control, "slots": slots}
+        for name, run in hall.sidecars.items()
+    }
+    models = [name for name in upstreams if name.startswith("model-")]
+    services: dict[str, Any] = {
+        "assistant": {
+            "kind": "model",
+            "models": ["kelani-assist", "truco-judge"],
+            "upstreams": models,
+            **service_fields,
+        }
+    }
+    for prefix in sorted({name.rpartition("-")[0] for name in hall.plain}):
+        services[prefix] = {
+            "kind": "plain",
+            "path_prefix": f"/{prefix}",
+            "upstreams": [name for name in hall.plain if name.rpartition("-")[0] == prefix],
+            "operations": [
+                {"method": "POST", "path": f"/{prefix}/confirm", "repeatable": False},
+                {"method": "POST", "path": f"/{prefix}/penalty", "repeatable": False},
+                {"method": "POST", "path": f"/{prefix}/draw", "repeatable": True},
+            ],
+            **service_fields,
+        }
+    return {
+        "deployment": "demo",
+        "halls": {"cmb-a": {"region": "lk-west", "entries": max(1, len(hall.entries))}},
+        "client_accounts": {
+            name: {
+                "key_sha256": digest_key(key),
+                "requests_per_s": 100_000,
+                "burst": 100_000,
+                "max_priority": "urgent",
+            }
+            for name, key in ACCOUNT_KEYS.items()
+        },
+        "upstreams": upstreams,
+        "services": services,
+    }
+
+
+def apply_config(hall: Hall, config: dict[str, Any]) -> int:
+    """Apply a configuration and wait until every process of the hall serves it."""
+    kv = HttpKeyValue(hall.platform.http)
+    applied = apply_text(kv, json.dumps(config, indent=1), apply_id=f"demo-{time.time_ns()}")
+    if isinstance(applied, Err):
+        raise RuntimeError(f"configuration was refused: {applied.err_value}")
+    version = applied.ok_value.manifest.version
+    for process in [*hall.entries, *hall.sidecars.values()]:
+        wait_for_version(process, version)
+    return version
+
+
+def wait_for_version(process: Running, version: int) -> None:
+    """Wait until a process has a configuration version in force."""
+    client = HttpClient(connect_timeout_s=1.0)
+    deadline_s = time.monotonic() + _READY_TIMEOUT_S
+    wanted = f"dalehollow_config_version {version}"
+    while time.monotonic() < deadline_s:
+        call = client.call("GET", process.http, "/dalehollow/metrics", timeout_s=2.0)
+        if not isinstance(call, Err) and wanted in call.ok_value.read().decode():
+            return
+        time.sleep(_POLL_S)
+    raise RuntimeError(f"process {process.name!r} did not get version {version}")
+
+
+def send_request(entry: Running, request: dict[str, Any]) -> dict[str, Any]:
+    """Send one request, read its whole answer and return what came of it."""
+    headers = {
+        "authorization": f"Bearer {ACCOUNT_KEYS[request['account']]}",
+        "dalehollow-priority": request["priority"],
+        "content-type": "application/json",
+    }
+    if "idempotency_key" in request:
+        headers["idempotency-key"] = request["idempotency_key"]
+    began_s = time.monotonic()
+    call = HttpClient(connect_timeout_s=1.0).call(
+        request["method"],
+        entry.http,
+        request["path"],
+        headers=headers,
+        body=json.dumps(request["body"]).encode(),
+        timeout_s=30.0,
+    )
+    answer = call.unwrap()
+    first_s = None
+    chunks = []
+    for chunk in answer.stream():
+        first_s = first_s or time.monotonic()
+        chunks.append(chunk)
+    ended_s = time.monotonic()
+    return {
+        "account": request["account"],
+        "priority": request["priority"],
+        "entry": answer.headers.get("dalehollow-entry", entry.name),
+        "upstream": answer.headers.get("dalehollow-upstream"),
+        "status": answer.status,
+        "first_ms": round(((first_s or ended_s) - began_s) * 1000, 1),
+        "whole_ms": round((ended_s - began_s) * 1000, 1),
+        "verdict": answer.headers.get("dalehollow-verdict"),
+        "body": b"".join(chunks).decode(),
+    }
+
+
+def _is_own_whole(request: dict[str, Any], result: dict[str, Any]) -> bool:
+    """Return whether an answer is whole and answers this request."""
+    from standins.engine import make_token
+
+    if result["status"] != 200 or result["verdict"] != "RAN":
+        return False
+    body = request["body"]
+    if "messages" not in body:
+        return bool(json.loads(result["body"])["request"] == json.dumps(body))
+    prompt = body["messages"][-1]["content"]
+    expected = [make_token(prompt, idx) for idx in range(body["max_tokens"])]
+    if not body.get("stream"):
+        return bool(
+            json.loads(result["body"])["choices"][0]["message"]["content"] == "".join(expected)
+        )
+    events = [line[6:] for line in result["body"].splitlines() if line.startswith("data: ")]
+    if events[-1] != "[DONE]":
+        return False
+    tokens = [json.loads(event)["choices"][0]["delta"]["content"] for event in events[:-1]]
+    return tokens == expected
+
+
+def run(log: str | None = None) -> None:
+    """Bring a hall up, send the example requests, print a line for each and stop."""
+    requests = json5.loads(REQUESTS_PATH.read_text())
+    failures = 0
+    with Launcher(log) as launcher:
+        hall = start_hall(launcher, settings={"leave_ms": 100})
+        for idx, request in enumerate(requests):
+            result = send_request(hall.entries[idx % len(hall.entries)], request)
+            whole = _is_own_whole(request, result)
+            failures += not whole
+            pairs = {k: v for k, v in result.items() if k != "body"}
+            print(" ".join(f"{k}={v}" for k, v in pairs.items()), f"own_whole={whole}".lower())
+    print(f"requests={len(requests)} failures={failures}")
+    sys.exit(1 if failures else 0)
+
+
+def serve(log: str | None = None) -> None:
+    """Keep a hall up until Ctrl-C, then drain it."""
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    with Launcher(log) as launcher:
+        hall = start_hall(launcher)
+        for entry in hall.entries:
+            print(f"{entry.name} http={entry.http} control={entry.control}")
+        for name, sidecar in hall.sidecars.items():
+            print(f"{name} http={sidecar.http} control={sidecar.control}")
+        print(f"platform={hall.platform.http}")
+        for account, key in ACCOUNT_KEYS.items():
+            print(f"account={account} key={key}")
+        print("press Ctrl-C to stop", flush=True)
+        stopping.wait()
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run, "serve": serve})
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,95 @@
+"""Start and end the processes of a hall on loopback, for the examples, tests and benchmarks."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+STOP_TIMEOUT_S = 20
+
+
+@dataclass
+class Running:
+    """Hold one started process and the addresses that it printed."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    addresses: Mapping[str, str]
+
+    @property
+    def http(self) -> str:
+        return self.addresses["http"]
+
+    @property
+    def control(self) -> str:
+        return self.addresses["control"]
+
+    def send_signal(self, number: int) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Stop as planned and return the exit code."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.terminate()
+        try:
+            return self.popen.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait()
+
+
+@dataclass
+class Launcher:
+    """Hold the processes it started; use it as a context, which ends them all."""
+
+    log_path: str | None = None
+    running: list[Running] = field(default_factory=list)
+    _directory: tempfile.TemporaryDirectory[str] = field(
+        default_factory=tempfile.TemporaryDirectory
+    )
+
+    def __enter__(self) -> Launcher:
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for process in self.running:
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.terminate()
+        for process in self.running:
+            process.stop()
+        self._directory.cleanup()
+
+    def start_standin(self, name: str, module: str, **flags: object) -> Running:
+        args = [f"--{k}={v}" for k, v in flags.items()]
+        return self._start(name, [sys.executable, "-m", f"standins.{module}", *args])
+
+    def start_process(self, **settings: Any) -> Running:
+        path = Path(self._directory.name) / f"{settings['name']}.json"
+        path.write_text(json.dumps(settings))
+        return self._start(settings["name"], [sys.executable, "-m", "dalehollow", "run", str(path)])
+
+    def _start(self, name: str, command: list[str]) -> Running:
+        with open(self.log_path or "/dev/null", "a") as log:
+            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
+        assert popen.stdout is not None
+        line = popen.stdout.readline()
+        if "event=ready" not in line:
+            popen.wait()
+            raise RuntimeError(f"process {name!r} did not get ready: {line!r}")
+        pairs = dict(pair.split("=", 1) for pair in line.split())
+        running = Running(name, popen, pairs)
+        self.running.append(running)
+        return running
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test dalehollow."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,30 @@
+"""Offer the fakes and the hall of processes that tests share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from dalehollow.platform import HttpKeyValue
+from dalehollow.web import HttpServer
+from standins.hall import Hall, start_hall
+from standins.keyvalue import KeyValueStandIn
+from standins.processes import Launcher
+
+
+@pytest.fixture
+def platform() -> Iterator[tuple[KeyValueStandIn, HttpKeyValue]]:
+    """Offer a key-value stand-in in this process and a client of it."""
+    standin = KeyValueStandIn()
+    server = HttpServer("127.0.0.1", 0, standin.handle, name="keyvalue")
+    server.start()
+    yield standin, HttpKeyValue(server.address)
+    server.stop()
+
+
+@pytest.fixture(scope="module")
+def hall() -> Iterator[Hall]:
+    """Offer a whole hall of processes, shared by the tests of a module."""
+    with Launcher() as launcher:
+        yield start_hall(launcher, engines=2, settings={"leave_ms": 50})
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,251 @@
+"""Test owners and key tables against a naive judge that remembers everything."""
+
+from __future__ import annotations
+
+import uuid
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from dalehollow.errors import Reason
+from dalehollow.once import (
+    Generation,
+    KeptAnswer,
+    KeyTable,
+    KeyTableLimits,
+    extend_generations,
+    find_owner,
+    read_birth_ms,
+)
+from dalehollow.verdict import Verdict
+
+LIMITS = KeyTableLimits(capacity=4, answer_bytes=10_000, window_ms=1_000, clock_bound_ms=50)
+ANSWER = KeptAnswer(200, {"content-type": "text/plain"}, b"paid")
+
+
+def make_uuid7(birth_ms: int, tail: int = 1) -> str:
+    return str(uuid.UUID(int=(birth_ms << 80) | (7 << 76) | (2 << 62) | tail))
+
+
+@pytest.mark.parametrize(
+    ("key", "birth_ms"),
+    [
+        (make_uuid7(1_700_000_000_123), 1_700_000_000_123),
+        (make_uuid7(5).upper(), 5),
+        (str(uuid.UUID(int=4, version=4)), None),
+        ("pay-8841", None),
+        (make_uuid7(5).replace("-", ""), None),
+        ("", None),
+    ],
+)
+def test_birth(key: str, birth_ms: int | None) -> None:
+    assert read_birth_ms(key) == birth_ms
+
+
+def test_finished_key_gets_its_first_answer() -> None:
+    table = KeyTable(LIMITS, 0, is_first=True)
+    assert table.begin("k", "f", None, 10).unwrap() is None
+    table.finish("k", ANSWER)
+    assert table.begin("k", "f", None, 20).unwrap() == ANSWER
+
+
+def test_key_for_another_request_is_refused() -> None:
+    table = KeyTable(LIMITS, 0, is_first=True)
+    table.begin("k", "f", None, 10).unwrap()
+    failure = table.begin("k", "other", None, 20).unwrap_err()
+    assert (failure.reason, failure.verdict) == (Reason.KEY_REUSED, Verdict.NOT_RUN)
+
+
+def test_full_table_refuses_and_forgets_nothing() -> None:
+    table = KeyTable(LIMITS, 0, is_first=True)
+    for idx in range(4):
+        table.begin(f"k{idx}", "f", None, 10).unwrap()
+        table.finish(f"k{idx}", ANSWER)
+    failure = table.begin("new", "f", None, 20).unwrap_err()
+    assert (failure.reason, failure.verdict) == (Reason.KEY_TABLE_FULL, Verdict.NOT_RUN)
+    assert table.begin("k0", "f", None, 30).unwrap() == ANSWER
+
+
+@pytest.mark.parametrize(
+    ("birth_ms", "now_ms", "reason"),
+    [
+        (900, 1_100, Reason.KEY_OUTCOME_UNKNOWN),
+        (1_040, 1_100, Reason.KEY_OUTCOME_UNKNOWN),
+        (1_051, 1_100, None),
+        (None, 1_100, Reason.KEY_OUTCOME_UNKNOWN),
+        (None, 2_051, None),
+        (1_200, 1_100, Reason.KEY_FROM_FUTURE),
+        (1_060, 2_100, Reason.KEY_EXPIRED),
+    ],
+)
+def test_new_incarnation(birth_ms: int | None, now_ms: int, reason: Reason | None) -> None:
+    table = KeyTable(LIMITS, started_at_ms=1_000)
+    begun = table.begin("k", "f", birth_ms, now_ms)
+    assert (begun.unwrap_err().reason if begun.is_err() else None) is reason
+
+
+def test_generations_split_births() -> None:
+    first = extend_generations(
+        (), ("a", "b"), applied_at_ms=0, horizon_ms=100, clock_bound_ms=5, window_ms=50
+    )
+    both = extend_generations(
+        first, ("c",), applied_at_ms=1_000, horizon_ms=100, clock_bound_ms=5, window_ms=50
+    )
+    assert both[1] == Generation(1_110, ("c",))
+    old = find_owner(both, "k", 1_109, now_ms=2_000, memory_ms=60)
+    new = find_owner(both, "k", 1_110, now_ms=2_000, memory_ms=60)
+    assert old is not None and old.member in ("a", "b")
+    assert new is not None and new.member == "c"
+
+
+def test_undated_key_is_unsettled_while_the_old_owner_may_remember_it() -> None:
+    generations = (Generation(0, ("a",)), Generation(1_000, ("c",)))
+    during = find_owner(generations, "k", None, now_ms=1_030, memory_ms=60)
+    after = find_owner(generations, "k", None, now_ms=1_060, memory_ms=60)
+    assert during is not None and not during.settled
+    assert after is not None and after.settled
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Drive owners through restarts and configuration changes; count each key's runs.
+
+    Old owners keep admitting under the configuration they last confirmed, as a cut-off one does.
+    """
+
+    HORIZON_MS = 300
+    BOUND_MS = 50
+    WINDOW_MS = 1_000
+    seeded_fault = ""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now_ms = 10_000
+        self.generations = self.extend((), ("a", "b", "c"))
+        self.known = {m: (self.generations, self.now_ms) for m in "abcd"}
+        self.tables = {m: KeyTable(self.limits(), 0, is_first=True) for m in "abcd"}
+        self.runs: dict[str, int] = {}
+        self.last_run_ms: dict[str, int] = {}
+        self.sent: list[str] = []
+
+    def limits(self) -> KeyTableLimits:
+        return KeyTableLimits(1_000, 100_000, self.WINDOW_MS, self.BOUND_MS)
+
+    def extend(
+        self, generations: tuple[Generation, ...], members: tuple[str, ...]
+    ) -> tuple[Generation, ...]:
+        horizon_ms = -2 * self.BOUND_MS if self.seeded_fault == "no_horizon" else self.HORIZON_MS
+        return extend_generations(
+            generations,
+            members,
+            applied_at_ms=self.now_ms,
+            horizon_ms=horizon_ms,
+            clock_bound_ms=self.BOUND_MS,
+            window_ms=self.WINDOW_MS,
+        )
+
+    @rule(step_ms=st.integers(1, 600))
+    def pass_time(self, step_ms: int) -> None:
+        self.now_ms += step_ms
+
+    @rule(members=st.sampled_from([("a",), ("b", "c"), ("a", "d"), ("a", "b", "c")]))
+    def change(self, members: tuple[str, ...]) -> None:
+        self.generations = self.extend(self.generations, members)
+
+    @rule(member=st.sampled_from("abcd"))
+    def hear(self, member: str) -> None:
+        self.known[member] = (self.generations, self.now_ms)
+
+    @rule(member=st.sampled_from("abcd"))
+    def restart(self, member: str) -> None:
+        is_first = self.seeded_fault == "forget_incarnation"
+        self.tables[member] = KeyTable(self.limits(), self.now_ms, is_first)
+
+    @rule(
+        age_ms=st.integers(-40, 900),
+        dated=st.booleans(),
+        outcome=st.sampled_from(["done", "lost", "not_run"]),
+    )
+    def request(self, age_ms: int, dated: bool, outcome: str) -> None:
+        number = len(self.sent)
+        key = make_uuid7(self.now_ms - age_ms, number + 1) if dated else f"undated-{number}"
+        self.sent.append(key)
+        self.send_everywhere(key, outcome)
+
+    @rule(pick=st.integers(0, 10), outcome=st.sampled_from(["done", "lost", "not_run"]))
+    def retry(self, pick: int, outcome: str) -> None:
+        if self.sent:
+            self.send_everywhere(self.sent[-1 - pick % len(self.sent)], outcome)
+
+    def send_everywhere(self, key: str, outcome: str) -> None:
+        """Send to each member, as retries through entries of all configurations would."""
+        for member in "abcd":
+            self.send(member, key, outcome)
+
+    def send(self, member: str, key: str, outcome: str) -> None:
+        """Send as an entry with this member's own, possibly old, configuration would."""
+        generations, confirmed_ms = self.known[member]
+        birth_ms = read_birth_ms(key)
+        owner = find_owner(
+            generations,
+            key,
+            birth_ms,
+            now_ms=self.now_ms,
+            memory_ms=self.WINDOW_MS + 2 * self.BOUND_MS,
+        )
+        if owner is None or owner.member != member or not owner.settled:
+            return
+        label_ms = self.now_ms if birth_ms is None else birth_ms
+        if self.seeded_fault != "no_confirmation" and label_ms > confirmed_ms + self.HORIZON_MS:
+            return
+        table = self.tables[member]
+        begun = table.begin(key, "f", birth_ms, self.now_ms)
+        if begun.is_err() or begun.unwrap() is not None:
+            return
+        if outcome == "not_run":
+            table.forget(key)
+            return
+        self.runs.setdefault(key, 0)
+        if birth_ms is None:
+            self.count_undated(key)
+        else:
+            self.runs[key] += 1
+        if outcome == "done":
+            table.finish(key, ANSWER)
+        else:
+            table.mark_unknown(key)
+
+    def count_undated(self, key: str) -> None:
+        """Undated keys are promised at most one run inside a window."""
+        is_recent = self.now_ms - self.last_run_ms.get(key, -self.WINDOW_MS) < self.WINDOW_MS
+        self.runs[key] = self.runs[key] + 1 if is_recent else 1
+        self.last_run_ms[key] = self.now_ms
+
+    @invariant()
+    def at_most_once(self) -> None:
+        for key, count in getattr(self, "runs", {}).items():
+            assert count <= 1, f"{key} ran {count} times"
+
+
+AtMostOnce.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestAtMostOnce = AtMostOnce.TestCase
+
+
+@pytest.mark.parametrize("fault", ["no_horizon", "forget_incarnation", "no_confirmation"])
+def test_seeded_fault_is_found(fault: str) -> None:
+    class Faulty(AtMostOnce):
+        seeded_fault = fault
+
+    Faulty.TestCase.settings = settings(
+        max_examples=3_000,
+        stateful_step_count=30,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[Phase.generate],
+    )
+    with pytest.raises(AssertionError, match="ran 2 times"):
+        Faulty.TestCase("runTest").runTest()
--- /dev/null
+++ b/tests/test_verdict.py
@@ -0,0 +1,38 @@
+"""Test the table of verdicts."""
+
+from __future__ import annotations
+
+import pytest
+
+from dalehollow.verdict import Ruling, Step, Verdict, judge_failure
+
+NOT_RUN, MAY, RAN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN
+
+# step: (verdict, retry if repeatable, retry if not)
+TABLE = {
+    Step.ADMIT: (NOT_RUN, False, False),
+    Step.CHOOSE: (NOT_RUN, False, False),
+    Step.CONNECT_SIDECAR: (NOT_RUN, True, True),
+    Step.SEND_SIDECAR: (MAY, True, False),
+    Step.QUEUE: (NOT_RUN, True, True),
+    Step.CONNECT_UPSTREAM: (NOT_RUN, True, True),
+    Step.SEND_UPSTREAM: (MAY, True, False),
+    Step.AWAIT_ANSWER: (MAY, True, False),
+    Step.RELAY_ANSWER: (RAN, True, False),
+}
+
+
+def test_every_step_has_a_row() -> None:
+    assert set(TABLE) == set(Step)
+
+
+@pytest.mark.parametrize("step", Step)
+def test_table(step: Step) -> None:
+    verdict, if_repeatable, if_not = TABLE[step]
+    assert judge_failure(step, repeatable=True) == Ruling(verdict, if_repeatable)
+    assert judge_failure(step, repeatable=False) == Ruling(verdict, if_not)
+
+
+@pytest.mark.parametrize("step", Step)
+def test_no_retry_once_an_answer_has_begun(step: Step) -> None:
+    assert judge_failure(step, repeatable=True, answer_begun=True) == Ruling(RAN, False)
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,135 @@
+"""Test that malformed and hostile HTTP is refused with a clear error and harms nobody."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from dalehollow.web import HttpClient, HttpRequest, HttpResponse, HttpServer
+from dalehollow.web.client import AnswerCutError
+
+BODY_LIMIT = 8 * 1024 * 1024
+
+
+class Echo:
+    """Count what reached the handler, and answer with the body."""
+
+    def __init__(self) -> None:
+        self.served = 0
+
+    def handle(self, req: HttpRequest) -> HttpResponse:
+        self.served += 1
+        if req.path == "/cut":
+            return HttpResponse(200, {}, _cut())
+        if req.path == "/cut-at-once":
+            return HttpResponse(200, {}, _cut_at_once())
+        if req.path == "/fail":
+            raise RuntimeError("handler failed")
+        return HttpResponse(200, {}, req.body)
+
+
+def _cut() -> Iterator[bytes]:
+    yield b"half"
+    raise ConnectionError("cut")
+
+
+def _cut_at_once() -> Iterator[bytes]:
+    raise ConnectionError("cut")
+    yield b""
+
+
+@pytest.fixture
+def echo() -> Iterator[tuple[Echo, str]]:
+    handler = Echo()
+    server = HttpServer("127.0.0.1", 0, handler.handle, name="echo")
+    server.start()
+    yield handler, server.address
+    server.stop()
+
+
+def send_raw(address: str, data: bytes) -> bytes:
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        received = b""
+        while chunk := sock.recv(65536):
+            received += chunk
+    return received
+
+
+HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+HOSTILE = [
+    ("repeated header", HEAD + b"X-A: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n", b"given twice"),
+    ("repeated key", HEAD + b"Idempotency-Key: 1\r\nIdempotency-Key: 2\r\n\r\n", b"given twice"),
+    ("two lengths", HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", b"given twice"),
+    (
+        "length and chunks",
+        HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"conflicts with",
+    ),
+    ("odd length", HEAD + b"Content-Length: +3\r\n\r\nabc", b"not digits"),
+    ("negative length", HEAD + b"Content-Length: -3\r\n\r\nabc", b"not digits"),
+    ("unknown encoding", HEAD + b"Transfer-Encoding: xchunked\r\n\r\n", b"501"),
+    ("no colon", HEAD + b"nonsense\r\n\r\n", b"Illegal header line"),
+    ("bare line feed", b"POST /a HTTP/1.1\nHost: x\n\n", b"CRLF"),
+    ("long header", HEAD + b"X-A: " + b"a" * 40_000 + b"\r\n\r\n", b"413"),
+    ("long body", HEAD + b"Content-Length: %d\r\n\r\n" % (BODY_LIMIT + 1), b"413"),
+    ("not HTTP", b"\x16\x03\x01\x02\x00\r\n\r\n", b"400"),
+]
+
+
+@pytest.mark.parametrize(("name", "data", "expected"), HOSTILE, ids=[h[0] for h in HOSTILE])
+def test_hostile(echo: tuple[Echo, str], name: str, data: bytes, expected: bytes) -> None:
+    handler, address = echo
+    received = send_raw(address, data)
+    assert expected in received
+    assert b"Dalehollow-Verdict: NOT_RUN" in received
+    assert json.loads(received.partition(b"\r\n\r\n")[2])["error"]["verdict"] == "NOT_RUN"
+    assert handler.served == 0
+    answer = HttpClient(connect_timeout_s=1).call("POST", address, "/", body=b"ok", timeout_s=5)
+    assert answer.unwrap().read() == b"ok"
+
+
+def test_chunks_over_the_body_limit(echo: tuple[Echo, str]) -> None:
+    handler, address = echo
+    chunk = b"%x\r\n" % (1024 * 1024) + b"a" * (1024 * 1024) + b"\r\n"
+    received = send_raw(address, HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk * 10)
+    assert b"413" in received
+    assert handler.served == 0
+
+
+def test_body_cut_short_is_not_served(echo: tuple[Echo, str]) -> None:
+    handler, address = echo
+    received = send_raw(address, HEAD + b"Content-Length: 10\r\n\r\nabc")
+    assert b" 200 " not in received
+    assert handler.served == 0
+
+
+@pytest.mark.parametrize("path", ["/cut", "/cut-at-once"])
+def test_cut_answer_has_no_clean_end(echo: tuple[Echo, str], path: str) -> None:
+    _, address = echo
+    answer = HttpClient(connect_timeout_s=1).call("GET", address, path, timeout_s=5).unwrap()
+    assert answer.status == 200
+    with pytest.raises(AnswerCutError):
+        list(answer.stream())
+
+
+@pytest.mark.parametrize("is_listening", [True, False])
+def test_how_far_a_failed_call_came(is_listening: bool) -> None:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        if is_listening:
+            sock.listen()
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        call = HttpClient(connect_timeout_s=1).call("POST", address, "/", body=b"x", timeout_s=0.2)
+    assert call.unwrap_err().sent is is_listening
+
+
+def test_failed_handler_does_not_claim_not_run(echo: tuple[Echo, str]) -> None:
+    _, address = echo
+    answer = HttpClient(connect_timeout_s=1).call("GET", address, "/fail", timeout_s=5).unwrap()
+    assert (answer.status, answer.headers["dalehollow-verdict"]) == (500, "MAY_HAVE_RUN")
