Hold every fault at every step of a payment, and hand keys over planned stops

Change: a matrix of 9 steps x 8 faults with real processes (kill, SIGSTOP, planned restart, cut, platform down, owner replaced), held by a relay and judged by the upstream's own count; an owner leaves its keys in the platform at a planned stop and its successor claims them with a swap. Ruled out: an owner's lease renewed in the platform (payments would stop with the platform). Undated keys stay promised for one window only; dated keys are recommended.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,27 @@
+"""Run one measure: `python -m benchmarks NAME`; without a name, list them."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+NAMES = {
+    "amplification": "tries for each request when half of the upstreams fail",
+    "burst": "no gate, a gate in each entry and the sidecar's gate under ten times capacity",
+    "choice": "time to the first token under ways to choose an upstream",
+    "relay": "tokens relayed by one entry: rate, processor time, added latency",
+    "urgent": "wait of urgent requests at two times capacity",
+}
+
+
+def main() -> None:
+    """Run the named measure and print its figures as key=value lines."""
+    if len(sys.argv) != 2 or sys.argv[1] not in NAMES:
+        for name, meaning in NAMES.items():
+            print(f"{name}: {meaning}")
+        sys.exit(0 if len(sys.argv) == 1 else 2)
+    importlib.import_module(f"benchmarks.{sys.argv[1]}").run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/burst.py
@@ -0,0 +1,101 @@
+"""Send a burst of ten times capacity through no gate, entry gates and the sidecar's gate.
+
+The gate in each entry, its bounded queue and its deadline over all waiting follow the idea of
+the related paper (a concurrency gate for each process); what is measured is that such a gate
+bounds each process, not the upstream that the processes share.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from result import Err
+
+from benchmarks.load import Sample, Samples, engine_stats, run_threads, send_chat
+from benchmarks.report import percentile, print_pairs
+from dalehollow.limits import Gate, GateLimits
+from dalehollow.web import HttpClient
+from standins.hall import apply_config, make_config, start_hall
+from standins.processes import Launcher
+
+SLOTS = 8
+STEP_MS = 6.0
+TOKENS = 20
+DEADLINE_MS = 1_000
+QUEUE_LIMIT = 40
+
+Send = Callable[[int], Sample]
+
+
+def run() -> None:
+    """Compare the three with 2 and 8 entries."""
+    capacity = SLOTS * DEADLINE_MS / (TOKENS * STEP_MS)
+    requests = round(10 * capacity)
+    print_pairs(capacity_in_deadline=capacity, requests=requests)
+    for entries in (2, 8):
+        for name in ("none", "entry", "sidecar"):
+            with Launcher() as launcher:
+                _measure(launcher, name, entries, requests, capacity)
+
+
+def _measure(launcher: Launcher, name: str, entries: int, requests: int, capacity: float) -> None:
+    hall = start_hall(
+        launcher,
+        entries=entries if name == "sidecar" else 1,
+        engines=1,
+        plain=(),
+        slots=SLOTS,
+        step_ms=STEP_MS,
+    )
+    apply_config(hall, make_config(hall, slots=SLOTS, queue_limit=QUEUE_LIMIT))
+    http = HttpClient(connect_timeout_s=2)
+    engine = hall.engines[0]
+    gates = [Gate(GateLimits(SLOTS, 0, QUEUE_LIMIT), time.monotonic) for _ in range(entries)]
+
+    def send_direct(idx: int) -> Sample:
+        return send_chat(http, engine.http, f"{idx}", tokens=TOKENS, deadline_ms=DEADLINE_MS)
+
+    def send_gated(idx: int) -> Sample:
+        gate = gates[idx % entries]
+        began_s = time.monotonic()
+        if isinstance(gate.acquire("normal", began_s + DEADLINE_MS / 1000), Err):
+            return Sample(503, 0.0, (time.monotonic() - began_s) * 1000, 0, True)
+        sample = send_direct(idx)
+        gate.release(sample.whole_ms)
+        waited_ms = (time.monotonic() - began_s) * 1000
+        return Sample(sample.status, sample.first_ms, waited_ms, sample.tokens, False)
+
+    def send_through(idx: int) -> Sample:
+        entry = hall.entries[idx % entries]
+        return send_chat(http, entry.http, f"{idx}", tokens=TOKENS, deadline_ms=DEADLINE_MS)
+
+    sends: dict[str, Send] = {"none": send_direct, "entry": send_gated, "sidecar": send_through}
+    # Teach the gates how long a request takes, as they would know at any time but the first.
+    for idx in range(2 * entries):
+        sends[name](idx)
+    samples = Samples()
+    began_s = time.monotonic()
+    run_threads(requests, lambda idx: samples.add(sends[name](idx)))
+    took_s = time.monotonic() - began_s
+    _report(name, entries, samples, took_s, engine_stats(hall.engines)[0], capacity)
+
+
+def _report(
+    name: str, entries: int, samples: Samples, took_s: float, stats: dict[str, int], capacity: float
+) -> None:
+    in_time = [s for s in samples.answered() if s.whole_ms <= DEADLINE_MS * 1.1]
+    refused = [s for s in samples.all if s.status in (503, 429)]
+    late = len(samples.all) - len(in_time) - len(refused)
+    print_pairs(
+        gate=name,
+        entries=entries,
+        answered_in_time=len(in_time),
+        refused=len(refused),
+        late_or_timed_out=late,
+        refused_p99_ms=percentile([s.whole_ms for s in refused], 0.99),
+        refused_with_retry_after=sum(s.retry_after for s in refused),
+        worst_in_flight=stats["worst_in_flight"],
+        took_s=took_s,
+        goodput_ratio=len(in_time) / capacity,
+    )
--- a/dalehollow/config/spread.py
+++ b/dalehollow/config/spread.py
@@ -1,9 +1,9 @@
 """Bring each accepted configuration to this process, with few calls to the platform.
 
 No process is appointed to watch. Each one reads the manifest itself when the newest word it has
-on it is older than a limit of its own, drawn between `POLL_MIN_MS` and `POLL_MAX_MS` from its
-name. Word spreads on the beats that processes exchange anyway, so within a hall the process with
-the lowest limit reads, and the others rest as long as they hear of it.
+on it is older than a limit of its own, drawn from its name between two settings. Word spreads on
+the beats that processes exchange anyway, so within a hall the process with the lowest limit
+reads, and the others rest as long as they hear of it.
 """
 
 from __future__ import annotations
@@ -23,10 +23,9 @@
 from dalehollow.protocol import ConfigText, FetchConfig, PeerLink
 from dalehollow.telemetry import log_event
 
-POLL_MIN_MS = 1_000
-POLL_MAX_MS = 3_000
 _POLL_BACKOFF_MAX_MS = 10_000
 _TICK_S = 0.1
+_SHORTEST_TICK_S = 0.02
 _FETCH_TIMEOUT_MS = 2_000
 _READ_TIMEOUT_S = 1.0
 
@@ -38,11 +37,11 @@
     return int(time.time() * 1000)
 
 
-def draw_poll_limit_ms(name: str) -> int:
+def draw_poll_limit_ms(name: str, min_ms: int, max_ms: int) -> int:
     """Draw how old word may grow before the process of this name reads the manifest itself."""
     digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
     share = int.from_bytes(digest, "big") / 2**32
-    return round(POLL_MIN_MS + share * (POLL_MAX_MS - POLL_MIN_MS))
+    return round(min_ms + share * (max_ms - min_ms))
 
 
 def is_poll_due(age_ms: int, since_poll_ms: int, limit_ms: int, failures: int) -> bool:
@@ -56,13 +55,14 @@
 
     def __init__(
         self,
-        name: str,
+        limit_ms: int,
         holder: ConfigHolder,
         kv: KeyValue | None,
         clock_ms: Callable[[], int] = wall_ms,
     ) -> None:
         """Prepare; without a key-value service, all word comes from peers."""
-        self._limit_ms = draw_poll_limit_ms(name)
+        self._limit_ms = limit_ms
+        self._tick_s = max(_SHORTEST_TICK_S, min(_TICK_S, limit_ms / 10_000))
         self._holder = holder
         self._kv = kv
         self._clock_ms = clock_ms
@@ -104,7 +104,7 @@
             if self._kv and is_poll_due(age_ms, since_ms, self._limit_ms, self.failures):
                 polled_at_ms = now_ms
                 self.poll()
-            self._wake.wait(_TICK_S)
+            self._wake.wait(self._tick_s)
             self._wake.clear()
 
     def poll(self) -> bool:
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -13,7 +13,7 @@
 
 from dalehollow.config.holder import ConfigHolder, InForce
 from dalehollow.config.model import Account
-from dalehollow.config.spread import Spreader, wall_ms
+from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
 from dalehollow.entry.admit import Job, admit, index_keys, read_request_id
 from dalehollow.entry.attempt import Attempt
 from dalehollow.entry.pool import Pool
@@ -56,7 +56,8 @@
         self.metrics = Metrics()
         self.holder = ConfigHolder()
         kv = HttpKeyValue(settings.platform) if settings.platform else None
-        self.spreader = Spreader(settings.name, self.holder, kv)
+        limit_ms = draw_poll_limit_ms(settings.name, settings.poll_min_ms, settings.poll_max_ms)
+        self.spreader = Spreader(limit_ms, self.holder, kv)
         self.pool = Pool(settings.name, settings.hall, settings.subset_size, time.monotonic)
         attempt = Attempt(
             client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
--- a/dalehollow/once/__init__.py
+++ b/dalehollow/once/__init__.py
@@ -4,11 +4,21 @@
 
 from dalehollow.once.birth import read_birth_ms
 from dalehollow.once.owners import Generation, Owner, extend_generations, find_owner
-from dalehollow.once.table import KeptAnswer, KeyTable, KeyTableLimits
+from dalehollow.once.table import (
+    NEVER_MS,
+    KeptAnswer,
+    KeyRecord,
+    KeyState,
+    KeyTable,
+    KeyTableLimits,
+)
 
 __all__ = [
+    "NEVER_MS",
     "Generation",
     "KeptAnswer",
+    "KeyRecord",
+    "KeyState",
     "KeyTable",
     "KeyTableLimits",
     "Owner",
--- a/dalehollow/once/table.py
+++ b/dalehollow/once/table.py
@@ -19,7 +19,13 @@
 RETRY_IN_PROGRESS_MS = 500
 
 
-class _State(enum.StrEnum):
+NEVER_MS = -(2**62)
+"""The `complete_from_ms` of an owner that never ran before."""
+
+
+class KeyState(enum.StrEnum):
+    """Name what is known of a key that was taken."""
+
     RUNNING = "running"
     DONE = "done"
     UNKNOWN = "unknown"
@@ -50,24 +56,26 @@
 
 
 @dataclass
-class _Record:
+class KeyRecord:
+    """Hold what is known of one key."""
+
     fingerprint: str
-    state: _State
+    state: KeyState
     expires_at_ms: int
     answer: KeptAnswer | None = None
 
 
 @dataclass
 class KeyTable:
-    """Hold one owner's keys; `started_at_ms` is the incarnation's start on the wall clock.
+    """Hold one owner's keys.
 
-    `is_first` says that no earlier incarnation can have taken any key.
+    Every key born after `complete_from_ms` that any incarnation of the owner took is here,
+    unless it has expired; what earlier keys came to may have been lost with an incarnation.
     """
 
     limits: KeyTableLimits
-    started_at_ms: int
-    is_first: bool = False
-    _records: dict[str, _Record] = field(default_factory=dict)
+    complete_from_ms: int
+    _records: dict[str, KeyRecord] = field(default_factory=dict)
     _expiry: deque[tuple[int, str]] = field(default_factory=deque)
     _answer_bytes: int = 0
     _lock: threading.Lock = field(default_factory=threading.Lock)
@@ -91,7 +99,7 @@
         """Release a key whose request certainly did not run."""
         with self._lock:
             record = self._records.get(scope)
-            if record is not None and record.state is _State.RUNNING:
+            if record is not None and record.state is KeyState.RUNNING:
                 del self._records[scope]
 
     def finish(self, scope: str, answer: KeptAnswer) -> None:
@@ -100,7 +108,7 @@
             record = self._records.get(scope)
             if record is None:
                 return
-            record.state = _State.DONE
+            record.state = KeyState.DONE
             if self._answer_bytes + answer.size_bytes <= self.limits.answer_bytes:
                 record.answer = answer
                 self._answer_bytes += answer.size_bytes
@@ -110,7 +118,20 @@
         with self._lock:
             record = self._records.get(scope)
             if record is not None:
-                record.state = _State.UNKNOWN
+                record.state = KeyState.UNKNOWN
+
+    def records(self) -> dict[str, KeyRecord]:
+        """Return a copy of the records by scope."""
+        with self._lock:
+            return dict(self._records)
+
+    def load(self, records: Mapping[str, KeyRecord]) -> None:
+        """Take over the records of an earlier incarnation."""
+        with self._lock:
+            for scope, record in sorted(records.items(), key=lambda item: item[1].expires_at_ms):
+                self._records[scope] = record
+                self._expiry.append((record.expires_at_ms, scope))
+                self._answer_bytes += record.answer.size_bytes if record.answer else 0
 
     def count(self) -> int:
         """Return the number of keys held."""
@@ -121,7 +142,7 @@
         # A dated key must be known until its birth is too old to be admitted at all.
         base_ms = max(now_ms, birth_ms or 0)
         expires_at_ms = base_ms + self.limits.window_ms + 2 * self.limits.clock_bound_ms
-        self._records[scope] = _Record(fingerprint, _State.RUNNING, expires_at_ms)
+        self._records[scope] = KeyRecord(fingerprint, KeyState.RUNNING, expires_at_ms)
         self._expiry.append((expires_at_ms, scope))
 
     def _expire(self, now_ms: int) -> None:
@@ -130,7 +151,7 @@
             record = self._records.get(scope)
             if record is None or record.expires_at_ms != expires_at_ms:
                 continue
-            if record.state is _State.RUNNING:
+            if record.state is KeyState.RUNNING:
                 record.expires_at_ms = now_ms + self.limits.window_ms
                 self._expiry.append((record.expires_at_ms, scope))
                 continue
@@ -154,7 +175,7 @@
                 Verdict.MAY_HAVE_RUN,
                 f"key is older than the window of {limits.window_ms} ms",
             )
-        if not self.is_first and not self._is_after_start(birth_ms, now_ms):
+        if not self._is_complete_for(birth_ms, now_ms):
             return Failure(
                 Reason.KEY_OUTCOME_UNKNOWN,
                 Verdict.MAY_HAVE_RUN,
@@ -169,24 +190,23 @@
             )
         return None
 
-    def _is_after_start(self, birth_ms: int | None, now_ms: int) -> bool:
-        """Return whether no earlier incarnation can have taken a key of this birth."""
-        settled_ms = self.started_at_ms + self.limits.clock_bound_ms
+    def _is_complete_for(self, birth_ms: int | None, now_ms: int) -> bool:
+        """Return whether a key of this birth would be here if it had been taken."""
         if birth_ms is None:
-            return now_ms > settled_ms + self.limits.window_ms
-        return birth_ms > settled_ms
+            return now_ms > self.complete_from_ms + self.limits.window_ms
+        return birth_ms > self.complete_from_ms
 
     def _next_expiry_ms(self, now_ms: int) -> int:
         return max(1, self._expiry[0][0] - now_ms) if self._expiry else 1
 
 
-def _answer_known(record: _Record, fingerprint: str) -> Result[KeptAnswer | None, Failure]:
+def _answer_known(record: KeyRecord, fingerprint: str) -> Result[KeptAnswer | None, Failure]:
     if record.fingerprint != fingerprint:
         message = "the key was used before for another request; this one was not run"
         return Err(Failure(Reason.KEY_REUSED, Verdict.NOT_RUN, message))
     if record.answer is not None:
         return Ok(record.answer)
-    if record.state is _State.RUNNING:
+    if record.state is KeyState.RUNNING:
         return Err(
             Failure(
                 Reason.KEY_IN_PROGRESS,
@@ -195,7 +215,7 @@
                 retry_after_ms=RETRY_IN_PROGRESS_MS,
             )
         )
-    if record.state is _State.DONE:
+    if record.state is KeyState.DONE:
         message = "a request with this key ran; its answer was not kept"
         return Err(Failure(Reason.KEY_OUTCOME_UNKNOWN, Verdict.RAN, message))
     message = "a request with this key may have run; its answer was lost"
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -27,6 +27,7 @@
     hall: str
     http: str = "127.0.0.1:0"
     control: str = "127.0.0.1:0"
+    advertise_http: str | None = None
     platform: str | None = None
     peers: tuple[str, ...] = ()
     upstream: str | None = None
@@ -34,6 +35,8 @@
     inner_key: str = ""
     log_level: str = "info"
     beat_interval_ms: int = 500
+    poll_min_ms: int = 1_000
+    poll_max_ms: int = 3_000
     subset_size: int = 8
     leave_ms: int = 1_000
     drain_timeout_ms: int = 60_000
@@ -90,7 +93,7 @@
     if name == "peers":
         is_list = isinstance(value, list) and all(_is_address(v) for v in value)
         return [] if is_list else [f"{name!r} is {value!r}, must be a list of addresses"]
-    if name in ("http", "control", "platform", "upstream_http"):
+    if name in ("http", "control", "platform", "upstream_http", "advertise_http"):
         return [] if _is_address(value) else [f"{name!r} is {value!r}, must be like 127.0.0.1:80"]
     return [] if isinstance(value, str) else [f"{name!r} is {value!r}, must be text"]
 
--- a/dalehollow/sidecar/ownership.py
+++ b/dalehollow/sidecar/ownership.py
@@ -11,6 +11,12 @@
 from dalehollow.config.model import Service
 from dalehollow.errors import Failure, Reason
 from dalehollow.once import KeyTable, KeyTableLimits, find_owner
+from dalehollow.once.handover import (
+    Claim,
+    Snapshot,
+    complete_from,
+    settle_running,
+)
 from dalehollow.sidecar.call import InnerCall
 from dalehollow.verdict import Verdict
 
@@ -25,7 +31,7 @@
     member: str
     holder: ConfigHolder
     started_at_ms: int
-    is_first: bool = False
+    claim: Claim | None = None
     _tables: dict[str, KeyTable] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -40,6 +46,21 @@
             return Err(refusal)
         return Ok(self._table_of(service, in_force))
 
+    def make_snapshot(self, now_ms: int) -> Snapshot:
+        """Return all that is known, for the next incarnation."""
+        with self._lock:
+            tables = dict(self._tables)
+        cfg = self.holder.in_force.config
+        bound_ms = cfg.clock_bound_ms if cfg is not None else 0
+        return Snapshot(
+            others_complete_from_ms=complete_from(self.claim, "", self.started_at_ms, bound_ms),
+            complete_from_ms={
+                name: max(table.complete_from_ms, now_ms - table.limits.window_ms)
+                for name, table in tables.items()
+            },
+            records={name: settle_running(table.records()) for name, table in tables.items()},
+        )
+
     def counts(self) -> dict[str, int]:
         """Return how many keys each service's table holds."""
         with self._lock:
@@ -84,10 +105,17 @@
                     window_ms=service.key_window_ms,
                     clock_bound_ms=in_force.config.clock_bound_ms,
                 )
-                table = KeyTable(limits, self.started_at_ms, self.is_first)
+                table = self._make_table(service.name, limits)
                 self._tables[service.name] = table
             return table
 
+    def _make_table(self, service: str, limits: KeyTableLimits) -> KeyTable:
+        bound_ms = limits.clock_bound_ms
+        table = KeyTable(limits, complete_from(self.claim, service, self.started_at_ms, bound_ms))
+        if self.claim is not None and self.claim.snapshot is not None:
+            table.load(self.claim.snapshot.records.get(service, {}))
+        return table
+
 
 def _unconfirmed(message: str) -> Failure:
     return Failure(
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -6,13 +6,13 @@
 import json
 import logging
 import time
-import uuid
 
 from result import Ok
 
 from dalehollow.config.holder import ConfigHolder, InForce
-from dalehollow.config.spread import Spreader, wall_ms
+from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
 from dalehollow.limits import Gate, GateLimits
+from dalehollow.once.handover import Claim, claim_incarnation, leave_snapshot
 from dalehollow.platform import HttpKeyValue, KeyValue
 from dalehollow.protocol import (
     Beat,
@@ -51,12 +51,13 @@
         self.metrics = Metrics()
         self.holder = ConfigHolder()
         self.kv: KeyValue | None = HttpKeyValue(settings.platform) if settings.platform else None
-        self.spreader = Spreader(settings.name, self.holder, self.kv)
+        limit_ms = draw_poll_limit_ms(settings.name, settings.poll_min_ms, settings.poll_max_ms)
+        self.spreader = Spreader(limit_ms, self.holder, self.kv)
         # Closed until a configuration says how much the upstream can take.
         self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), time.monotonic)
         host, port = split_address(settings.http)
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
-        member = f"{self.upstream}@{self.server.address}"
+        member = f"{self.upstream}@{settings.advertise_http or self.server.address}"
         self.ownership = Ownership(member, self.holder, self.incarnation_ms)
         self.forwarder = Forwarder(
             upstream=self.upstream,
@@ -76,7 +77,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
-        self.ownership.is_first = self._claim_first_incarnation()
+        self.ownership.claim = self._claim_incarnation()
         self.spreader.poll()
         self.spreader.start()
         self.control.start()
@@ -94,6 +95,8 @@
         self.server.stop()
         self.control.stop()
         self.spreader.stop()
+        if not left:
+            self._leave_snapshot()
         log_event(_log, "stopped", cut_off=left)
         return left
 
@@ -123,13 +126,15 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state of this process."""
+        claim = self.ownership.claim
         return {
             "role": "sidecar",
             "name": self.settings.name,
             "hall": self.settings.hall,
             "upstream": self.upstream,
             "incarnation_ms": self.incarnation_ms,
-            "is_first_incarnation": self.ownership.is_first,
+            "is_first_incarnation": claim is not None and claim.is_first,
+            "has_predecessors_keys": claim is not None and claim.snapshot is not None,
             "is_leaving": self.is_leaving,
             "config_version": self.holder.version,
             "config_confirmed_at_ms": self.holder.confirmed_at_ms,
@@ -168,14 +173,24 @@
             )
         )
 
-    def _claim_first_incarnation(self) -> bool:
-        """Return whether the platform's record shows that none ran here before this one."""
+    def _claim_incarnation(self) -> Claim | None:
+        """Claim to be the one that runs here, and learn what the last one left."""
         if self.kv is None:
-            return False
-        key = f"incarnation/{self.ownership.member}"
-        mark = f"{self.incarnation_ms}-{uuid.uuid4()}".encode()
-        claimed = self.kv.swap(key, mark, expected_revision=0)
+            return None
+        claimed = claim_incarnation(self.kv, self.ownership.member)
         if isinstance(claimed, Ok):
-            return claimed.ok_value.won
-        found = self.kv.get(key)
-        return isinstance(found, Ok) and found.ok_value.value == mark
+            return claimed.ok_value
+        log_event(_log, "claim_failed", logging.WARNING, error=claimed.err_value)
+        return None
+
+    def _leave_snapshot(self) -> None:
+        """Leave the taken keys to the next incarnation, once nothing can add to them."""
+        claim = self.ownership.claim
+        if self.kv is None or claim is None:
+            return
+        snapshot = self.ownership.make_snapshot(wall_ms())
+        left = leave_snapshot(self.kv, self.ownership.member, claim.mark, snapshot)
+        if isinstance(left, Ok):
+            log_event(_log, "snapshot_left", bytes=left.ok_value)
+        else:
+            log_event(_log, "snapshot_failed", logging.WARNING, error=left.err_value)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -50,6 +50,7 @@
         self.cancelled = 0
         self.finished = 0
         self.worst_in_flight = 0
+        self.tokens_made = 0
         self._waiting: list[_Sequence] = []
         self._running: list[_Sequence] = []
         self._numbers = itertools.count()
@@ -79,6 +80,7 @@
                 "running": len(self._running),
                 "waiting": len(self._waiting),
                 "worst_in_flight": self.worst_in_flight,
+                "tokens_made": self.tokens_made,
             }
 
     def _add(self, prompt: str, rank: int, max_tokens: int) -> _Sequence:
@@ -139,6 +141,7 @@
                 continue
             sequence.tokens.put(make_token(sequence.prompt, sequence.done))
             sequence.done += 1
+            self.tokens_made += 1
             sequence.left -= 1
             if sequence.left <= 0:
                 sequence.tokens.put(None)
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,110 @@
+"""Relay TCP between two processes, and hold, cut or refuse on command."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+
+CHUNK_BYTES = 65536
+
+
+class Relay:
+    """Pass bytes on to a target; `mode` is checked for each piece of data."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.mode = "pass"
+        self.reached = threading.Event()
+        self._release = threading.Event()
+        self._drop_held = False
+        self._sockets: list[socket.socket] = []
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_mode(self, mode: str) -> None:
+        """Set `pass`, `refuse`, `hold_request`, `hold_answer` or `hold_half_answer`."""
+        self.reached.clear()
+        self._release.clear()
+        self._drop_held = False
+        self.mode = mode
+        if mode == "refuse":
+            # Kept connections would carry the next request; refusing means new ones only.
+            self.cut()
+
+    def release(self) -> None:
+        """Pass on what is held and return to passing."""
+        self.mode = "pass"
+        self._release.set()
+
+    def drop(self) -> None:
+        """Cut what is held and return to passing."""
+        self.mode = "pass"
+        self._drop_held = True
+        self._release.set()
+        self.cut()
+
+    def cut(self) -> None:
+        """Cut all connections."""
+        with self._lock:
+            sockets, self._sockets = self._sockets, []
+        for sock in sockets:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def close(self) -> None:
+        self.drop()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            if self.mode == "refuse":
+                self.reached.set()
+                # Reset at once: nothing of the request can have been read.
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                client.close()
+                continue
+            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+
+    def _connect(self, client: socket.socket) -> None:
+        host, port = self.target.split(":")
+        try:
+            server = socket.create_connection((host, int(port)))
+        except OSError:
+            client.close()
+            return
+        with self._lock:
+            self._sockets += [client, server]
+        threading.Thread(target=self._pump, args=(client, server, "request"), daemon=True).start()
+        self._pump(server, client, "answer")
+
+    def _pump(self, source: socket.socket, sink: socket.socket, direction: str) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                data = self._hold(data, sink, direction)
+                if self._drop_held and not data:
+                    break
+                sink.sendall(data)
+        except OSError:
+            pass
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+    def _hold(self, data: bytes, sink: socket.socket, direction: str) -> bytes:
+        mode = self.mode
+        if mode == "hold_half_answer" and direction == "answer":
+            half = max(1, len(data) // 2)
+            sink.sendall(data[:half])
+            data = data[half:]
+        elif mode != f"hold_{direction}":
+            return data
+        self.reached.set()
+        self._release.wait(60)
+        return b"" if self._drop_held else data
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -102,7 +102,7 @@
     standin, kv = platform
     apply_text(kv, make_text(), apply_id="a").unwrap()
     holder = ConfigHolder()
-    spreader = Spreader("p", holder, kv)
+    spreader = Spreader(1_000, holder, kv)
     assert spreader.poll() and holder.version == 1
     confirmed_at_ms = holder.confirmed_at_ms
     standin.set_fault("down")
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -11,6 +11,7 @@
 
 from dalehollow.errors import Reason
 from dalehollow.once import (
+    NEVER_MS,
     Generation,
     KeptAnswer,
     KeyTable,
@@ -45,21 +46,21 @@
 
 
 def test_finished_key_gets_its_first_answer() -> None:
-    table = KeyTable(LIMITS, 0, is_first=True)
+    table = KeyTable(LIMITS, NEVER_MS)
     assert table.begin("k", "f", None, 10).unwrap() is None
     table.finish("k", ANSWER)
     assert table.begin("k", "f", None, 20).unwrap() == ANSWER
 
 
 def test_key_for_another_request_is_refused() -> None:
-    table = KeyTable(LIMITS, 0, is_first=True)
+    table = KeyTable(LIMITS, NEVER_MS)
     table.begin("k", "f", None, 10).unwrap()
     failure = table.begin("k", "other", None, 20).unwrap_err()
     assert (failure.reason, failure.verdict) == (Reason.KEY_REUSED, Verdict.NOT_RUN)
 
 
 def test_full_table_refuses_and_forgets_nothing() -> None:
-    table = KeyTable(LIMITS, 0, is_first=True)
+    table = KeyTable(LIMITS, NEVER_MS)
     for idx in range(4):
         table.begin(f"k{idx}", "f", None, 10).unwrap()
         table.finish(f"k{idx}", ANSWER)
@@ -81,7 +82,7 @@
     ],
 )
 def test_new_incarnation(birth_ms: int | None, now_ms: int, reason: Reason | None) -> None:
-    table = KeyTable(LIMITS, started_at_ms=1_000)
+    table = KeyTable(LIMITS, complete_from_ms=1_050)
     begun = table.begin("k", "f", birth_ms, now_ms)
     assert (begun.unwrap_err().reason if begun.is_err() else None) is reason
 
@@ -124,7 +125,7 @@
         self.now_ms = 10_000
         self.generations = self.extend((), ("a", "b", "c"))
         self.known = {m: (self.generations, self.now_ms) for m in "abcd"}
-        self.tables = {m: KeyTable(self.limits(), 0, is_first=True) for m in "abcd"}
+        self.tables = {m: KeyTable(self.limits(), NEVER_MS) for m in "abcd"}
         self.runs: dict[str, int] = {}
         self.last_run_ms: dict[str, int] = {}
         self.sent: list[str] = []
@@ -159,8 +160,19 @@
 
     @rule(member=st.sampled_from("abcd"))
     def restart(self, member: str) -> None:
-        is_first = self.seeded_fault == "forget_incarnation"
-        self.tables[member] = KeyTable(self.limits(), self.now_ms, is_first)
+        complete_from_ms = self.now_ms + self.BOUND_MS
+        if self.seeded_fault == "forget_incarnation":
+            complete_from_ms = NEVER_MS
+        self.tables[member] = KeyTable(self.limits(), complete_from_ms)
+
+    @rule(member=st.sampled_from("abcd"))
+    def restart_as_planned(self, member: str) -> None:
+        """Hand the table to the next incarnation, which knows all that this one knew."""
+        table = self.tables[member]
+        successor = KeyTable(self.limits(), table.complete_from_ms)
+        if self.seeded_fault != "empty_handover":
+            successor.load(table.records())
+        self.tables[member] = successor
 
     @rule(
         age_ms=st.integers(-40, 900),
@@ -234,7 +246,9 @@
 TestAtMostOnce = AtMostOnce.TestCase
 
 
-@pytest.mark.parametrize("fault", ["no_horizon", "forget_incarnation", "no_confirmation"])
+@pytest.mark.parametrize(
+    "fault", ["no_horizon", "forget_incarnation", "no_confirmation", "empty_handover"]
+)
 def test_seeded_fault_is_found(fault: str) -> None:
     class Faulty(AtMostOnce):
         seeded_fault = fault
