Plan expert maps in small moves, and decide their switch by votes that never change

Change: groups/plan.py improves a map move by move at a price for each weight, begins only above counting noise (earlier where a chi-square test shows real change) and places a layer anew only where small moves are stuck; groups/votes.py decides a map's switch, commit only if all said yes. The switch costs no step by design; processes that carry the votes are next.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,13 +10,14 @@
     "burst": "no gate, a gate in each entry and the sidecar's gate under ten times capacity",
     "choice": "time to the first token under ways to choose an upstream",
     "relay": "tokens relayed by one entry: rate, processor time, added latency",
+    "skew": "step-time skew against moved weights over drifting demand",
     "urgent": "wait of urgent requests at two times capacity",
 }
 
 
 def main() -> None:
     """Run the named measure and print its figures as key=value lines."""
-    if len(sys.argv) != 2 or sys.argv[1] not in NAMES:
+    if len(sys.argv) < 2 or sys.argv[1] not in NAMES:
         for name, meaning in NAMES.items():
             print(f"{name}: {meaning}")
         sys.exit(0 if len(sys.argv) == 1 else 2)
--- /dev/null
+++ b/dalehollow/groups/__init__.py
@@ -0,0 +1,25 @@
+"""Balance the experts of a rank group and switch its map, the same on every rank in each step."""
+
+from __future__ import annotations
+
+from dalehollow.groups.expert_map import ExpertMap, LayerMap, layer_skew, rank_loads, step_skew
+from dalehollow.groups.plan import POLICIES, Plan, Policy, plan_map
+from dalehollow.groups.votes import Ledger, Outcome, Proposal, Vote, decide_vote, settle
+
+__all__ = [
+    "POLICIES",
+    "ExpertMap",
+    "LayerMap",
+    "Ledger",
+    "Outcome",
+    "Plan",
+    "Policy",
+    "Proposal",
+    "Vote",
+    "decide_vote",
+    "layer_skew",
+    "plan_map",
+    "rank_loads",
+    "settle",
+    "step_skew",
+]
