Carry votes and the planning duty in the group's own sidecars

Cause: plan and votes were decisions without processes to carry them. Change: a sidecar gates the ranks behind it (vote, load, settle, resume after a restart), and the group's sidecars take the planner's duty in turn under a lease whose fence rises; ranks exchange changes to the map, not maps; a stand-in group in lock-step judges each step's maps. Ruled out: a lease that expires in the platform (its record would lose the fence); the fence is kept in a record that never expires, and a lease has lapsed when its serial stands still. Proof: 7 faults x 6 steps of a switch, 42 cells, no mixed step, and the group runs on; with a gate that commits on its own vote the judge finds the mixed step; with real processes the planner is killed, another takes over with a higher fence, and no step is mixed. Engines that keep no ledger of votes are not served yet (docs/PROOFS.md).

--- /dev/null
+++ b/dalehollow/groups/planner.py
@@ -0,0 +1,201 @@
+"""Plan one group's expert map as long as this process has the duty for it."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Ok, Result
+
+from dalehollow.groups.demand import DemandAverage
+from dalehollow.groups.expert_map import ExpertMap
+from dalehollow.groups.host import Change, LoadOrder, LoadState, RankState
+from dalehollow.groups.plan import Plan, Policy, plan_map
+from dalehollow.groups.votes import Proposal, ProposalId, Vote
+from dalehollow.telemetry import log_event
+
+LEAD_STEPS = 50
+LOAD_POLLS = 400
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class GroupLinks:
+    """Hold the ways to a group's ranks; each may fail as Err(why)."""
+
+    read: Callable[[int], Result[RankState, str]]
+    load: Callable[[int, LoadOrder], Result[LoadState, str]]
+    vote: Callable[[int, Proposal], Result[Vote, str]]
+    read_map: Callable[[], Result[ExpertMap, str]]
+    wait: Callable[[], None]
+
+
+def digest_map(expert_map: ExpertMap) -> str:
+    """Return the digest that names a map."""
+    return hashlib.sha256(msgspec.json.encode(expert_map)).hexdigest()[:16]
+
+
+def list_changes(before: ExpertMap, after: ExpertMap) -> tuple[Change, ...]:
+    """List the slots that differ, paired rank by rank; sound because slot counts stay."""
+    changes: list[Change] = []
+    for layer, (old_layer, new_layer) in enumerate(zip(before.layers, after.layers, strict=True)):
+        for rank, (old, new) in enumerate(zip(old_layer, new_layer, strict=True)):
+            leaving = sorted(set(old) - set(new))
+            coming = sorted(set(new) - set(old))
+            changes += [(layer, rank, out, into) for out, into in zip(leaving, coming, strict=True)]
+    return tuple(changes)
+
+
+def apply_changes(before: ExpertMap, changes: tuple[Change, ...]) -> ExpertMap:
+    """Return the map that the changes lead to."""
+    layers = [[list(experts) for experts in layer] for layer in before.layers]
+    for layer, rank, out, into in changes:
+        experts = layers[layer][rank]
+        experts[experts.index(out)] = into
+    return ExpertMap(tuple(tuple(tuple(sorted(e)) for e in layer) for layer in layers))
+
+
+@dataclass
+class Planner:
+    """Hold what a planner knows of its group; all of it can be read again from the ranks."""
+
+    group: str
+    ranks: int
+    policy: Policy
+    links: GroupLinks
+    max_moves: int
+    average: DemandAverage = field(default_factory=DemandAverage)
+    last_reason: str = "nothing planned yet"
+    maps: dict[str, ExpertMap] = field(default_factory=dict)
+    _sequence: int = 0
+    _last_counts: dict[tuple[int, int], int] = field(default_factory=dict)
+
+    def learn_map(self, expert_map: ExpertMap) -> None:
+        """Keep a map by its digest."""
+        self.maps[digest_map(expert_map)] = expert_map
+
+    def run_once(self, fence: int) -> str:
+        """Read the ranks, plan, load and put the new map to the vote; return what came of it."""
+        states = self._read_ranks()
+        if states is None:
+            self.last_reason = "a rank cannot be read; nothing planned"
+            return self.last_reason
+        current = self._current_map(states)
+        if current is None:
+            self.last_reason = "the ranks are switching or their map is unknown; nothing planned"
+            return self.last_reason
+        if not self._count(states, current):
+            self.last_reason = "no new counts"
+            return self.last_reason
+        plan = plan_map(
+            current,
+            self.average.demand,
+            self.policy,
+            tokens_counted=self.average.tokens_counted,
+            moving=self.average.moving_layers(),
+            max_moves=self.max_moves,
+        )
+        self.last_reason = plan.reason
+        if plan.moves and self._load(fence, current, plan):
+            self._propose(fence, states, plan)
+        return self.last_reason
+
+    def _read_ranks(self) -> dict[int, RankState] | None:
+        states = {}
+        for rank in range(self.ranks):
+            read = self.links.read(rank)
+            if not isinstance(read, Ok):
+                return None
+            states[rank] = read.ok_value
+        return states
+
+    def _current_map(self, states: Mapping[int, RankState]) -> ExpertMap | None:
+        """Return the map of all ranks, or None while they differ or wait for an outcome."""
+        ledgers = [state.ledger for state in states.values()]
+        digests = {ledger.map_digest for ledger in ledgers}
+        is_open = any(
+            ledger.armed is not None
+            or (ledger.committed is not None and ledger.step < ledger.committed.switch_step)
+            for ledger in ledgers
+        )
+        if is_open or len(digests) != 1:
+            return None
+        digest = digests.pop()
+        if digest not in self.maps:
+            read = self.links.read_map()
+            if isinstance(read, Ok):
+                self.learn_map(read.ok_value)
+        return self.maps.get(digest)
+
+    def _count(self, states: Mapping[int, RankState], current: ExpertMap) -> bool:
+        """Add what was counted since the last reading to the average."""
+        totals: dict[tuple[int, int], int] = {}
+        for state in states.values():
+            for layer, expert, tokens in state.counts:
+                totals[(layer, expert)] = totals.get((layer, expert), 0) + tokens
+        before, self._last_counts = self._last_counts, totals
+        experts = 1 + max(e for layer in current.layers for held in layer for e in held)
+        window = [
+            [
+                max(0.0, totals.get((layer, e), 0) - before.get((layer, e), 0))
+                for e in range(experts)
+            ]
+            for layer in range(len(current.layers))
+        ]
+        if not before or not all(sum(layer) > 0 for layer in window):
+            return False
+        self.average.add(window)
+        return True
+
+    def _load(self, fence: int, current: ExpertMap, plan: Plan) -> bool:
+        """Have all ranks load the new weights while they go on with the old map."""
+        order = LoadOrder(
+            fence,
+            digest_map(current),
+            digest_map(plan.expert_map),
+            list_changes(current, plan.expert_map),
+        )
+        # Only the map in force and the next one matter from here on.
+        self.maps = {digest_map(m): m for m in (current, plan.expert_map)}
+        waiting = set(range(self.ranks))
+        for _ in range(LOAD_POLLS):
+            for rank in sorted(waiting):
+                state = self.links.load(rank, order)
+                if isinstance(state, Ok) and state.ok_value == "refused":
+                    self.last_reason = f"rank {rank} refused to load: a newer planner is at work"
+                    return False
+                if isinstance(state, Ok) and state.ok_value == "loaded":
+                    waiting.discard(rank)
+            if not waiting:
+                return True
+            self.links.wait()
+        self.last_reason = f"ranks {sorted(waiting)} did not load in time; the map stays"
+        return False
+
+    def _propose(self, fence: int, states: Mapping[int, RankState], plan: Plan) -> None:
+        fresh = self._read_ranks() or states
+        self._sequence += 1
+        proposal = Proposal(
+            ProposalId(fence, self._sequence),
+            base_version=fresh[0].ledger.version,
+            switch_step=max(s.ledger.step for s in fresh.values()) + LEAD_STEPS,
+            map_digest=digest_map(plan.expert_map),
+        )
+        votes = [self.links.vote(rank, proposal) for rank in range(self.ranks)]
+        yes = sum(isinstance(v, Ok) and v.ok_value is Vote.YES for v in votes)
+        log_event(
+            _log,
+            "map_proposed",
+            group=self.group,
+            fence=fence,
+            sequence=self._sequence,
+            moves=plan.moves,
+            yes=yes,
+            ranks=self.ranks,
+            skew_before=round(plan.skew_before, 4),
+            skew_after=round(plan.skew_after, 4),
+        )
--- a/dalehollow/groups/votes.py
+++ b/dalehollow/groups/votes.py
@@ -21,6 +21,17 @@
     PENDING = "pending"
 
 
+class SwitchStep(enum.StrEnum):
+    """Name the steps of a switch at which something can go wrong, in their order."""
+
+    READ = "read"
+    LOAD = "load"
+    PROPOSE = "propose"
+    ASK_PEERS = "ask_peers"
+    TELL_ENGINE = "tell_engine"
+    RUN_ON = "run_on"
+
+
 class Outcome(enum.StrEnum):
     """Name what a set of votes comes to."""
 
--- a/dalehollow/protocol/__init__.py
+++ b/dalehollow/protocol/__init__.py
@@ -10,9 +10,15 @@
     Dump,
     DumpText,
     FetchConfig,
+    Prepare,
+    PrepareReply,
+    RankQuery,
+    RankReply,
     Refused,
     Reply,
     Request,
+    VoteQuery,
+    VoteReply,
 )
 
 __all__ = [
@@ -24,7 +30,13 @@
     "DumpText",
     "FetchConfig",
     "PeerLink",
+    "Prepare",
+    "PrepareReply",
+    "RankQuery",
+    "RankReply",
     "Refused",
     "Reply",
     "Request",
+    "VoteQuery",
+    "VoteReply",
 ]
--- a/dalehollow/protocol/messages.py
+++ b/dalehollow/protocol/messages.py
@@ -65,16 +65,57 @@
     base_version: int
     switch_step: int
     map_digest: str
-    map_json: bytes
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag="V"):
-    """Carry one rank's vote, which never changes, and what its engine runs."""
+    """Carry one rank's vote, which never changes once it is yes or no."""
 
     rank: int
     vote: Literal["yes", "no", "pending"]
-    version: int
+
+
+class Prepare(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Order a rank to load the weights of a new map, given as changes to the one in force.
+
+    A change is (layer, rank, expert that leaves, expert that comes); ranks need all of them,
+    since each must know where tokens go.
+    """
+
+    group: str
+    rank: int
+    fence: int
+    base_digest: str
+    map_digest: str
+    changes: tuple[tuple[int, int, int, int], ...]
+
+
+class PrepareReply(msgspec.Struct, frozen=True, array_like=True, tag="P"):
+    """Tell how far a rank is with loading."""
+
+    rank: int
+    state: Literal["loading", "loaded", "refused"]
+
+
+class RankQuery(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Ask a rank's gate for its engine's step, map and counts."""
+
+    group: str
+    rank: int
+
+
+class RankReply(msgspec.Struct, frozen=True, array_like=True, tag="R"):
+    """Carry a rank's step, map and tokens for each of its experts since the group began.
+
+    `counts` holds (layer, expert, tokens); `step_ms` is the rank's own part of recent steps.
+    """
+
+    rank: int
     step: int
+    version: int
+    map_digest: str
+    is_undecided: bool
+    step_ms: float
+    counts: tuple[tuple[int, int, int], ...]
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag="x"):
@@ -83,8 +124,8 @@
     message: str
 
 
-Request = Beat | FetchConfig | Dump | VoteQuery
-Reply = BeatReply | ConfigText | DumpText | VoteReply | Refused
+Request = Beat | FetchConfig | Dump | VoteQuery | Prepare | RankQuery
+Reply = BeatReply | ConfigText | DumpText | VoteReply | PrepareReply | RankReply | Refused
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(Request)
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -11,6 +11,7 @@
 
 from dalehollow.config.holder import ConfigHolder, InForce
 from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
+from dalehollow.groups.host import HttpRankHost
 from dalehollow.limits import Gate, GateLimits
 from dalehollow.once.handover import Claim, claim_incarnation, leave_snapshot
 from dalehollow.platform import HttpKeyValue, KeyValue
@@ -22,14 +23,17 @@
     Dump,
     DumpText,
     FetchConfig,
-    Refused,
+    Prepare,
+    RankQuery,
     Reply,
     Request,
+    VoteQuery,
 )
 from dalehollow.settings import Settings, split_address
 from dalehollow.sidecar.call import read_call
 from dalehollow.sidecar.forward import Forwarder
 from dalehollow.sidecar.ownership import Ownership
+from dalehollow.sidecar.ranks import RankService
 from dalehollow.telemetry import Metrics, log_event
 from dalehollow.web import HttpClient, HttpRequest, HttpResponse, HttpServer
 from dalehollow.web.refusal import make_refusal
@@ -70,7 +74,16 @@
         )
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
+        self.ranks = RankService(
+            upstream=self.upstream,
+            name=settings.name,
+            host=HttpRankHost(settings.upstream_http),
+            kv=self.kv,
+            plan_interval_ms=settings.plan_interval_ms,
+            plan_max_moves=settings.plan_max_moves,
+        )
         self.holder.on_change(self._apply)
+        self.holder.on_change(self.ranks.apply)
         self.metrics.watch_gauge("requests_running", lambda: self.gate.load().running)
         self.metrics.watch_gauge("requests_waiting", lambda: self.gate.load().waiting)
         self.metrics.watch_gauge("config_version", lambda: self.holder.version)
@@ -95,6 +108,7 @@
         self.server.stop()
         self.control.stop()
         self.spreader.stop()
+        self.ranks.stop()
         if not left:
             self._leave_snapshot()
         log_event(_log, "stopped", cut_off=left)
@@ -121,8 +135,8 @@
                 return ConfigText(self.holder.manifest_json(), self.holder.in_force.text)
             case Dump():
                 return DumpText(json.dumps(self.dump()).encode())
-            case _:
-                return Refused(f"{type(request).__name__} is not for a sidecar")
+            case VoteQuery() | Prepare() | RankQuery():
+                return self.ranks.answer(request)
 
     def dump(self) -> dict[str, object]:
         """Return the state of this process."""
@@ -140,6 +154,7 @@
             "config_confirmed_at_ms": self.holder.confirmed_at_ms,
             "config_polls": self.spreader.polls,
             "gate": dataclasses.asdict(self.gate.load()),
+            "groups": [ranks.dump() for ranks in self.ranks.groups.values()],
             "keys_held": self.ownership.counts(),
             "counts": self.metrics.counts(),
         }
