Prove the spread of configurations over cut halls, and end new work at leaving upstreams

Cause: versions and leaving were handled, not proved; a dead sidecar was noticed only after 1.5 s. Change: entries follow the VM list beside the sidecars' own word; one unanswered beat (500 ms) marks an upstream silent, where most are silent it is not believed; sidecars ask seed peers too. Proof: two halls, each cut from the platform, from the other and from both, newcomers in a cut hall, the platform down or losing answers, eight operators, late and doubled word: every process's versions only rise. Seeded fault (a holder that takes any version) turns the judge red.

--- a/dalehollow/entry/pool.py
+++ b/dalehollow/entry/pool.py
@@ -78,6 +78,12 @@
         view.take_report(report, self._clock())
         view.mark_leaving(reply.is_leaving, reply.incarnation_ms)
 
+    def mark_listed(self, leaving: frozenset[str]) -> None:
+        """Take the VM list's word on which upstreams are leaving."""
+        with self._lock:
+            for name, view in self._views.items():
+                view.is_listed_leaving = name in leaving
+
     def dump(self) -> list[dict[str, object]]:
         """Return what is known of each upstream."""
         now_s = self._clock()
@@ -93,6 +99,8 @@
                 else None,
                 "in_flight": view.in_flight,
                 "is_leaving": view.is_leaving,
+                "is_listed_leaving": view.is_listed_leaving,
+                "is_silent": view.is_silent,
                 "is_ejected": view.is_ejected(now_s),
             }
             for view in views
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -20,7 +20,7 @@
 from dalehollow.entry.serve import JobServer
 from dalehollow.errors import Failure, Reason
 from dalehollow.limits import TokenBucket
-from dalehollow.membership import PeerTasks
+from dalehollow.membership import PeerTasks, VmWatch
 from dalehollow.platform import HttpKeyValue
 from dalehollow.protocol import (
     Beat,
@@ -70,6 +70,9 @@
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
         self.peers = PeerTasks(self._make_beat, self._take_reply, settings.beat_interval_ms)
+        self.vm_watch = VmWatch(
+            settings.platform, self.pool.mark_listed, settings.vm_list_interval_ms
+        )
         self._keys: Mapping[str, Account] = {}
         self._buckets: dict[str, TokenBucket] = {}
         self._recent: deque[dict[str, object]] = deque(maxlen=RECENT_DECISIONS)
@@ -82,6 +85,7 @@
         self.peers.keep(self._seed_peers())
         self.spreader.poll()
         self.spreader.start()
+        self.vm_watch.start()
         self.control.start()
         self.server.start()
 
@@ -97,6 +101,7 @@
         self.control.stop()
         self.peers.stop()
         self.spreader.stop()
+        self.vm_watch.stop()
         log_event(_log, "stopped", cut_off=left)
         return left
 
@@ -214,8 +219,8 @@
     def _take_reply(self, name: str, asked: Result[Reply, str]) -> None:
         if isinstance(asked, Err):
             view = self.pool.find(name)
-            if view is not None and not view.is_ejected(time.monotonic()):
-                view.note_failure(time.monotonic(), is_unreachable=False)
+            if view is not None:
+                view.note_silence()
             return
         reply = asked.ok_value
         if isinstance(reply, BeatReply):
--- a/dalehollow/membership/view.py
+++ b/dalehollow/membership/view.py
@@ -11,7 +11,6 @@
 EJECT_AFTER_FAILURES = 3
 EJECT_BASE_S = 0.5
 EJECT_MAX_S = 30.0
-SILENCE_LIMIT_S = 1.0
 
 
 @dataclass
@@ -24,6 +23,8 @@
     report: LoadReport | None = None
     reported_at_s: float = 0.0
     is_leaving: bool = False
+    is_listed_leaving: bool = False
+    is_silent: bool = False
     in_flight: int = 0
     incarnation_ms: int = 0
     _sent_since: int = 0
@@ -35,10 +36,15 @@
     def take_report(self, report: LoadReport, now_s: float) -> None:
         """Replace the load; the upstream counts what was sent before it answered."""
         with self._lock:
+            self.is_silent = False
             self.report = report
             self.reported_at_s = now_s
             self._sent_since = 0
 
+    def note_silence(self) -> None:
+        """Note that a beat was not answered in time; the next answer of any kind ends it."""
+        self.is_silent = True
+
     def mark_leaving(self, is_leaving: bool, incarnation_ms: int) -> None:
         """Note the sidecar's own word; a new incarnation is not leaving any more."""
         with self._lock:
@@ -90,11 +96,11 @@
 
 
 def select_usable(views: list[UpstreamView], now_s: float) -> list[UpstreamView]:
-    """Return the views that may get work; where most are ejected, ejection is not believed.
+    """Return the views that may get work; where most are out, that is not believed.
 
-    Leaving upstreams never get work; ejected ones do when half of the pool or more is out,
-    since then the fault is more likely this side or all of it.
+    Leaving upstreams never get work, whoever says so; silent and ejected ones do when half of
+    the pool or more is out, since then the fault is more likely this side or all of it.
     """
-    staying = [view for view in views if not view.is_leaving]
-    healthy = [view for view in staying if not view.is_ejected(now_s)]
+    staying = [view for view in views if not (view.is_leaving or view.is_listed_leaving)]
+    healthy = [view for view in staying if not (view.is_silent or view.is_ejected(now_s))]
     return healthy if 2 * len(healthy) > len(staying) else staying
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -35,6 +35,7 @@
     inner_key: str = ""
     log_level: str = "info"
     beat_interval_ms: int = 500
+    vm_list_interval_ms: int = 2_000
     plan_interval_ms: int = 30_000
     plan_max_moves: int = 1_000
     poll_min_ms: int = 1_000
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -7,12 +7,13 @@
 import logging
 import time
 
-from result import Ok
+from result import Ok, Result
 
 from dalehollow.config.holder import ConfigHolder, InForce
 from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
 from dalehollow.groups.host import HttpRankHost
 from dalehollow.limits import Gate, GateLimits
+from dalehollow.membership import PeerTasks
 from dalehollow.once.handover import Claim, claim_incarnation, leave_snapshot
 from dalehollow.platform import HttpKeyValue, KeyValue
 from dalehollow.protocol import (
@@ -74,6 +75,7 @@
         )
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
+        self.peers = PeerTasks(self._make_beat, self._take_reply, settings.beat_interval_ms)
         self.ranks = RankService(
             upstream=self.upstream,
             name=settings.name,
@@ -91,6 +93,7 @@
     def start(self) -> None:
         """Begin to serve."""
         self.ownership.claim = self._claim_incarnation()
+        self.peers.keep({address: address for address in self.settings.peers})
         self.spreader.poll()
         self.spreader.start()
         self.control.start()
@@ -108,6 +111,7 @@
         self.server.stop()
         self.control.stop()
         self.spreader.stop()
+        self.peers.stop()
         self.ranks.stop()
         if not left:
             self._leave_snapshot()
@@ -159,6 +163,19 @@
             "counts": self.metrics.counts(),
         }
 
+    def _make_beat(self) -> Beat:
+        return Beat(
+            self.settings.name,
+            self.control.address,
+            self.holder.version,
+            self.holder.confirmed_at_ms,
+        )
+
+    def _take_reply(self, address: str, asked: Result[Reply, str]) -> None:
+        if isinstance(asked, Ok) and isinstance(asked.ok_value, BeatReply):
+            reply = asked.ok_value
+            self.spreader.hear(reply.version, reply.confirmed_at_ms, address)
+
     def _make_beat_reply(self) -> BeatReply:
         load = self.gate.load()
         return BeatReply(
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -1,6 +1,7 @@
-"""Stand in for the platform's key-value service, with its faults on command.
+"""Stand in for the platform's key-value service and VM list, with faults on command.
 
 GET /kv/KEY[?after=REVISION&wait_ms=N], PUT /kv/KEY?expect=REVISION[&ttl_ms=N].
+GET /vms lists VMs as [{"name": NAME, "state": "live" | "leaving"}]; PUT /vms replaces the list.
 PUT /fault with {"mode": "none" | "down" | "lose_answer" | "late_write", "count": N} sets a fault.
 """
 
@@ -31,6 +32,7 @@
 
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
+        self.vms: list[dict[str, str]] = []
         self.mode = "none"
         self.mode_count = 0
         self._items: dict[str, _Item] = {}
@@ -43,6 +45,8 @@
         if req.path == "/calls":
             return HttpResponse(200, {}, json.dumps(self.calls).encode())
         fault = self._take_fault()
+        if req.path == "/vms":
+            return self._list_vms(req, fault)
         self.calls[f"{req.method} {req.path.split('/')[2]}"] += 1
         if fault == "down":
             return HttpResponse(503, {}, b"")
@@ -53,6 +57,16 @@
         response = self._put(key, req.body, int(query["expect"]), query.get("ttl_ms"))
         return HttpResponse(500, {}, b"") if fault == "lose_answer" else response
 
+    def _list_vms(self, req: HttpRequest, fault: str) -> HttpResponse:
+        """Answer the list, or replace it with PUT."""
+        if req.method == "PUT":
+            self.vms = json.loads(req.body)
+            return HttpResponse(200, {}, b"")
+        self.calls["GET vms"] += 1
+        if fault == "down":
+            return HttpResponse(503, {}, b"")
+        return HttpResponse(200, {}, json.dumps(self.vms).encode())
+
     def set_fault(self, mode: str, count: int = 1_000_000) -> None:
         with self._changed:
             self.mode, self.mode_count = mode, count
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,172 @@
+"""Test who may get work: leaving, silent and ejected upstreams, subsets and the VM list."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+from collections import Counter
+
+import pytest
+
+from dalehollow.config.model import Upstream
+from dalehollow.membership import UpstreamView, VmWatch, choose_subset
+from dalehollow.membership.view import EJECT_AFTER_FAILURES, select_usable
+from dalehollow.platform import HttpKeyValue
+from dalehollow.routing import LoadReport
+from dalehollow.web import HttpClient, HttpServer
+from standins.hall import Hall, send_request, start_hall
+from standins.keyvalue import KeyValueStandIn
+from standins.processes import Launcher
+from tests.payment_bench import wait_for
+
+Platform = tuple[KeyValueStandIn, HttpKeyValue]
+
+
+def make_upstream(idx: int, hall: str = "cmb-a") -> Upstream:
+    return Upstream(f"u-{idx}", hall, f"127.0.0.1:{1000 + idx}", f"127.0.0.1:{2000 + idx}", 8)
+
+
+def make_views(count: int) -> list[UpstreamView]:
+    return [UpstreamView(make_upstream(idx), True, 0.2) for idx in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("leaving", "listed", "silent", "expected"),
+    [
+        ([], [], [], [0, 1, 2, 3, 4]),
+        ([0], [], [], [1, 2, 3, 4]),
+        ([], [0], [], [1, 2, 3, 4]),
+        ([], [], [0, 1], [2, 3, 4]),
+        ([], [], [0, 1, 2], [0, 1, 2, 3, 4]),  # most are out: not believed
+        ([4], [], [0, 1, 2, 3], [0, 1, 2, 3]),  # leaving is always believed
+        ([0, 1, 2], [3, 4], [], []),
+    ],
+)
+def test_who_may_get_work(
+    leaving: list[int], listed: list[int], silent: list[int], expected: list[int]
+) -> None:
+    views = make_views(5)
+    for idx in leaving:
+        views[idx].mark_leaving(True, 1)
+    for idx in listed:
+        views[idx].is_listed_leaving = True
+    for idx in silent:
+        views[idx].note_silence()
+    assert [views.index(v) for v in select_usable(views, 0.0)] == expected
+
+
+def test_failures_eject_for_longer_each_time() -> None:
+    view = make_views(1)[0]
+    for _ in range(EJECT_AFTER_FAILURES - 1):
+        view.note_failure(0.0, is_unreachable=False)
+    assert not view.is_ejected(0.0)
+    view.note_failure(0.0, is_unreachable=False)
+    assert view.is_ejected(0.49) and not view.is_ejected(0.51)
+    view.note_failure(1.0, is_unreachable=True)
+    assert view.is_ejected(1.99)
+    view.note_success()
+    assert not view.is_ejected(1.5)
+
+
+def test_any_answer_ends_silence() -> None:
+    view = make_views(1)[0]
+    view.note_silence()
+    view.take_report(LoadReport(0, 0, 8, 1.0), 0.0)
+    assert not view.is_silent
+
+
+def test_new_incarnation_is_not_leaving() -> None:
+    view = make_views(1)[0]
+    view.mark_leaving(True, 1)
+    view.mark_leaving(False, 2)
+    assert select_usable([view], 0.0) == [view]
+
+
+def test_subsets_are_near_balanced_and_stable() -> None:
+    upstreams = [make_upstream(idx, f"hall-{idx % 3}") for idx in range(60)]
+    loads: Counter[str] = Counter()
+    for entry in range(24):
+        subset = choose_subset(f"entry-{entry}", "hall-0", upstreams, 8)
+        assert len(subset) == 8
+        assert sum(u.hall == "hall-0" for u in subset) == 6
+        assert subset == choose_subset(f"entry-{entry}", "hall-0", upstreams[::-1], 8)
+        loads.update(u.name for u in subset)
+    near = [loads[f"u-{idx}"] for idx in range(0, 60, 3)]
+    assert min(near) >= 1 and max(near) <= 4 * sum(near) / len(near)
+
+
+def test_small_pool_is_taken_whole() -> None:
+    upstreams = [make_upstream(0), make_upstream(1, "ngb")]
+    assert set(choose_subset("e", "cmb-a", upstreams, 8)) == set(upstreams)
+
+
+def test_vm_list_is_followed_and_kept_in_an_outage() -> None:
+    standin = KeyValueStandIn()
+    server = HttpServer("127.0.0.1", 0, standin.handle, name="platform")
+    server.start()
+    told: list[frozenset[str]] = []
+    heard = threading.Event()
+
+    def hear(leaving: frozenset[str]) -> None:
+        told.append(leaving)
+        heard.set()
+
+    standin.vms = [{"name": "u-1", "state": "leaving"}, {"name": "u-2", "state": "live"}]
+    watch = VmWatch(server.address, hear, interval_ms=20)
+    watch.start()
+    assert heard.wait(10)
+    assert told[-1] == {"u-1"}
+    standin.set_fault("down")
+    calls = standin.calls["GET vms"]
+    wait_for(lambda: standin.calls["GET vms"] >= calls + 3, "reads in the outage")
+    assert told[-1] == {"u-1"}
+    watch.stop()
+    server.stop()
+
+
+REQUEST = {
+    "account": "colombo-city",
+    "priority": "normal",
+    "method": "POST",
+    "path": "/v1/chat/completions",
+    "body": {
+        "model": "kelani-assist",
+        "max_tokens": 1,
+        "messages": [{"role": "user", "content": "x"}],
+    },
+}
+
+
+def _started(hall: Hall, idx: int) -> int:
+    client = HttpClient(connect_timeout_s=1)
+    answer = client.call("GET", hall.engines[idx].http, "/stats", timeout_s=5).unwrap()
+    return int(json.loads(answer.read())["started"])
+
+
+@pytest.mark.parametrize("who_says_so", ["sidecar", "vm_list"])
+def test_leaving_upstream_gets_no_new_work(who_says_so: str) -> None:
+    with Launcher() as launcher:
+        settings = {"leave_ms": 1_500, "vm_list_interval_ms": 50, "beat_interval_ms": 100}
+        hall = start_hall(launcher, engines=2, plain=(), settings=settings)
+        if who_says_so == "sidecar":
+            # The VM list lags: it says nothing yet.
+            hall.sidecars["model-0"].send_signal(signal.SIGTERM)
+            assert hall.sidecars["model-0"].popen.poll() is None
+        else:
+            body = json.dumps([{"name": "model-0", "state": "leaving"}]).encode()
+            client = HttpClient(connect_timeout_s=1)
+            client.call("PUT", hall.platform.http, "/vms", body=body, timeout_s=5).unwrap().read()
+        last = [-1]
+
+        def is_quiet() -> bool:
+            """Return whether 20 requests in a row left the upstream alone."""
+            before = _started(hall, 0)
+            results = [send_request(hall.entries[i % 2], REQUEST) for i in range(20)]
+            assert all(r["status"] == 200 for r in results)
+            last[0] = _started(hall, 0)
+            return last[0] == before
+
+        wait_for(is_quiet, "no new work")
+        for _ in range(3):
+            assert is_quiet()
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,275 @@
+"""Test that configurations reach every process of cut and healed halls, and never go back."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from dalehollow.config import apply_text
+from dalehollow.config.spread import draw_poll_limit_ms, is_poll_due
+from dalehollow.entry import EntryProcess
+from dalehollow.platform import HttpKeyValue
+from dalehollow.settings import Settings
+from dalehollow.sidecar import Sidecar
+from dalehollow.web import HttpServer
+from standins.hall import digest_key
+from standins.keyvalue import KeyValueStandIn
+from tests.payment_bench import wait_for
+from tests.relay import Relay
+
+HALLS = ("cmb-a", "ngb")
+FAST_SETTINGS = {"leave_ms": 0, "poll_min_ms": 50, "poll_max_ms": 150, "beat_interval_ms": 50}
+
+
+@dataclass
+class Hall:
+    """Hold a hall's processes, its relay to the platform and the relay to its sidecar."""
+
+    name: str
+    to_platform: Relay
+    sidecar: Sidecar
+    to_control: Relay
+    entry: EntryProcess
+
+
+@dataclass
+class World:
+    """Hold two halls and every version that each process had, in order."""
+
+    platform: KeyValueStandIn = field(default_factory=KeyValueStandIn)
+    halls: dict[str, Hall] = field(default_factory=dict)
+    seen: dict[str, list[int]] = field(default_factory=dict)
+    extra: list[Sidecar] = field(default_factory=list)
+
+    def start(self) -> None:
+        self.server = HttpServer("127.0.0.1", 0, self.platform.handle, name="platform")
+        self.server.start()
+        self.kv = HttpKeyValue(self.server.address)
+        for name in HALLS:
+            self.halls[name] = self._start_hall(name)
+
+    def _start_hall(self, name: str) -> Hall:
+        relay = Relay(self.server.address)
+        sidecar = self.start_sidecar(f"up-{name}", name, relay.address, ())
+        entry = EntryProcess(
+            Settings(
+                role="entry",
+                name=f"entry-{name}",
+                hall=name,
+                platform=relay.address,
+                peers=(sidecar.control.address,),
+                **FAST_SETTINGS,  # type: ignore[arg-type]
+            )
+        )
+        self._follow(entry.settings.name, entry)
+        entry.start()
+        return Hall(name, relay, sidecar, Relay(sidecar.control.address), entry)
+
+    def start_sidecar(
+        self, upstream: str, hall: str, platform: str | None, peers: tuple[str, ...]
+    ) -> Sidecar:
+        sidecar = Sidecar(
+            Settings(
+                role="sidecar",
+                name=f"sidecar-{upstream}",
+                hall=hall,
+                platform=platform,
+                peers=peers,
+                upstream=upstream,
+                upstream_http="127.0.0.1:1",
+                **FAST_SETTINGS,  # type: ignore[arg-type]
+            )
+        )
+        self._follow(sidecar.settings.name, sidecar)
+        sidecar.start()
+        return sidecar
+
+    def _follow(self, name: str, process: EntryProcess | Sidecar) -> None:
+        versions = self.seen.setdefault(name, [])
+        process.holder.on_change(lambda in_force: versions.append(in_force.manifest.version))
+
+    def apply(self, deployment: str) -> int:
+        config = {
+            "deployment": deployment,
+            "halls": {name: {"region": "lk-west"} for name in HALLS},
+            "client_accounts": {"a": {"key_sha256": digest_key("k"), "requests_per_s": 10}},
+            "upstreams": {
+                f"up-{name}": {
+                    "hall": name,
+                    "http": hall.sidecar.server.address,
+                    "control": hall.to_control.address,
+                }
+                for name, hall in self.halls.items()
+            },
+            "services": {
+                "assist": {
+                    "kind": "model",
+                    "models": ["m"],
+                    "upstreams": [f"up-{name}" for name in HALLS],
+                }
+            },
+        }
+        applied = apply_text(self.kv, json.dumps(config), apply_id=deployment).unwrap()
+        return applied.manifest.version
+
+    def wait_for_version(self, version: int, *halls: str) -> None:
+        for name in halls:
+            hall = self.halls[name]
+            wait_for(lambda h=hall: h.entry.holder.version == version, f"{name} entry")  # type: ignore[misc]
+            wait_for(lambda h=hall: h.sidecar.holder.version == version, f"{name} sidecar")  # type: ignore[misc]
+
+    def cut(self, hall: str, *, platform: bool, other_hall: bool) -> None:
+        if platform:
+            self.halls[hall].to_platform.set_mode("refuse")
+        if other_hall:
+            for each in self.halls.values():
+                each.to_control.set_mode("refuse")
+
+    def heal(self) -> None:
+        for hall in self.halls.values():
+            hall.to_platform.release()
+            hall.to_control.release()
+
+    def stop(self) -> None:
+        self.heal()
+        for hall in self.halls.values():
+            hall.entry.stop()
+            hall.sidecar.stop()
+            hall.to_platform.close()
+            hall.to_control.close()
+        for sidecar in self.extra:
+            sidecar.stop()
+        self.server.stop()
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    made = World()
+    made.start()
+    yield made
+    made.stop()
+    for name, versions in made.seen.items():
+        assert versions == sorted(set(versions)), f"{name} went back: {versions}"
+
+
+def test_everywhere(world: World) -> None:
+    for version in (1, 2, 3):
+        assert world.apply(f"v{version}") == version
+        world.wait_for_version(version, *HALLS)
+
+
+def test_hall_cut_from_the_platform_hears_from_the_other_hall(world: World) -> None:
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    world.cut("ngb", platform=True, other_hall=False)
+    world.apply("v2")
+    world.wait_for_version(2, *HALLS)
+
+
+def test_hall_cut_from_all_goes_on_and_catches_up(world: World) -> None:
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    world.cut("ngb", platform=True, other_hall=True)
+    world.apply("v2")
+    world.wait_for_version(2, "cmb-a")
+    assert world.halls["ngb"].entry.holder.version == 1
+    newcomer = world.start_sidecar(
+        "up-new", "ngb", None, (world.halls["ngb"].entry.control.address,)
+    )
+    world.extra.append(newcomer)
+    wait_for(lambda: newcomer.holder.version == 1, "the newcomer takes what its peers hold")
+    world.heal()
+    world.wait_for_version(2, "ngb")
+    wait_for(lambda: newcomer.holder.version == 2, "the newcomer catches up")
+
+
+@pytest.mark.parametrize("mode", ["down", "lose_answer"])
+def test_platform_fault_for_long_reverts_nothing(world: World, mode: str) -> None:
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    world.platform.set_fault(mode)
+    polls = world.halls["ngb"].entry.spreader.polls
+    wait_for(lambda: world.halls["ngb"].entry.spreader.polls > polls + 2, "polls under the fault")
+    world.wait_for_version(1, *HALLS)
+    world.platform.set_fault("none")
+    world.apply("v2")
+    world.wait_for_version(2, *HALLS)
+
+
+def test_late_and_doubled_word_of_an_old_version_changes_nothing(world: World) -> None:
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    old = world.halls["ngb"].sidecar.holder.in_force
+    world.apply("v2")
+    world.wait_for_version(2, *HALLS)
+    for hall in world.halls.values():
+        for process in (hall.entry, hall.sidecar):
+            for _ in range(2):
+                process.spreader.hear(1, 2**60, hall.sidecar.control.address)
+                assert not process.holder.offer(old.manifest, old.text)
+    world.wait_for_version(2, *HALLS)
+
+
+def test_word_from_the_future_does_not_hide_a_stale_configuration(world: World) -> None:
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    entry = world.halls["ngb"].entry
+    entry.spreader.hear(1, 2**60, "")
+    assert entry.holder.confirmed_at_ms < 2**59
+
+
+def test_operators_race_under_load_and_one_order_is_kept(world: World) -> None:
+    threads = [threading.Thread(target=_apply_quietly, args=(world, idx)) for idx in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    version = world.apply("last")
+    world.wait_for_version(version, *HALLS)
+
+
+def _apply_quietly(world: World, idx: int) -> None:
+    try:
+        world.apply(f"race-{idx}")
+    except Exception as exc:
+        assert "Conflict" in repr(exc)
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "since_ms", "failures", "due"),
+    [
+        (999, 5_000, 0, False),
+        (1_000, 1_000, 0, True),
+        (1_000, 999, 0, False),
+        (60_000, 1_999, 1, False),
+        (60_000, 2_000, 1, True),
+        (60_000, 9_999, 9, False),
+        (60_000, 10_000, 9, True),
+    ],
+)
+def test_when_to_poll(age_ms: int, since_ms: int, failures: int, due: bool) -> None:
+    assert is_poll_due(age_ms, since_ms, 1_000, failures) is due
+
+
+def test_poll_limits_are_spread() -> None:
+    limits = {draw_poll_limit_ms(f"p{idx}", 1_000, 3_000) for idx in range(200)}
+    assert min(limits) < 1_100 and max(limits) > 2_900
+
+
+def test_seeded_fault_a_holder_that_takes_any_version(world: World) -> None:
+    """Let a process take whatever it is told: the judge of versions must object."""
+    world.apply("v1")
+    world.wait_for_version(1, *HALLS)
+    old = world.halls["ngb"].sidecar.holder.in_force
+    world.apply("v2")
+    world.wait_for_version(2, *HALLS)
+    holder = world.halls["ngb"].sidecar.holder
+    holder._in_force = replace(holder.in_force, manifest=replace(old.manifest, version=0))
+    assert holder.offer(old.manifest, old.text)
+    versions = world.seen["sidecar-up-ngb"]
+    assert versions != sorted(set(versions))
+    versions.clear()
