--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -111,7 +111,7 @@
 
 def _upstreams(size: int) -> object:
     holder = _hold_config(10, size)
-    pool = Pool("entry-0", "hall-0", 8, time.monotonic)
+    pool = Pool("entry-0", "hall-0", time.monotonic, subset_size=8, peer_limit=30)
     pool.apply(holder.in_force)  # type: ignore[attr-defined]
     return holder, pool
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -27,8 +27,9 @@
 }
 BEATS_PER_PEER = 10
 REQUESTS = (200, 400, 800, 1_600)
-WIRE_OVERHEAD_BYTES = 8 + 4 + 2 * 52
-"""Of one message: the link's frame and request number, and TCP/IP headers of it and its ack."""
+WIRE_OVERHEAD_BYTES = 2 * (8 + 4) + 3 * 52
+"""Of one exchange: the link's frames and request numbers, and TCP/IP headers of the beat, of the
+reply (which acknowledges it) and of the reply's own acknowledgement."""
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -39,7 +40,7 @@
         _print_fit(kind, "kib", sizes, [m["kib"] for m in measured])
         _print_fit(kind, "cpu_ms", sizes, [m["cpu_ms"] for m in measured])
     sizes_bytes = message_bytes()
-    exchange = sum(sizes_bytes.values()) + 2 * WIRE_OVERHEAD_BYTES
+    exchange = sum(sizes_bytes.values()) + WIRE_OVERHEAD_BYTES
     print_pairs(**{f"{k}_bytes": v for k, v in sizes_bytes.items()}, exchange_bytes=exchange)
     _measure_requests()
 
--- a/dalehollow/entry/pool.py
+++ b/dalehollow/entry/pool.py
@@ -16,16 +16,30 @@
 
 FAR_DISTANCE_MS = 3.0
 NEAR_DISTANCE_MS = 0.2
+LEAST_SUBSET = 3
 
 
 class Pool:
     """Hold a view for each upstream in this entry's subsets."""
 
-    def __init__(self, entry: str, hall: str, subset_size: int, clock: Callable[[], float]) -> None:
-        """Begin empty; `clock` gives monotonic seconds."""
+    def __init__(
+        self,
+        entry: str,
+        hall: str,
+        clock: Callable[[], float],
+        *,
+        subset_size: int,
+        peer_limit: int,
+    ) -> None:
+        """Begin empty; `clock` gives monotonic seconds.
+
+        Each service gets a subset of `subset_size` upstreams, or fewer where all services
+        together would pass `peer_limit`, but never less than `LEAST_SUBSET`.
+        """
         self._entry = entry
         self._hall = hall
         self._subset_size = subset_size
+        self._peer_limit = peer_limit
         self._clock = clock
         self._rng = random.Random(entry)
         self._views: dict[str, UpstreamView] = {}
@@ -36,12 +50,14 @@
         """Follow a configuration; return the control addresses of the sidecars to speak with."""
         cfg = in_force.config
         assert cfg is not None
+        share = self._peer_limit // max(1, len(cfg.services))
+        size = max(LEAST_SUBSET, min(self._subset_size, share))
         subsets = {
             service.name: choose_subset(
                 self._entry,
                 self._hall,
                 [cfg.upstreams[name] for name in service.upstreams],
-                self._subset_size,
+                size,
             )
             for service in cfg.services.values()
         }
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -18,11 +18,14 @@
 from dalehollow.entry.attempt import Attempt
 from dalehollow.entry.pool import Pool
 from dalehollow.entry.serve import JobServer
+from dalehollow.entry.shares import ShareKeeper
 from dalehollow.errors import Failure, Reason
-from dalehollow.limits import TokenBucket
 from dalehollow.membership import PeerTasks, VmWatch
+from dalehollow.membership.vm_watch import list_leaving
 from dalehollow.platform import HttpKeyValue
+from dalehollow.platform.vms import Vm
 from dalehollow.protocol import (
+    AskShares,
     Beat,
     BeatReply,
     ControlServer,
@@ -30,9 +33,11 @@
     DumpText,
     FetchManifest,
     FetchParts,
+    PeerLink,
     Refused,
     Reply,
     Request,
+    Shares,
 )
 from dalehollow.settings import Settings, split_address
 from dalehollow.telemetry import Metrics, log_event
@@ -41,6 +46,7 @@
 from dalehollow.web.refusal import make_refusal
 
 RECENT_DECISIONS = 500
+SHARE_TIMEOUT_MS = 300
 _MS_PER_S = 1000
 _RETRY_NO_CONFIG_MS = 1_000
 _log = logging.getLogger(__name__)
@@ -58,7 +64,13 @@
         kv = HttpKeyValue(settings.platform) if settings.platform else None
         limit_ms = draw_poll_limit_ms(settings.name, settings.poll_min_ms, settings.poll_max_ms)
         self.spreader = Spreader(limit_ms, self.holder, kv)
-        self.pool = Pool(settings.name, settings.hall, settings.subset_size, time.monotonic)
+        self.pool = Pool(
+            settings.name,
+            settings.hall,
+            time.monotonic,
+            subset_size=settings.subset_size,
+            peer_limit=settings.peer_limit,
+        )
         attempt = Attempt(
             client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
             inner_key=settings.inner_key,
@@ -69,14 +81,19 @@
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
-        self.peers = PeerTasks(self._make_beat, self._take_reply, settings.beat_interval_ms)
-        self.vm_watch = VmWatch(
-            settings.platform, self.pool.mark_listed, settings.vm_list_interval_ms
+        self.peers = PeerTasks(
+            self._make_beat,
+            self._take_reply,
+            settings.beat_interval_ms,
+            settings.control_bytes_per_s,
         )
+        self.vm_watch = VmWatch(settings.platform, self._take_list, settings.vm_list_interval_ms)
+        self.shares = ShareKeeper(settings.name, settings.hall, self._ask_shares)
         self._keys: Mapping[str, Account] = {}
-        self._buckets: dict[str, TokenBucket] = {}
         self._recent: deque[dict[str, object]] = deque(maxlen=RECENT_DECISIONS)
         self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._entry_links: dict[str, PeerLink] = {}
         self.holder.on_change(self._apply)
         self.metrics.watch_gauge("config_version", lambda: self.holder.version)
 
@@ -86,12 +103,14 @@
         self.spreader.poll()
         self.spreader.start()
         self.vm_watch.start()
+        threading.Thread(target=self._keep_shares, name="shares", daemon=True).start()
         self.control.start()
         self.server.start()
 
     def stop(self) -> int:
         """Let requests in hand finish, and return how many were cut off."""
         self.is_leaving = True
+        self._stopping.set()
         log_event(_log, "leaving")
         # The balancer sees the health answer change and sends elsewhere; late ones are served.
         self.server.begin_closing()
@@ -129,6 +148,8 @@
             case Beat():
                 self.spreader.hear(request.version, request.confirmed_at_ms, request.address)
                 return self._make_beat_reply()
+            case AskShares():
+                return self.shares.answer(request)
             case Dump():
                 return DumpText(json.dumps(self.dump(request.section)).encode())
             case _:
@@ -145,6 +166,7 @@
             "config_confirmed_at_ms": self.holder.confirmed_at_ms,
             "config_polls": self.spreader.polls,
             "upstreams": self.pool.dump(),
+            "shares": self.shares.dump(),
             "counts": self.metrics.counts(),
         }
         if section == "recent":
@@ -164,11 +186,10 @@
                 )
             )
         admitted = admit(req, request_id, cfg, self._keys, now_s)
-        return admitted.and_then(lambda job: self._check_limit(job, now_s))
+        return admitted.and_then(self._check_limit)
 
-    def _check_limit(self, job: Job, now_s: float) -> Result[Job, Failure]:
-        bucket = self._buckets.get(job.account.name)
-        wait_ms = bucket.take(now_s) if bucket is not None else 0
+    def _check_limit(self, job: Job) -> Result[Job, Failure]:
+        wait_ms = self.shares.take(job.account.name)
         if not wait_ms:
             return Ok(job)
         message = f"account {job.account.name!r} is at its limit of requests"
@@ -177,18 +198,7 @@
     def _apply(self, in_force: InForce) -> None:
         cfg = in_force.config
         assert cfg is not None
-        now_s = time.monotonic()
-        entries = cfg.count_entries()
-        buckets = {}
-        for account in cfg.accounts.values():
-            rate, burst = account.requests_per_s / entries, max(1.0, account.burst / entries)
-            bucket = self._buckets.get(account.name)
-            if bucket is None:
-                bucket = TokenBucket(rate, burst)
-            else:
-                bucket.resize(rate, burst, now_s)
-            buckets[account.name] = bucket
-        self._buckets = buckets
+        self.shares.apply(cfg)
         self._keys = index_keys(cfg)
         self.peers.keep({**self._seed_peers(), **self.pool.apply(in_force)})
 
@@ -229,6 +239,24 @@
             address = view.upstream.control if view is not None else name
             self.spreader.hear(reply.version, reply.confirmed_at_ms, address or "")
 
+    def _take_list(self, vms: tuple[Vm, ...]) -> None:
+        self.pool.mark_listed(list_leaving(vms))
+        self.shares.take_list(vms)
+
+    def _keep_shares(self) -> None:
+        interval_s = self.settings.share_interval_ms / _MS_PER_S
+        while not self._stopping.wait(interval_s):
+            self.shares.run_round(interval_s)
+
+    def _ask_shares(self, address: str, ask: AskShares) -> Result[Shares, str]:
+        link = self._entry_links.get(address)
+        if link is None:
+            link = self._entry_links[address] = PeerLink(address)
+        asked = link.ask(ask, timeout_ms=SHARE_TIMEOUT_MS)
+        if isinstance(asked, Ok) and isinstance(asked.ok_value, Shares):
+            return Ok(asked.ok_value)
+        return Err(f"entry at {address!r} did not answer")
+
     def _answer_health(self) -> HttpResponse:
         status = 503 if self.is_leaving or self.holder.version == 0 else 200
         body = {"is_leaving": self.is_leaving, "config_version": self.holder.version}
--- a/dalehollow/membership/peers.py
+++ b/dalehollow/membership/peers.py
@@ -10,9 +10,16 @@
 
 from dalehollow.protocol import Beat, PeerLink, Reply
 
+EXCHANGE_BYTES = 275
+"""Of one beat and its reply with all headers: measured by `python -m benchmarks slopes`."""
 _MS_PER_S = 1000
 
 
+def pace_beats_ms(peers: int, wanted_ms: int, bytes_per_s: int) -> int:
+    """Return the interval at which beats to so many peers stay within a budget of bytes."""
+    return max(wanted_ms, round(peers * EXCHANGE_BYTES / bytes_per_s * _MS_PER_S))
+
+
 @dataclass
 class _Task:
     address: str
@@ -28,11 +35,17 @@
         make_beat: Callable[[], Beat],
         on_reply: Callable[[str, Result[Reply, str]], None],
         interval_ms: int,
+        bytes_per_s: int,
     ) -> None:
-        """Begin without peers; `on_reply` gets the peer's name and what came of a beat."""
+        """Begin without peers; `on_reply` gets the peer's name and what came of a beat.
+
+        Beats go out every `interval_ms`, or less often where they would pass `bytes_per_s`.
+        """
         self._make_beat = make_beat
         self._on_reply = on_reply
+        self._timeout_ms = interval_ms
         self._interval_ms = interval_ms
+        self._bytes_per_s = bytes_per_s
         self._tasks: dict[str, _Task] = {}
         self._lock = threading.Lock()
 
@@ -43,6 +56,7 @@
                 if wanted.get(name) != task.address:
                     task.stopping.set()
                     del self._tasks[name]
+            self._interval_ms = pace_beats_ms(len(wanted), self._timeout_ms, self._bytes_per_s)
             for name, address in wanted.items():
                 if name not in self._tasks:
                     self._tasks[name] = self._start(name, address)
@@ -62,7 +76,7 @@
     def _run(self, name: str, address: str, stopping: threading.Event) -> None:
         link = PeerLink(address)
         while not stopping.is_set():
-            asked = link.ask(self._make_beat(), timeout_ms=self._interval_ms)
+            asked = link.ask(self._make_beat(), timeout_ms=self._timeout_ms)
             if not stopping.is_set():
                 self._on_reply(name, asked)
             stopping.wait(self._interval_ms / _MS_PER_S if isinstance(asked, Ok) else 0.05)
--- a/dalehollow/membership/vm_watch.py
+++ b/dalehollow/membership/vm_watch.py
@@ -1,4 +1,4 @@
-"""Follow the VM list: an upstream that it calls leaving gets no new work.
+"""Follow the VM list: which upstreams are leaving, and which other entries there are.
 
 A VM that the list does not name is left alone, since the list lags: new VMs are missing from it,
 and what is really gone stops answering. In an outage the last list stays in force.
@@ -11,24 +11,38 @@
 
 from result import Ok
 
-from dalehollow.platform.vms import HttpVmList
+from dalehollow.platform.vms import HttpVmList, Vm
 
 _MS_PER_S = 1000
 LEAVING = "leaving"
 
 
+def list_leaving(vms: tuple[Vm, ...]) -> frozenset[str]:
+    """Return the names of the VMs that are leaving."""
+    return frozenset(vm.name for vm in vms if vm.state == LEAVING)
+
+
+def list_entries(vms: tuple[Vm, ...], hall: str | None) -> dict[str, str]:
+    """Return the control addresses of the entries that stay, of one hall or of all."""
+    return {
+        vm.name: vm.entry_control
+        for vm in vms
+        if vm.entry_control and vm.state != LEAVING and hall in (None, vm.hall)
+    }
+
+
 class VmWatch:
     """Run one task that reads the list at intervals."""
 
     def __init__(
         self,
         platform: str | None,
-        on_leaving: Callable[[frozenset[str]], None],
+        on_list: Callable[[tuple[Vm, ...]], None],
         interval_ms: int,
     ) -> None:
         """Prepare; without a platform nothing is read."""
         self._list = HttpVmList(platform) if platform else None
-        self._on_leaving = on_leaving
+        self._on_list = on_list
         self._interval_s = interval_ms / _MS_PER_S
         self._stopping = threading.Event()
 
@@ -46,6 +60,5 @@
         while not self._stopping.is_set():
             read = self._list.read()
             if isinstance(read, Ok):
-                leaving = frozenset(vm.name for vm in read.ok_value if vm.state == LEAVING)
-                self._on_leaving(leaving)
+                self._on_list(read.ok_value)
             self._stopping.wait(self._interval_s)
--- a/dalehollow/platform/vms.py
+++ b/dalehollow/platform/vms.py
@@ -15,10 +15,15 @@
 
 @dataclass(frozen=True)
 class Vm:
-    """Hold one line of the list; `state` is live or leaving."""
+    """Hold one line of the list; `state` is live or leaving.
+
+    Lines of entries carry their hall and the address at which other entries reach them.
+    """
 
     name: str
     state: str
+    hall: str | None = None
+    entry_control: str | None = None
 
 
 class HttpVmList:
--- a/dalehollow/protocol/__init__.py
+++ b/dalehollow/protocol/__init__.py
@@ -4,6 +4,7 @@
 
 from dalehollow.protocol.link import ControlServer, PeerLink
 from dalehollow.protocol.messages import (
+    AskShares,
     Beat,
     BeatReply,
     Dump,
@@ -19,11 +20,13 @@
     Refused,
     Reply,
     Request,
+    Shares,
     VoteQuery,
     VoteReply,
 )
 
 __all__ = [
+    "AskShares",
     "Beat",
     "BeatReply",
     "ControlServer",
@@ -41,6 +44,7 @@
     "Refused",
     "Reply",
     "Request",
+    "Shares",
     "VoteQuery",
     "VoteReply",
 ]
--- a/dalehollow/protocol/messages.py
+++ b/dalehollow/protocol/messages.py
@@ -127,14 +127,37 @@
     counts: tuple[tuple[int, int, int], ...]
 
 
+class AskShares(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """Tell an allocator, for each account, what the sender holds and what it could use a second."""
+
+    sender: str
+    accounts: tuple[tuple[str, float, float], ...]
+
+
+class Shares(msgspec.Struct, frozen=True, array_like=True, tag="S"):
+    """Carry what the sender may hold of each account's limit from now on."""
+
+    accounts: tuple[tuple[str, float], ...]
+
+
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag="x"):
     """Tell that a message could not be answered, and why."""
 
     message: str
 
 
-Request = Beat | FetchManifest | FetchParts | Dump | VoteQuery | Prepare | RankQuery
-Reply = BeatReply | ManifestJson | Parts | DumpText | VoteReply | PrepareReply | RankReply | Refused
+Request = Beat | FetchManifest | FetchParts | Dump | VoteQuery | Prepare | RankQuery | AskShares
+Reply = (
+    BeatReply
+    | ManifestJson
+    | Parts
+    | DumpText
+    | VoteReply
+    | PrepareReply
+    | RankReply
+    | Shares
+    | Refused
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(Request)
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -36,11 +36,14 @@
     log_level: str = "info"
     beat_interval_ms: int = 500
     vm_list_interval_ms: int = 2_000
-    plan_interval_ms: int = 30_000
+    share_interval_ms: int = 1_000
+    plan_interval_ms: int = 60_000
     plan_max_moves: int = 1_000
     poll_min_ms: int = 1_000
     poll_max_ms: int = 3_000
+    control_bytes_per_s: int = 3_500
     subset_size: int = 8
+    peer_limit: int = 30
     leave_ms: int = 1_000
     drain_timeout_ms: int = 60_000
     answer_timeout_ms: int = 120_000
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -17,6 +17,7 @@
 from dalehollow.once.handover import Claim, claim_incarnation, leave_snapshot
 from dalehollow.platform import HttpKeyValue, KeyValue
 from dalehollow.protocol import (
+    AskShares,
     Beat,
     BeatReply,
     ControlServer,
@@ -26,6 +27,7 @@
     FetchParts,
     Prepare,
     RankQuery,
+    Refused,
     Reply,
     Request,
     VoteQuery,
@@ -75,7 +77,12 @@
         )
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
-        self.peers = PeerTasks(self._make_beat, self._take_reply, settings.beat_interval_ms)
+        self.peers = PeerTasks(
+            self._make_beat,
+            self._take_reply,
+            settings.beat_interval_ms,
+            settings.control_bytes_per_s,
+        )
         self.ranks = RankService(
             upstream=self.upstream,
             name=settings.name,
@@ -141,6 +148,8 @@
                 return DumpText(json.dumps(self.dump()).encode())
             case VoteQuery() | Prepare() | RankQuery():
                 return self.ranks.answer(request)
+            case AskShares():
+                return Refused("a sidecar hands out no shares of account limits")
 
     def dump(self) -> dict[str, object]:
         """Return the state of this process."""
--- a/standins/hall.py
+++ b/standins/hall.py
@@ -75,10 +75,23 @@
             role="entry", name=f"entry-{idx}", hall="cmb-a", platform=hall.platform.http, **more
         )
         hall.entries.append(entry)
+    list_vms(hall)
     apply_config(hall, make_config(hall, slots=slots))
     return hall
 
 
+def list_vms(hall: Hall) -> None:
+    """Put the hall's entries and upstreams on the platform's VM list."""
+    vms: list[dict[str, str]] = [{"name": name, "state": "live"} for name in hall.sidecars]
+    vms += [
+        {"name": e.name, "state": "live", "hall": "cmb-a", "entry_control": e.control}
+        for e in hall.entries
+    ]
+    client = HttpClient(connect_timeout_s=1.0)
+    body = json.dumps(vms).encode()
+    client.call("PUT", hall.platform.http, "/vms", body=body, timeout_s=5.0).unwrap().read()
+
+
 def _start_sidecar(
     launcher: Launcher, hall: Hall, name: str, upstream_http: str, more: dict[str, Any]
 ) -> Running:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,105 @@
+"""Test the commands as an operator uses them, against a platform stand-in and real processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from dalehollow.errors import SettingsError
+from dalehollow.platform import HttpKeyValue
+from dalehollow.settings import parse_settings
+from standins.hall import Hall
+from standins.keyvalue import KeyValueStandIn
+from tests.config_text import make_text
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+Platform = tuple[KeyValueStandIn, HttpKeyValue]
+
+
+def run(*args: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "dalehollow", *args], capture_output=True, text=True, timeout=60
+    )
+
+
+@pytest.mark.parametrize("name", ["kelanisoft", "truco"])
+def test_examples_are_sound(name: str) -> None:
+    done = run("check", str(EXAMPLES / f"{name}.json5"))
+    assert done.returncode == 0, done.stdout
+    assert "halls=3 client_accounts=10 upstreams=19 services=2 groups=1" in done.stdout
+
+
+def test_check_prints_every_mistake(tmp_path: Path) -> None:
+    path = tmp_path / "bad.json5"
+    path.write_text(make_text(deployment="NO", groups={"g": {"ranks": [], "policy": "wild"}}))
+    done = run("check", str(path))
+    assert done.returncode == 1
+    assert len(done.stdout.splitlines()) == 3
+    assert "Traceback" not in done.stderr
+
+
+def test_apply_show_and_conflict(platform: Platform, tmp_path: Path) -> None:
+    address = platform[1]._address
+    path = tmp_path / "good.json5"
+    path.write_text("// as it was written\n" + make_text())
+    assert "version=1 parent=0" in run("apply", str(path), f"--platform={address}").stdout
+    assert "// as it was written" in run("show", f"--platform={address}").stdout
+    loser = run("apply", str(path), f"--platform={address}", "--parent=0")
+    assert loser.returncode == 1
+    assert "version 1" in loser.stderr and "nothing of this file is in force" in loser.stderr
+
+
+@pytest.mark.parametrize(
+    ("args", "code", "message"),
+    [
+        (["check", "nowhere.json5"], 2, "'nowhere.json5' cannot be read"),
+        (["run", "nowhere.json5"], 2, "'nowhere.json5' cannot be read"),
+        (["show", "--platform=127.0.0.1:1"], 1, "refused"),
+        (["dump", "127.0.0.1:1"], 1, "did not answer"),
+    ],
+)
+def test_mistakes_end_in_one_line(args: list[str], code: int, message: str) -> None:
+    done = run(*args)
+    assert done.returncode == code
+    assert message in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_status_and_dump(hall: Hall) -> None:
+    addresses = [p.control for p in [*hall.entries, *hall.sidecars.values()]]
+    done = run("status", *addresses, "--json_output")
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert {row["config_version"] for row in json.loads(done.stdout)} == {1}
+    state = json.loads(run("dump", hall.entries[0].control).stdout)
+    assert state["role"] == "entry" and state["upstreams"]
+    state = json.loads(run("dump", hall.sidecars["gate-1"].control).stdout)
+    assert state["gate"]["slots"] == 8
+
+
+SETTINGS = {"role": "entry", "name": "e", "hall": "cmb-a"}
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        ({"role": "boss"}, "'role' is 'boss', choices: entry, sidecar"),
+        ({"leave_ms": -1}, "'leave_ms' is -1, must be a whole number from 0"),
+        ({"leave_ms": True}, "'leave_ms' is True"),
+        ({"http": "localhost"}, "'http' is 'localhost', must be like 127.0.0.1:80"),
+        ({"peers": ["x"]}, "must be a list of addresses"),
+        ({"colour": 1}, "'colour' is unknown; choices: role"),
+        ({"role": "sidecar"}, "'upstream' is missing; 'upstream_http' is missing"),
+        ({"log_level": "loud"}, "choices: debug, info"),
+    ],
+)
+def test_settings_mistakes(change: dict[str, object], message: str) -> None:
+    with pytest.raises(SettingsError, match=message.replace("[", r"\[")):
+        parse_settings(json.dumps({**SETTINGS, **change}))
+
+
+def test_settings_defaults() -> None:
+    assert parse_settings("{role: 'entry', name: 'e', hall: 'h'} // fine").beat_interval_ms == 500
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,8 +11,11 @@
 
 from dalehollow.config.model import Upstream
 from dalehollow.membership import UpstreamView, VmWatch, choose_subset
+from dalehollow.membership.peers import pace_beats_ms
 from dalehollow.membership.view import EJECT_AFTER_FAILURES, select_usable
+from dalehollow.membership.vm_watch import list_entries, list_leaving
 from dalehollow.platform import HttpKeyValue
+from dalehollow.platform.vms import Vm
 from dalehollow.routing import LoadReport
 from dalehollow.web import HttpClient, HttpServer
 from standins.hall import Hall, send_request, start_hall
@@ -108,8 +111,8 @@
     told: list[frozenset[str]] = []
     heard = threading.Event()
 
-    def hear(leaving: frozenset[str]) -> None:
-        told.append(leaving)
+    def hear(vms: tuple[Vm, ...]) -> None:
+        told.append(list_leaving(vms))
         heard.set()
 
     standin.vms = [{"name": "u-1", "state": "leaving"}, {"name": "u-2", "state": "live"}]
@@ -170,3 +173,21 @@
         wait_for(is_quiet, "no new work")
         for _ in range(3):
             assert is_quiet()
+
+
+@pytest.mark.parametrize(
+    ("peers", "interval_ms"), [(1, 500), (4, 500), (20, 1_571), (30, 2_357), (80, 6_286)]
+)
+def test_beats_are_paced_within_the_budget(peers: int, interval_ms: int) -> None:
+    assert pace_beats_ms(peers, 500, 3_500) == interval_ms
+
+
+def test_entries_of_the_list() -> None:
+    vms = (
+        Vm("entry-0", "live", "cmb-a", "127.0.0.1:1"),
+        Vm("entry-1", "leaving", "cmb-a", "127.0.0.1:2"),
+        Vm("entry-2", "live", "ngb", "127.0.0.1:3"),
+        Vm("u-1", "live"),
+    )
+    assert set(list_entries(vms, None)) == {"entry-0", "entry-2"}
+    assert set(list_entries(vms, "ngb")) == {"entry-2"}
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,180 @@
+"""Test that shares follow demand and never pass the limit, over cuts, restarts and lost answers."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from result import Err, Ok, Result
+
+from dalehollow.config import check_text
+from dalehollow.entry.shares import ShareKeeper, held_shares
+from dalehollow.limits import Allocator, ShareAsk, fair_shares
+from dalehollow.limits.shares import GONE_AFTER_S
+from dalehollow.platform.vms import Vm
+from dalehollow.protocol import AskShares, Shares
+from tests.config_text import make_raw, make_text
+
+LIMIT = 100.0
+ENTRIES = ("e0", "e1", "e2")
+
+
+@pytest.mark.parametrize(
+    ("demands", "shares"),
+    [
+        ({"a": 0.0, "b": 0.0}, {"a": 50.0, "b": 50.0}),
+        ({"a": 10.0, "b": 500.0}, {"a": 10.0, "b": 90.0}),
+        ({"a": 500.0, "b": 500.0}, {"a": 50.0, "b": 50.0}),
+        ({"a": 20.0, "b": 40.0}, {"a": 40.0, "b": 60.0}),
+    ],
+)
+def test_fair_shares(demands: dict[str, float], shares: dict[str, float]) -> None:
+    assert fair_shares(LIMIT, demands) == pytest.approx(shares)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.dictionaries(st.text(max_size=3), st.floats(0, 1e6), min_size=1, max_size=20))
+def test_fair_shares_sum_to_the_limit(demands: dict[str, float]) -> None:
+    assert sum(fair_shares(LIMIT, demands).values()) == pytest.approx(LIMIT)
+
+
+class SharesNeverPassTheLimit(RuleBasedStateMachine):
+    """Ask with lost answers, cuts and restarts; entries use what they believe they hold."""
+
+    forgets_lost_answers = False
+
+    @initialize()
+    def begin(self) -> None:
+        self.allocator = Allocator(LIMIT)
+        self.held = dict.fromkeys(ENTRIES, 0.0)
+        self.demand = dict.fromkeys(ENTRIES, 0.0)
+
+    @rule(entry=st.sampled_from(ENTRIES), demand=st.floats(0, 300))
+    def turn_demand(self, entry: str, demand: float) -> None:
+        self.demand[entry] = demand
+
+    @rule(entry=st.sampled_from(ENTRIES), is_lost=st.booleans())
+    def ask(self, entry: str, is_lost: bool) -> None:
+        ask = ShareAsk(entry, self.held[entry], self.demand[entry])
+        granted = self.allocator.answer(ask, ENTRIES, 0.0)
+        if self.forgets_lost_answers:
+            self.allocator._holders[entry].held_per_s = granted
+        if not is_lost:
+            self.held[entry] = granted
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def restart(self, entry: str) -> None:
+        self.held[entry] = 0.0
+
+    @rule()
+    def replace_allocator(self) -> None:
+        """Begin with an allocator that knows nothing, as when the old one is gone."""
+        self.allocator = Allocator(LIMIT)
+
+    @invariant()
+    def within_limit(self) -> None:
+        assert sum(getattr(self, "held", {}).values()) <= LIMIT * 1.000001
+
+
+SharesNeverPassTheLimit.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestSharesNeverPassTheLimit = SharesNeverPassTheLimit.TestCase
+
+
+@pytest.mark.parametrize(("forgets_lost_answers", "total"), [(False, 100.0), (True, 150.0)])
+def test_lost_answer_of_a_smaller_share(forgets_lost_answers: bool, total: float) -> None:
+    """Lose the word of a smaller share; the seeded fault trusts that it arrived, and overshoots."""
+    machine = SharesNeverPassTheLimit()
+    machine.forgets_lost_answers = forgets_lost_answers
+    machine.begin()
+    for entry in ENTRIES:
+        machine.ask(entry, is_lost=False)
+    machine.turn_demand("e0", 300.0)
+    for entry in (*ENTRIES, *ENTRIES, "e0"):
+        machine.ask(entry, is_lost=False)
+    assert machine.held["e0"] == pytest.approx(LIMIT)
+    machine.turn_demand("e1", 300.0)
+    machine.ask("e1", is_lost=False)
+    machine.ask("e0", is_lost=True)
+    machine.ask("e1", is_lost=False)
+    assert sum(machine.held.values()) == pytest.approx(total)
+
+
+def test_gone_entry_gives_its_share_back_after_a_while() -> None:
+    allocator = Allocator(LIMIT)
+    for entry in ("a", "b"):
+        allocator.answer(ShareAsk(entry, 0.0, 500.0), ("a", "b"), 0.0)
+    held = allocator.answer(ShareAsk("a", 0.0, 500.0), ("a", "b"), 0.0)
+    assert allocator.answer(ShareAsk("b", 0.0, 500.0), ("a", "b"), 0.0) == pytest.approx(50.0)
+    assert allocator.answer(ShareAsk("a", held, 500.0), ("a",), 1.0) == pytest.approx(50.0)
+    later_s = 1.0 + GONE_AFTER_S
+    assert allocator.answer(ShareAsk("a", held, 500.0), ("a",), later_s) == pytest.approx(100.0)
+
+
+class Fleet:
+    """Hold keepers that ask each other directly, with cuts."""
+
+    def __init__(self, count: int) -> None:
+        self.cut: set[str] = set()
+        self.keepers: dict[str, ShareKeeper] = {}
+        vms = tuple(Vm(f"e{i}", "live", "cmb-a", f"e{i}") for i in range(count))
+        halls = {
+            "cmb-a": {"region": "lk-west", "entries": count},
+            "ngb": {"region": "lk-west", "entries": 0},
+        }
+        cfg = check_text(make_text(halls=halls)).unwrap()
+        for vm in vms:
+            keeper = ShareKeeper(vm.name, "cmb-a", self._make_ask(vm.name), clock=lambda: 0.0)
+            keeper.take_list(vms)
+            keeper.apply(cfg)
+            self.keepers[vm.name] = keeper
+
+    def _make_ask(self, sender: str):  # type: ignore[no-untyped-def]
+        def ask(address: str, message: AskShares) -> Result[Shares, str]:
+            if sender in self.cut or address in self.cut:
+                return Err("cut")
+            return Ok(self.keepers[address].answer(message))
+
+        return ask
+
+    def run(self, rounds: int, demand: dict[str, int]) -> None:
+        for _ in range(rounds):
+            for name, keeper in self.keepers.items():
+                for _ in range(demand.get(name, 0)):
+                    keeper.take("colombo-city")
+                keeper.run_round(1.0)
+
+    def total(self) -> float:
+        return sum(held_shares(k)["colombo-city"] for k in self.keepers.values())
+
+
+@pytest.mark.parametrize("count", [2, 8, 24])
+def test_share_moves_to_where_the_demand_is(count: int) -> None:
+    fleet = Fleet(count)
+    limit = make_raw()["client_accounts"]["colombo-city"]["requests_per_s"]
+    fleet.run(30, {"e0": 50})
+    assert held_shares(fleet.keepers["e0"])["colombo-city"] > 0.75 * limit
+    assert fleet.total() <= limit * 1.05
+    fleet.run(30, {"e1": 50})
+    assert held_shares(fleet.keepers["e1"])["colombo-city"] > 0.75 * limit
+    assert fleet.total() <= limit * 1.05
+
+
+def test_cut_off_shares_freeze_and_the_sum_holds() -> None:
+    fleet = Fleet(8)
+    fleet.run(30, {"e0": 50})
+    before = held_shares(fleet.keepers["e0"])["colombo-city"]
+    fleet.cut.add("e0")
+    fleet.run(30, {"e0": 500, "e1": 50})
+    assert held_shares(fleet.keepers["e0"])["colombo-city"] <= before + 1e-9
+    assert fleet.total() <= 5 * 1.05
+
+
+def test_without_listed_entries_the_limit_is_split_evenly() -> None:
+    cfg = check_text(make_text()).unwrap()
+    keeper = ShareKeeper("e0", "cmb-a", lambda address, ask: Err("nobody"))
+    keeper.apply(cfg)
+    keeper.take_list(())
+    assert held_shares(keeper)["colombo-city"] == pytest.approx(5 / cfg.count_entries())
