Give each request to an upstream a connection of its own

Cause: an upstream that answers twice leaves a late answer on a kept connection; the next request sent there gets it as its own. Ruled out: draining before reuse (the second answer may come between the check and the send). Change: connections to upstreams are not kept (the sidecar stands beside its upstream, so a new one is cheap); those between entries and sidecars are, since sidecars answer once.

--- a/dalehollow/entry/attempt.py
+++ b/dalehollow/entry/attempt.py
@@ -24,9 +24,10 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """Hold what tries need: the connections and the key that sidecars ask for."""
+    """Hold what tries need: connections to sidecars, those to upstreams, and the inner key."""
 
     client: HttpClient
+    direct_client: HttpClient
     inner_key: str
     answer_timeout_s: float
 
@@ -56,7 +57,8 @@
         left_s = job.deadline_s - time.monotonic()
         if left_s <= 0:
             return Err(Failure(Reason.DEADLINE, Verdict.NOT_RUN, "the deadline has passed"))
-        sent = self.client.call(
+        client = self.direct_client if is_direct else self.client
+        sent = client.call(
             job.method,
             address,
             job.target,
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -71,8 +71,10 @@
             subset_size=settings.subset_size,
             peer_limit=settings.peer_limit,
         )
+        connect_timeout_s = settings.connect_timeout_ms / _MS_PER_S
         attempt = Attempt(
-            client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
+            client=HttpClient(connect_timeout_s=connect_timeout_s),
+            direct_client=HttpClient(connect_timeout_s=connect_timeout_s, keeps=False),
             inner_key=settings.inner_key,
             answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
         )
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -69,7 +69,9 @@
         self.forwarder = Forwarder(
             upstream=self.upstream,
             upstream_http=settings.upstream_http,
-            client=HttpClient(connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S),
+            client=HttpClient(
+                connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S, keeps=False
+            ),
             gate=self.gate,
             ownership=self.ownership,
             answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
--- a/dalehollow/web/client.py
+++ b/dalehollow/web/client.py
@@ -36,9 +36,12 @@
 class Answer:
     """Hold an answer whose head has come and whose body is still to be read."""
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
-        """Wrap the response."""
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, own_pool: urllib3.HTTPConnectionPool | None
+    ) -> None:
+        """Wrap the response; `own_pool` is closed with it."""
         self._response = response
+        self._own_pool = own_pool
         self.status = response.status
         self.headers = {k.lower(): v for k, v in response.headers.items()}
 
@@ -53,7 +56,7 @@
         except (HTTPError, OSError) as exc:
             self.close()
             raise AnswerCutError(str(exc)) from exc
-        self._response.release_conn()
+        self._release()
         return data
 
     def stream(self) -> Iterator[bytes]:
@@ -67,22 +70,38 @@
             raise AnswerCutError(str(exc)) from exc
         finally:
             if is_complete:
-                self._response.release_conn()
+                self._release()
             else:
                 # Closing an unfinished answer is how the far end learns of a cancel.
-                self._response.close()
+                self.close()
 
     def close(self) -> None:
         """Drop the connection, which cancels what still runs at the far end."""
         self._response.close()
+        self._close_own_pool()
+
+    def _release(self) -> None:
+        self._response.release_conn()
+        self._close_own_pool()
+
+    def _close_own_pool(self) -> None:
+        if self._own_pool is not None:
+            self._own_pool.close()
 
 
 class HttpClient:
-    """Keep connections to servers; never retries and never follows redirects by itself."""
+    """Call servers; never retry and never follow redirects by itself.
+
+    Connections are kept for peers of this system only. To an upstream each request gets one of
+    its own: a late second answer on a kept one would be taken for the next caller's.
+    """
 
-    def __init__(self, *, connect_timeout_s: float, max_connections: int = 512) -> None:
-        """Prepare the pool; `connect_timeout_s` bounds each connection attempt."""
+    def __init__(
+        self, *, connect_timeout_s: float, max_connections: int = 512, keeps: bool = True
+    ) -> None:
+        """Prepare; `connect_timeout_s` bounds each connection attempt."""
         self._connect_timeout_s = connect_timeout_s
+        self._keeps = keeps
         self._pools = urllib3.PoolManager(num_pools=256, maxsize=max_connections, block=False)
 
     def call(
@@ -99,10 +118,16 @@
 
         `timeout_s` bounds the wait between any two reads, not the whole call.
         """
+        host, _, port = address.rpartition(":")
+        pool = (
+            self._pools.connection_from_host(host, int(port))
+            if self._keeps
+            else urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
+        )
         try:
-            response = self._pools.request(
+            response = pool.urlopen(
                 method,
-                f"http://{address}{path}",
+                path,
                 body=body,
                 headers=dict(headers or {}),
                 timeout=urllib3.Timeout(
@@ -120,7 +145,7 @@
             return Err(CallError(sent=True, timed_out=True, message=str(exc)))
         except (HTTPError, OSError) as exc:
             return Err(CallError(sent=True, timed_out=False, message=str(exc)))
-        return Ok(Answer(response))
+        return Ok(Answer(response, None if self._keeps else pool))
 
     def close(self) -> None:
         """Close idle connections."""
