Stop entries as planned at every step, and measure what a large account costs the small

Cause: the matrix stopped sidecars as planned, not entries; account limits had no measure. Change: a ninth fault, and the judge demands an outcome for whoever was in flight at a planned stop; python -m benchmarks shares.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
     "choice": "time to the first token under ways to choose an upstream",
     "footprint": "resident memory of idle processes, small and at the target's size",
     "relay": "tokens relayed by one entry: rate, processor time, added latency",
+    "shares": "account limits: what a large account costs the small ones, and the sum of shares",
     "skew": "step-time skew against moved weights over drifting demand",
     "slopes": "memory and processor time against each size, with fits",
     "spread": "time and calls of a configuration change with 8 and 1,360 processes",
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -9,6 +9,7 @@
 
     Examples:
       | step             | fault            |
+      | admit            | entry_stopped     |
       | admit            | entry_killed     |
       | admit            | entry_frozen     |
       | admit            | sidecar_killed   |
@@ -17,6 +18,7 @@
       | admit            | platform_down    |
       | admit            | owner_replaced   |
       | admit            | sidecar_restarted |
+      | choose           | entry_stopped     |
       | choose           | entry_killed     |
       | choose           | entry_frozen     |
       | choose           | sidecar_killed   |
@@ -25,6 +27,7 @@
       | choose           | platform_down    |
       | choose           | owner_replaced   |
       | choose           | sidecar_restarted |
+      | connect_sidecar  | entry_stopped     |
       | connect_sidecar  | entry_killed     |
       | connect_sidecar  | entry_frozen     |
       | connect_sidecar  | sidecar_killed   |
@@ -33,6 +36,7 @@
       | connect_sidecar  | platform_down    |
       | connect_sidecar  | owner_replaced   |
       | connect_sidecar  | sidecar_restarted |
+      | send_sidecar     | entry_stopped     |
       | send_sidecar     | entry_killed     |
       | send_sidecar     | entry_frozen     |
       | send_sidecar     | sidecar_killed   |
@@ -41,6 +45,7 @@
       | send_sidecar     | platform_down    |
       | send_sidecar     | owner_replaced   |
       | send_sidecar     | sidecar_restarted |
+      | queue            | entry_stopped     |
       | queue            | entry_killed     |
       | queue            | entry_frozen     |
       | queue            | sidecar_killed   |
@@ -49,6 +54,7 @@
       | queue            | platform_down    |
       | queue            | owner_replaced   |
       | queue            | sidecar_restarted |
+      | connect_upstream | entry_stopped     |
       | connect_upstream | entry_killed     |
       | connect_upstream | entry_frozen     |
       | connect_upstream | sidecar_killed   |
@@ -57,6 +63,7 @@
       | connect_upstream | platform_down    |
       | connect_upstream | owner_replaced   |
       | connect_upstream | sidecar_restarted |
+      | send_upstream    | entry_stopped     |
       | send_upstream    | entry_killed     |
       | send_upstream    | entry_frozen     |
       | send_upstream    | sidecar_killed   |
@@ -65,6 +72,7 @@
       | send_upstream    | platform_down    |
       | send_upstream    | owner_replaced   |
       | send_upstream    | sidecar_restarted |
+      | await_answer     | entry_stopped     |
       | await_answer     | entry_killed     |
       | await_answer     | entry_frozen     |
       | await_answer     | sidecar_killed   |
@@ -73,6 +81,7 @@
       | await_answer     | platform_down    |
       | await_answer     | owner_replaced   |
       | await_answer     | sidecar_restarted |
+      | relay_answer     | entry_stopped     |
       | relay_answer     | entry_killed     |
       | relay_answer     | entry_frozen     |
       | relay_answer     | sidecar_killed   |
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -28,6 +28,7 @@
 
 FEATURE = Path(__file__).parent / "features" / "at_most_once.feature"
 FAULTS = (
+    "entry_stopped",
     "entry_killed",
     "entry_frozen",
     "sidecar_killed",
@@ -38,6 +39,9 @@
     "owner_replaced",
 )
 
+PLANNED = ("entry_stopped", "sidecar_restarted")
+"""A planned stop cuts nothing off: whoever was in flight is told an outcome."""
+
 scenarios("at_most_once.feature")
 
 
@@ -58,6 +62,7 @@
     first: list[Outcome] = field(default_factory=list)
     again: list[Outcome] = field(default_factory=list)
     threads: list[threading.Thread] = field(default_factory=list)
+    must_be_told: bool = False
 
 
 @pytest.fixture
@@ -151,11 +156,24 @@
 
 @when(parsers.parse("{fault} happens"))
 def bring_about(bench: PaymentBench, payment: Payment, fault: str) -> None:
-    if not payment.threads:
-        CAUSES[fault](bench)
+    was_in_flight = bool(payment.threads)
+    CAUSES[fault](bench)
+    if not was_in_flight:
         _send_first(bench, payment)
-    else:
-        CAUSES[fault](bench)
+    payment.must_be_told = was_in_flight and fault in PLANNED
+
+
+def _stop_entry(bench: PaymentBench) -> None:
+    """Stop the entry as planned, and let go of what holds the payment."""
+    bench.entries[0].send_signal(signal.SIGTERM)
+    _release_holds(bench)
+    assert bench.entries[0].stop() == 0
+
+
+def _release_holds(bench: PaymentBench) -> None:
+    bench.to_sidecar.release()
+    bench.to_upstream.release()
+    bench.release_plain()
 
 
 def _kill_entry(bench: PaymentBench) -> None:
@@ -177,9 +195,7 @@
 def _restart_sidecar(bench: PaymentBench) -> None:
     """Stop as planned; what holds the payment must let go, or the stop would wait for it."""
     bench.sidecars["gate-1"].send_signal(signal.SIGTERM)
-    bench.to_sidecar.release()
-    bench.to_upstream.release()
-    bench.release_plain()
+    _release_holds(bench)
     assert bench.sidecars["gate-1"].stop() == 0
     bench.restart_owner()
 
@@ -198,6 +214,7 @@
 
 
 CAUSES: dict[str, Callable[[PaymentBench], None]] = {
+    "entry_stopped": _stop_entry,
     "entry_killed": _kill_entry,
     "entry_frozen": _freeze_entry,
     "sidecar_killed": _kill_sidecar,
@@ -226,9 +243,7 @@
 
 
 def _let_go(bench: PaymentBench) -> None:
-    bench.to_sidecar.release()
-    bench.to_upstream.release()
-    bench.release_plain()
+    _release_holds(bench)
     for process in [*bench.entries, *bench.sidecars.values()]:
         if process.popen.poll() is None:
             process.send_signal(signal.SIGCONT)
@@ -256,6 +271,8 @@
         assert runs == 1, "a caller was told it ran"
     if all(o.verdict == "NOT_RUN" for o in outcomes):
         assert runs == 0, "all callers were told it did not run"
+    if payment.must_be_told:
+        assert all(o.verdict is not None for o in payment.first), "a planned stop cut it off"
     final = payment.again[-1]
     assert final.status == 200 or final.verdict in ("MAY_HAVE_RUN", "RAN"), final
 
