Prove the planner's lease and the hand-over of keys against a failing platform

Cause: both were used by larger tests only; their own steps under lost answers, outages, pauses and restarts had no rows.

--- /dev/null
+++ b/tests/fake_keyvalue.py
@@ -0,0 +1,53 @@
+"""Hold keys in memory and fail on command, through the interface that the system sees."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from dalehollow.errors import PlatformError
+from dalehollow.platform import Entry, Swap
+
+
+@dataclass
+class FakeKeyValue:
+    """Fail the next calls by `fault`: `down`, `lose_answer` (done, not told) or `lose_call`."""
+
+    items: dict[str, Entry] = field(default_factory=dict)
+    fault: str = ""
+    revision: int = 0
+
+    def get(self, key: str, *, timeout_s: float = 2.0) -> Result[Entry, PlatformError]:
+        if self.fault == "down":
+            return Err(PlatformError("down", may_have_written=False))
+        return Ok(self.items.get(key, Entry(b"", 0)))
+
+    def swap(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int,
+        ttl_ms: int | None = None,
+        timeout_s: float = 2.0,
+    ) -> Result[Swap, PlatformError]:
+        if self.fault == "down":
+            return Err(PlatformError("down", may_have_written=False))
+        if self.fault == "lose_call":
+            return Err(PlatformError("timed out", may_have_written=True))
+        found = self.items.get(key, Entry(b"", 0)).revision
+        won = found == expected_revision
+        if won:
+            self.revision += 1
+            self.items[key] = Entry(value, self.revision)
+        if self.fault == "lose_answer":
+            return Err(PlatformError("timed out", may_have_written=True))
+        return Ok(Swap(won, self.revision if won else found))
+
+    def delete(self, key: str, *, timeout_s: float = 2.0) -> Result[None, PlatformError]:
+        self.items.pop(key, None)
+        return Ok(None)
+
+    def watch(self, key: str, *, after_revision: int, wait_ms: int) -> Result[Entry, PlatformError]:
+        return self.get(key)
