--- a/tests/relay.py
+++ b/tests/relay.py
@@ -20,9 +20,13 @@
         self._drop_held = False
         self._sockets: list[socket.socket] = []
         self._lock = threading.Lock()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._listener = self._listen(0)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _listen(self, port: int) -> socket.socket:
+        listener = socket.create_server(("127.0.0.1", port), backlog=64)
+        threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
+        return listener
 
     def set_mode(self, mode: str) -> None:
         """Set `pass`, `refuse`, `hold_request`, `hold_answer` or `hold_half_answer`."""
@@ -31,19 +35,21 @@
         self._drop_held = False
         self.mode = mode
         if mode == "refuse":
-            # Kept connections would carry the next request; refusing means new ones only.
+            # A closed port: no connection comes about, so nothing can have been sent.
+            self._stop_listening()
             self.cut()
 
     def release(self) -> None:
         """Pass on what is held and return to passing."""
+        if self.mode == "refuse":
+            self._listener = self._listen(int(self.address.rpartition(":")[2]))
         self.mode = "pass"
         self._release.set()
 
     def drop(self) -> None:
         """Cut what is held and return to passing."""
-        self.mode = "pass"
         self._drop_held = True
-        self._release.set()
+        self.release()
         self.cut()
 
     def cut(self) -> None:
@@ -57,20 +63,19 @@
 
     def close(self) -> None:
         self.drop()
+        self._stop_listening()
+
+    def _stop_listening(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)  # wakes the accepting thread
         self._listener.close()
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
             except OSError:
                 return
-            if self.mode == "refuse":
-                self.reached.set()
-                # Reset at once: nothing of the request can have been read.
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-                client.close()
-                continue
             threading.Thread(target=self._connect, args=(client,), daemon=True).start()
 
     def _connect(self, client: socket.socket) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -42,6 +42,8 @@
 PLANNED = ("entry_stopped", "sidecar_restarted")
 """A planned stop cuts nothing off: whoever was in flight is told an outcome."""
 
+CONNECT_STEPS = (Step.CONNECT_SIDECAR, Step.CONNECT_UPSTREAM)
+
 scenarios("at_most_once.feature")
 
 
@@ -63,6 +65,7 @@
     again: list[Outcome] = field(default_factory=list)
     threads: list[threading.Thread] = field(default_factory=list)
     must_be_told: bool = False
+    step: str = ""
 
 
 @pytest.fixture
@@ -78,6 +81,7 @@
 @given(parsers.parse("a hall in which a payment is held at step {step}"))
 def hold_payment(bench: PaymentBench, payment: Payment, step: str) -> None:
     bench.mend()
+    payment.step = step
     HOLDS[Step(step)](bench, payment)
 
 
@@ -97,7 +101,7 @@
 def _hold_at_connect_sidecar(bench: PaymentBench, payment: Payment) -> None:
     bench.to_sidecar.set_mode("refuse")
     _send_first(bench, payment)
-    wait_for(bench.to_sidecar.reached.is_set, "connection refused")
+    wait_for(lambda: payment.first != [], "connection refused")
 
 
 def _hold_at_send_sidecar(bench: PaymentBench, payment: Payment) -> None:
@@ -120,7 +124,7 @@
 def _hold_at_connect_upstream(bench: PaymentBench, payment: Payment) -> None:
     bench.to_upstream.set_mode("refuse")
     _send_first(bench, payment)
-    wait_for(bench.to_upstream.reached.is_set, "upstream refused")
+    wait_for(lambda: payment.first != [], "upstream refused")
 
 
 def _hold_at_send_upstream(bench: PaymentBench, payment: Payment) -> None:
@@ -271,6 +275,8 @@
         assert runs == 1, "a caller was told it ran"
     if all(o.verdict == "NOT_RUN" for o in outcomes):
         assert runs == 0, "all callers were told it did not run"
+    if payment.step in CONNECT_STEPS:
+        assert payment.first[0].verdict == "NOT_RUN", "nothing was sent, which is certain"
     if payment.must_be_told:
         assert all(o.verdict is not None for o in payment.first), "a planned stop cut it off"
     final = payment.again[-1]
