--- a/dalehollow/cli.py
+++ b/dalehollow/cli.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import json
+import json as json_codec
 import os
 import signal
 import sys
@@ -18,7 +18,10 @@
 from result import Err, Ok
 
 from dalehollow.config import Applied, Conflict, apply_text, check_text, read_manifest
-from dalehollow.config.store import ApplyError, part_key
+from dalehollow.config.difference import list_differences
+from dalehollow.config.holder import ConfigHolder
+from dalehollow.config.spread import Spreader
+from dalehollow.config.store import ApplyError, list_history, part_key
 from dalehollow.errors import PlatformError, SettingsError
 from dalehollow.platform import HttpKeyValue
 from dalehollow.protocol import Dump, DumpText, PeerLink
@@ -61,12 +64,12 @@
     os._exit(EXIT_FAILED if cut_off else 0)
 
 
-def check(file: str, json_output: bool = False) -> None:
+def check(file: str, json: bool = False) -> None:
     """Check an operators' file and print every mistake in it."""
     checked = check_text(_read_file(file))
     if isinstance(checked, Err):
         mistakes = checked.err_value
-        _print(json_output, [dataclasses.asdict(m) for m in mistakes], map(str, mistakes))
+        _print(json, [dataclasses.asdict(m) for m in mistakes], map(str, mistakes))
         sys.exit(EXIT_FAILED)
     cfg = checked.ok_value
     summary = {
@@ -77,10 +80,10 @@
         "services": len(cfg.services),
         "groups": len(cfg.groups),
     }
-    _print(json_output, summary, [" ".join(f"{k}={v}" for k, v in summary.items())])
+    _print(json, summary, [" ".join(f"{k}={v}" for k, v in summary.items())])
 
 
-def apply(file: str, platform: str, parent: int | None = None, json_output: bool = False) -> None:
+def apply(file: str, platform: str, parent: int | None = None, json: bool = False) -> None:
     """Apply a whole operators' file, or nothing of it.
 
     With --parent, only if that version is still in force.
@@ -90,7 +93,7 @@
     match applied:
         case Ok(Applied(manifest)):
             pairs = {"version": manifest.version, "parent": manifest.parent, "apply_id": apply_id}
-            _print(json_output, pairs, [" ".join(f"{k}={v}" for k, v in pairs.items())])
+            _print(json, pairs, [" ".join(f"{k}={v}" for k, v in pairs.items())])
         case Err(error):
             _fail(_describe_apply_error(error))
 
@@ -110,12 +113,34 @@
     print(text.ok_value.value.decode())
 
 
+def diff(file: str, platform: str, json: bool = False) -> None:
+    """Print what a file would change of the configuration in force, name by name."""
+    checked = check_text(_read_file(file))
+    if isinstance(checked, Err):
+        _fail(_describe_apply_error(checked.err_value))
+    holder = ConfigHolder()
+    if not Spreader(0, holder, HttpKeyValue(platform)).poll():
+        _fail("the platform did not answer")
+    changes = list_differences(holder.in_force.config, checked.ok_value)
+    lines = [f"{c.kind} {c.table}.{c.name}" for c in changes]
+    _print(json, [dataclasses.asdict(c) for c in changes], lines or ["nothing would change"])
+
+
+def history(platform: str, json: bool = False) -> None:
+    """Print the versions that were in force last, the newest first."""
+    manifest = read_manifest(HttpKeyValue(platform))
+    if isinstance(manifest, Err):
+        _fail(str(manifest.err_value))
+    rows = [dataclasses.asdict(past) for past in list_history(manifest.ok_value)]
+    _print(json, rows, [" ".join(f"{k}={v}" for k, v in row.items()) for row in rows])
+
+
 def dump(address: str, section: str = "") -> None:
     """Print the state of the process at a control address; --section recent adds decisions."""
-    print(json.dumps(_fetch_dump(address, section), indent=2))
+    print(json_codec.dumps(_fetch_dump(address, section), indent=2))
 
 
-def status(*addresses: str, json_output: bool = False) -> None:
+def status(*addresses: str, json: bool = False) -> None:
     """Print the configuration version in force in each process, by control address."""
     rows = []
     for address in addresses:
@@ -129,7 +154,7 @@
             }
         )
     lines = [" ".join(f"{k}={v}" for k, v in row.items()) for row in rows]
-    _print(json_output, rows, lines)
+    _print(json, rows, lines)
     if any(row["config_version"] is None for row in rows):
         sys.exit(EXIT_FAILED)
 
@@ -146,14 +171,16 @@
 
 def check_settings(settings: str) -> None:
     """Check a settings file and print every value that is in force."""
-    print(json.dumps(dataclasses.asdict(_load_settings(settings)), indent=2))
+    print(json_codec.dumps(dataclasses.asdict(_load_settings(settings)), indent=2))
 
 
 COMMANDS: dict[str, Callable[..., Any]] = {
     "run": run,
     "check": check,
     "apply": apply,
+    "diff": diff,
     "show": show,
+    "history": history,
     "dump": dump,
     "status": status,
     "explain": explain,
@@ -199,7 +226,7 @@
     finally:
         link.close()
     if isinstance(asked, Ok) and isinstance(asked.ok_value, DumpText):
-        state: dict[str, Any] = json.loads(asked.ok_value.state_json)
+        state: dict[str, Any] = json_codec.loads(asked.ok_value.state_json)
         return state
     if may_fail:
         return {}
@@ -221,7 +248,7 @@
 
 def _print(as_json: bool, value: object, lines: Any) -> None:
     if as_json:
-        print(json.dumps(value))
+        print(json_codec.dumps(value))
         return
     for line in lines:
         print(line)
--- /dev/null
+++ b/dalehollow/config/difference.py
@@ -0,0 +1,46 @@
+"""Tell two configurations apart, name by name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from dalehollow.config.model import Config
+
+_TABLES = {
+    "halls": "halls",
+    "accounts": "client_accounts",
+    "upstreams": "upstreams",
+    "services": "services",
+    "groups": "groups",
+}
+
+
+@dataclass(frozen=True)
+class Difference:
+    """Name one entry that is `added`, `changed` or `removed`."""
+
+    kind: str
+    table: str
+    name: str
+
+
+def list_differences(before: Config | None, after: Config) -> list[Difference]:
+    """List what differs, table by table as an operators' file has them."""
+    found: list[Difference] = []
+    for field, table in _TABLES.items():
+        old = getattr(before, field) if before is not None else {}
+        found += _compare(table, old, getattr(after, field))
+    return found
+
+
+def _compare(
+    table: str, old: Mapping[str, object], new: Mapping[str, object]
+) -> Iterator[Difference]:
+    for name in sorted({*old, *new}):
+        if name not in old:
+            yield Difference("added", table, name)
+        elif name not in new:
+            yield Difference("removed", table, name)
+        elif old[name] != new[name]:
+            yield Difference("changed", table, name)
--- a/dalehollow/config/store.py
+++ b/dalehollow/config/store.py
@@ -25,6 +25,18 @@
 _SETTLE_ATTEMPTS = 5
 
 
+HISTORY_LENGTH = 20
+
+
+@dataclass(frozen=True)
+class PastVersion:
+    """Tell when and by which apply a version came into force."""
+
+    version: int
+    apply_id: str
+    applied_at_ms: int
+
+
 @dataclass(frozen=True)
 class Manifest:
     """Name one accepted configuration: its version, its parent and its parts' ids by name.
@@ -39,6 +51,7 @@
     source: str
     parts: Mapping[str, str]
     generations: Mapping[str, tuple[Generation, ...]]
+    past: tuple[PastVersion, ...] = ()
 
 
 EMPTY_MANIFEST = Manifest(0, 0, "", 0, "", {}, {})
@@ -155,9 +168,18 @@
         source=make_part_id(text.encode(), apply_id),
         parts=name_parts(parts, current.parts, apply_id),
         generations=generations,
+        past=tuple(list_history(current))[: HISTORY_LENGTH - 1],
     )
 
 
+def list_history(manifest: Manifest) -> list[PastVersion]:
+    """Return the version in force and those before it, the newest first."""
+    if not manifest.version:
+        return []
+    newest = PastVersion(manifest.version, manifest.apply_id, manifest.applied_at_ms)
+    return [newest, *manifest.past]
+
+
 def _extend_service(
     current: Manifest, cfg: Config, service: Service, now_ms: int
 ) -> tuple[Generation, ...]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,7 @@
 from dalehollow.settings import parse_settings
 from standins.hall import Hall
 from standins.keyvalue import KeyValueStandIn
-from tests.config_text import make_text
+from tests.config_text import make_raw, make_text
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 Platform = tuple[KeyValueStandIn, HttpKeyValue]
@@ -53,6 +53,27 @@
     assert "version 1" in loser.stderr and "nothing of this file is in force" in loser.stderr
 
 
+def test_diff_and_history(platform: Platform, tmp_path: Path) -> None:
+    address = platform[1]._address
+    path = tmp_path / "file.json5"
+    path.write_text(make_text())
+    assert (
+        "added client_accounts.colombo-city"
+        in run("diff", str(path), f"--platform={address}").stdout
+    )
+    run("apply", str(path), f"--platform={address}")
+    assert run("diff", str(path), f"--platform={address}").stdout == "nothing would change\n"
+    raw = make_raw()
+    raw["upstreams"]["m-1"]["slots"] = 4
+    raw["groups"] = {}
+    path.write_text(json.dumps(raw))
+    done = run("diff", str(path), f"--platform={address}")
+    assert done.stdout.splitlines() == ["changed upstreams.m-1", "removed groups.wide"]
+    run("apply", str(path), f"--platform={address}")
+    rows = json.loads(run("history", f"--platform={address}", "--json").stdout)
+    assert [row["version"] for row in rows] == [2, 1]
+
+
 @pytest.mark.parametrize(
     ("args", "code", "message"),
     [
@@ -71,7 +92,7 @@
 
 def test_status_and_dump(hall: Hall) -> None:
     addresses = [p.control for p in [*hall.entries, *hall.sidecars.values()]]
-    done = run("status", *addresses, "--json_output")
+    done = run("status", *addresses, "--json")
     assert done.returncode == 0, done.stdout + done.stderr
     assert {row["config_version"] for row in json.loads(done.stdout)} == {1}
     state = json.loads(run("dump", hall.entries[0].control).stdout)
