--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -39,6 +39,7 @@
     Request,
     Shares,
 )
+from dalehollow.protocol import headers as hdr
 from dalehollow.settings import Settings, split_address
 from dalehollow.telemetry import Metrics, log_event
 from dalehollow.verdict import Verdict
@@ -281,9 +282,9 @@
             "path": req.path,
             "status": response.status,
             "reason": reason,
-            "verdict": response.headers.get("dalehollow-verdict"),
-            "upstream": response.headers.get("dalehollow-upstream"),
-            "tries": response.headers.get("dalehollow-tries"),
+            "verdict": response.headers.get(hdr.VERDICT),
+            "upstream": response.headers.get(hdr.UPSTREAM),
+            "tries": response.headers.get(hdr.TRIES),
             "head_ms": round(took_ms, 3),
         }
         with self._lock:
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -128,10 +128,10 @@
             hdr.REQUEST_ID: job.request_id,
             hdr.ENTRY: self.entry,
             hdr.UPSTREAM: served.upstream,
-            "dalehollow-tries": str(served.tries),
+            hdr.TRIES: str(served.tries),
         }
-        if answer.headers.get("dalehollow-replayed") == "true":
-            headers["dalehollow-replayed"] = "true"
+        if answer.headers.get(hdr.REPLAYED) == "true":
+            headers[hdr.REPLAYED] = "true"
         body = stream_answer(answer, served.view)
         if not _is_whole(answer):
             return Ok(HttpResponse(answer.status, headers, self._mark_cut(job, answer, body)))
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -167,7 +167,7 @@
     def _respond_kept(self, kept: KeptAnswer, *, is_replay: bool) -> HttpResponse:
         headers = {**kept.headers, **self._own_headers()}
         if is_replay:
-            headers["dalehollow-replayed"] = "true"
+            headers[hdr.REPLAYED] = "true"
         return HttpResponse(kept.status, headers, kept.body)
 
     def _answer_headers(self, answer: Answer) -> dict[str, str]:
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -60,7 +60,7 @@
         self.kv: KeyValue | None = HttpKeyValue(settings.platform) if settings.platform else None
         limit_ms = draw_poll_limit_ms(settings.name, settings.poll_min_ms, settings.poll_max_ms)
         self.spreader = Spreader(limit_ms, self.holder, self.kv)
-        # Closed until a configuration says how much the upstream can take.
+        # One request at a time until a configuration says how much the upstream can take.
         self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), time.monotonic)
         host, port = split_address(settings.http)
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
--- a/dalehollow/web/server.py
+++ b/dalehollow/web/server.py
@@ -144,10 +144,13 @@
 
 def _convert_request(req: Any, body: bytes) -> HttpRequest:
     sock = req.conn.socket
+    # The target as it was sent: decoded, an escaped '?' or '/' would mean another one upstream.
+    target = req.uri if req.uri.startswith(b"/") else req.path + b"?" + (req.qs or b"")
+    path, _, query = target.decode("latin-1").partition("?")
     return HttpRequest(
         method=req.method.decode("latin-1"),
-        path=req.path.decode("latin-1"),
-        query=(req.qs or b"").decode("latin-1"),
+        path=path,
+        query=query,
         headers={
             k.decode("latin-1").lower(): v.decode("latin-1") for k, v in req.inheaders.items()
         },
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -26,6 +26,8 @@
             return HttpResponse(200, {}, _cut())
         if req.path == "/cut-at-once":
             return HttpResponse(200, {}, _cut_at_once())
+        if req.path.startswith("/target"):
+            return HttpResponse(200, {}, f"{req.path} {req.query}".encode())
         if req.path == "/fail":
             raise RuntimeError("handler failed")
         return HttpResponse(200, {}, req.body)
@@ -133,3 +135,18 @@
     _, address = echo
     answer = HttpClient(connect_timeout_s=1).call("GET", address, "/fail", timeout_s=5).unwrap()
     assert (answer.status, answer.headers["dalehollow-verdict"]) == (500, "MAY_HAVE_RUN")
+
+
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        (b"/target%3Fa=1", b"/target%3Fa=1 "),
+        (b"/target%2Fb?c=%41", b"/target%2Fb c=%41"),
+        (b"/target%0d%0aX-A:%201", b"/target%0d%0aX-A:%201 "),
+    ],
+)
+def test_target_is_passed_as_it_was_sent(
+    echo: tuple[Echo, str], target: bytes, expected: bytes
+) -> None:
+    received = send_raw(echo[1], b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert received.partition(b"\r\n\r\n")[2] == expected
