See connections on high descriptors as open, and name statuses by their phrases

Cause: select.select cannot look at descriptors from 1,024 on and raises, which was taken for a closed connection: a sidecar with that many would have refused its work as given up (NOT_RUN, true but needless). Found while reading. Change: poll. The test raises the limit, uses descriptor 1,500 and was red before. Also: statuses carry their usual phrase; tests run with the thread turns of a process.

--- a/dalehollow/cli.py
+++ b/dalehollow/cli.py
@@ -33,7 +33,7 @@
 _DUMP_TIMEOUT_MS = 2_000
 _STACK_BYTES = 256 * 1024
 # With 200 streams the default of 5 ms adds up to gaps between tokens (python -m benchmarks relay).
-_SWITCH_INTERVAL_S = 0.001
+SWITCH_INTERVAL_S = 0.001
 
 
 class _Process(Protocol):
@@ -47,7 +47,7 @@
     cfg = _load_settings(settings)
     setup_logs(cfg.name, cfg.log_level)
     threading.stack_size(_STACK_BYTES)
-    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     process = _make_process(cfg)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/dalehollow/web/server.py
+++ b/dalehollow/web/server.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Any
 
 from cheroot.errors import MaxSizeExceeded
@@ -20,16 +21,15 @@
 IDLE_CONNECTION_TIMEOUT_S = 60
 _ACCEPT_BACKLOG = 1024
 _EXPIRY_INTERVAL_S = 0.25
-_REASON_PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 503: "Service Unavailable"}
 
 
 def _is_socket_open(sock: socket.socket) -> bool:
     """Return False once the peer has closed or reset the connection."""
     try:
-        readable, _, _ = select.select([sock], [], [], 0)
-        if not readable:
-            return True
-        return bool(sock.recv(1, socket.MSG_PEEK))
+        # Not select.select: it cannot look at descriptors from 1,024 on.
+        poller = select.poll()
+        poller.register(sock, select.POLLIN)
+        return not poller.poll(0) or bool(sock.recv(1, socket.MSG_PEEK))
     except (OSError, ValueError):
         return False
 
@@ -75,8 +75,7 @@
         return
     req.is_handed_over = True
     response = handler(_convert_request(req, body))
-    phrase = _REASON_PHRASES.get(response.status, "Status")
-    req.status = f"{response.status} {phrase}".encode()
+    req.status = f"{response.status} {_find_phrase(response.status)}".encode()
     headers = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in response.headers.items()]
     if isinstance(response.body, bytes):
         headers.append((b"Content-Length", str(len(response.body)).encode()))
@@ -90,6 +89,13 @@
     _stream_body(req, response.body)
 
 
+def _find_phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
 def _read_body(req: Any) -> bytes | None:
     """Read a request's body whole, or refuse it and return None."""
     try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterator
 
 import pytest
 
+from dalehollow.cli import SWITCH_INTERVAL_S
 from dalehollow.platform import HttpKeyValue
 from dalehollow.web import HttpServer
 from standins.hall import Hall, start_hall
 from standins.keyvalue import KeyValueStandIn
 from standins.processes import Launcher
 
+# As in a process of the system: with several of them in this one, 5 ms turns add up.
+sys.setswitchinterval(SWITCH_INTERVAL_S)
+
 
 @pytest.fixture
 def platform() -> Iterator[tuple[KeyValueStandIn, HttpKeyValue]]:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
+import resource
 import socket
 from collections.abc import Iterator
 
@@ -10,6 +12,7 @@
 
 from dalehollow.web import HttpClient, HttpRequest, HttpResponse, HttpServer
 from dalehollow.web.client import AnswerCutError
+from dalehollow.web.server import _is_socket_open
 
 BODY_LIMIT = 8 * 1024 * 1024
 
@@ -150,3 +153,15 @@
 ) -> None:
     received = send_raw(echo[1], b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
     assert received.partition(b"\r\n\r\n")[2] == expected
+
+
+def test_connection_on_a_high_descriptor_is_seen_as_open() -> None:
+    """A process with over 1,024 descriptors took every caller for gone (select.select)."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 2_048)), hard))
+    left, right = socket.socketpair()
+    high = fcntl.fcntl(left.fileno(), fcntl.F_DUPFD, 1_500)
+    with left, right, socket.socket(fileno=high) as sock:
+        assert _is_socket_open(sock)
+        right.close()
+        assert not _is_socket_open(sock)
