Split account limits evenly where no platform is set

Cause: an entry without a platform in its settings waited for a VM list that never comes and used only the floor, a fifth of its even share. Found while reading. Change: without a platform the list counts as empty from the start; with one that is down the floor stays, since others may hold the rest. Measured: both cases in tests/test_shares.py, the first red before.

--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -92,6 +92,9 @@
         )
         self.vm_watch = VmWatch(settings.platform, self._take_list, settings.vm_list_interval_ms)
         self.shares = ShareKeeper(settings.name, settings.hall, self._ask_shares)
+        if settings.platform is None:
+            # No list will ever come: nobody to share with by demand.
+            self.shares.take_list(())
         self._keys: Mapping[str, Account] = {}
         self._recent: deque[dict[str, object]] = deque(maxlen=RECENT_DECISIONS)
         self._lock = threading.Lock()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -9,11 +9,13 @@
 from result import Err, Ok, Result
 
 from dalehollow.config import check_text
+from dalehollow.entry import EntryProcess
 from dalehollow.entry.shares import ShareKeeper, held_shares
 from dalehollow.limits import Allocator, ShareAsk, fair_shares
 from dalehollow.limits.shares import GONE_AFTER_S
 from dalehollow.platform.vms import Vm
 from dalehollow.protocol import AskShares, Shares
+from dalehollow.settings import Settings
 from tests.config_text import make_raw, make_text
 
 LIMIT = 100.0
@@ -178,3 +180,13 @@
     keeper.apply(cfg)
     keeper.take_list(())
     assert held_shares(keeper)["colombo-city"] == pytest.approx(5 / cfg.count_entries())
+
+
+@pytest.mark.parametrize(("platform", "share"), [(None, 2.5), ("127.0.0.1:1", 0.5)])
+def test_entry_without_a_platform_splits_evenly_and_with_one_that_is_down_has_the_floor(
+    platform: str | None, share: float
+) -> None:
+    entry = EntryProcess(Settings(role="entry", name="e0", hall="cmb-a", platform=platform))
+    entry.shares.apply(check_text(make_text()).unwrap())
+    assert held_shares(entry.shares)["colombo-city"] == pytest.approx(share)
+    entry.control.stop()
