Swap and poll a small head instead of the manifest

Change: a head of some 150 bytes names the manifest, which is a part like the others; the head is what is swapped and polled. The budget of beats goes down to 3,200 bytes/s so that the sum stays within 4 KB/s. Ruled out: leaving generations out of the manifest (an owner must know them with the upstreams).

--- a/dalehollow/config/spread.py
+++ b/dalehollow/config/spread.py
@@ -1,6 +1,6 @@
 """Bring each accepted configuration to this process, with few calls to the platform.
 
-No process is appointed to watch. Each one reads the manifest itself when the newest word it has
+No process is appointed to watch. Each one reads the head itself when the newest word it has
 on it is older than a limit of its own, drawn from its name between two settings. Word spreads on
 the beats that processes exchange anyway, so within a hall the process with the lowest limit
 reads, and the others rest as long as they hear of it.
@@ -19,7 +19,7 @@
 
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.config.parts import count_bytes
-from dalehollow.config.store import MANIFEST_KEY, Manifest, decode_manifest, part_key
+from dalehollow.config.store import Manifest, load_manifest, part_key, read_head
 from dalehollow.platform import KeyValue
 from dalehollow.protocol import FetchManifest, FetchParts, ManifestJson, Parts, PeerLink
 from dalehollow.telemetry import log_event
@@ -39,20 +39,20 @@
 
 
 def draw_poll_limit_ms(name: str, min_ms: int, max_ms: int) -> int:
-    """Draw how old word may grow before the process of this name reads the manifest itself."""
+    """Draw how old word may grow before the process of this name reads the head itself."""
     digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
     share = int.from_bytes(digest, "big") / 2**32
     return round(min_ms + share * (max_ms - min_ms))
 
 
 def is_poll_due(age_ms: int, since_poll_ms: int, limit_ms: int, failures: int) -> bool:
-    """Return whether to read the manifest; after failures, less often."""
+    """Return whether to read the head; after failures, less often."""
     pause_ms = min(limit_ms * 2 ** min(failures, 8), max(limit_ms, _POLL_BACKOFF_MAX_MS))
     return age_ms >= limit_ms and since_poll_ms >= pause_ms
 
 
 class Spreader:
-    """Run the reading of the manifest and the fetching of texts for one process."""
+    """Run the reading of the head and the fetching of parts for one process."""
 
     def __init__(
         self,
@@ -120,21 +120,23 @@
         return max(_SHORTEST_LOOK_MS, self._limit_ms - age_ms) / _MS_PER_S
 
     def poll(self) -> bool:
-        """Read the manifest once, and its text if it is new; return whether it was read."""
+        """Read the head once, and what is new behind it; return whether it was read."""
         if self._kv is None:
             return False
         self.polls += 1
         asked_at_ms = self._clock_ms()
-        found = self._kv.get(MANIFEST_KEY, timeout_s=_READ_TIMEOUT_S)
+        found = read_head(self._kv, timeout_s=_READ_TIMEOUT_S)
         if not isinstance(found, Ok):
             self.failures += 1
             return False
         self.failures = 0
-        manifest = decode_manifest(found.ok_value)
-        if manifest.version > self._holder.version:
-            self._read_parts(manifest)
+        head = found.ok_value
+        if head.version > self._holder.version:
+            loaded = load_manifest(self._kv, head, timeout_s=_READ_TIMEOUT_S)
+            if isinstance(loaded, Ok):
+                self._read_parts(loaded.ok_value)
         # The version was current no earlier than the question was asked.
-        self._holder.confirm(manifest.version, asked_at_ms)
+        self._holder.confirm(head.version, asked_at_ms)
         return True
 
     def _read_parts(self, manifest: Manifest) -> None:
--- a/dalehollow/config/store.py
+++ b/dalehollow/config/store.py
@@ -1,7 +1,8 @@
-"""Apply a whole configuration with one compare-and-swap of its manifest.
+"""Apply a whole configuration with one compare-and-swap of its head.
 
-The parts are written first, under keys that no manifest names yet; the swap of the manifest is
-the one moment at which the whole file comes into force.
+The parts are written first, then the manifest that names them, all under keys that nobody knows
+yet; the swap of the head, which names the manifest, is the one moment at which the whole file
+comes into force. The head is small because every process reads it again and again.
 """
 
 from __future__ import annotations
@@ -16,18 +17,31 @@
 from dalehollow.config.check import check_text
 from dalehollow.config.fields import Mistake
 from dalehollow.config.model import Config, Service
-from dalehollow.config.parts import make_part_id, name_parts, split_config
+from dalehollow.config.parts import is_part, make_part_id, name_parts, split_config
 from dalehollow.errors import PlatformError
 from dalehollow.once import Generation, extend_generations
 from dalehollow.platform import Entry, KeyValue
 
-MANIFEST_KEY = "config/manifest"
+HEAD_KEY = "config/head"
 _SETTLE_ATTEMPTS = 5
 
 
 HISTORY_LENGTH = 20
 
 
+@dataclass(frozen=True)
+class Head:
+    """Name the manifest in force, a part like the others."""
+
+    version: int
+    apply_id: str
+    applied_at_ms: int
+    manifest_id: str
+
+
+EMPTY_HEAD = Head(0, "", 0, "")
+
+
 @dataclass(frozen=True)
 class PastVersion:
     """Tell when and by which apply a version came into force."""
@@ -68,7 +82,7 @@
 class Conflict:
     """Tell that another file came first; nothing of this one is in force."""
 
-    winner: Manifest
+    winner: Head
 
 
 ApplyError = tuple[Mistake, ...] | Conflict | PlatformError
@@ -79,16 +93,36 @@
     return f"config/part/{part_id}"
 
 
-def decode_manifest(entry: Entry) -> Manifest:
-    """Return the manifest in an entry, or the empty one where none was written."""
+def decode_head(entry: Entry) -> Head:
+    """Return the head in an entry, or the empty one where none was written."""
     if entry.revision == 0:
-        return EMPTY_MANIFEST
-    return msgspec.json.decode(entry.value, type=Manifest)
+        return EMPTY_HEAD
+    return msgspec.json.decode(entry.value, type=Head)
+
+
+def read_head(kv: KeyValue, *, timeout_s: float = 2.0) -> Result[Head, PlatformError]:
+    """Read the head in force."""
+    return kv.get(HEAD_KEY, timeout_s=timeout_s).map(decode_head)
+
+
+def load_manifest(
+    kv: KeyValue, head: Head, *, timeout_s: float = 2.0
+) -> Result[Manifest, PlatformError]:
+    """Read the manifest that a head names; it is gone once a newer one is in force."""
+    if not head.version:
+        return Ok(EMPTY_MANIFEST)
+    found = kv.get(part_key(head.manifest_id), timeout_s=timeout_s)
+    if isinstance(found, Err):
+        return Err(found.err_value)
+    if not found.ok_value.revision or not is_part(head.manifest_id, found.ok_value.value):
+        message = f"the manifest of version {head.version} is gone; read the head again"
+        return Err(PlatformError(message, may_have_written=False))
+    return Ok(msgspec.json.decode(found.ok_value.value, type=Manifest))
 
 
 def read_manifest(kv: KeyValue) -> Result[Manifest, PlatformError]:
     """Read the manifest in force."""
-    return kv.get(MANIFEST_KEY).map(decode_manifest)
+    return read_head(kv).and_then(lambda head: load_manifest(kv, head))
 
 
 def apply_text(
@@ -106,40 +140,57 @@
     checked = check_text(text)
     if isinstance(checked, Err):
         return Err(checked.err_value)
-    before = kv.get(MANIFEST_KEY)
+    before = kv.get(HEAD_KEY)
     if isinstance(before, Err):
         return Err(before.err_value)
-    current = decode_manifest(before.ok_value)
-    if parent is not None and parent != current.version:
-        return Err(Conflict(current))
-    cfg = checked.ok_value
-    parts = split_config(cfg)
-    manifest = _make_manifest(current, cfg, parts, text, apply_id, now_ms())
-    written = _new_ids(manifest, current)
-    data = {manifest.source: text.encode(), **{manifest.parts[n]: d for n, d in parts.items()}}
-    stored = _store_parts(kv, {part_id: data[part_id] for part_id in written})
+    old_head = decode_head(before.ok_value)
+    if parent is not None and parent != old_head.version:
+        return Err(Conflict(old_head))
+    loaded = load_manifest(kv, old_head)
+    if isinstance(loaded, Err):
+        return Err(loaded.err_value)
+    data = _make_parts(loaded.ok_value, checked.ok_value, text, apply_id, now_ms())
+    old_ids = _list_ids(old_head, loaded.ok_value)
+    written = {i: d for i, d in data.parts.items() if i not in old_ids}
+    stored = _store_parts(kv, written)
     if isinstance(stored, Err):
         return Err(stored.err_value)
-    applied = _swap_manifest(kv, manifest, before.ok_value.revision)
-    _delete_unused(kv, applied, written, current)
+    applied = _swap_head(kv, data, before.ok_value.revision)
+    if isinstance(applied, Ok):
+        _delete_parts(kv, old_ids - set(data.parts))
+    elif isinstance(applied.err_value, Conflict):
+        _delete_parts(kv, set(written))
+    # Else it is open which of the two is in force: leave both.
     return applied
 
 
-def _new_ids(manifest: Manifest, before: Manifest) -> set[str]:
-    return {manifest.source, *manifest.parts.values()} - {before.source, *before.parts.values()}
+@dataclass(frozen=True)
+class _Prepared:
+    """Hold all that one apply puts in force, its parts by id."""
 
+    head: Head
+    manifest: Manifest
+    parts: Mapping[str, bytes]
 
-def _delete_unused(
-    kv: KeyValue, applied: Result[Applied, ApplyError], written: set[str], before: Manifest
-) -> None:
-    """Delete what this apply replaced, or what it wrote in vain; leave all when in doubt."""
-    if isinstance(applied, Ok):
-        unused = _new_ids(before, applied.ok_value.manifest)
-    elif isinstance(applied.err_value, Conflict):
-        unused = written
-    else:
-        return
-    for part_id in unused - {""}:
+
+def _make_parts(current: Manifest, cfg: Config, text: str, apply_id: str, now_ms: int) -> _Prepared:
+    parts = split_config(cfg)
+    manifest = _make_manifest(current, cfg, parts, text, apply_id, now_ms)
+    manifest_json = msgspec.json.encode(manifest)
+    manifest_id = make_part_id(manifest_json, apply_id)
+    data = {manifest.parts[name]: part for name, part in parts.items()}
+    data[manifest.source] = text.encode()
+    data[manifest_id] = manifest_json
+    return _Prepared(Head(manifest.version, apply_id, now_ms, manifest_id), manifest, data)
+
+
+def _list_ids(head: Head, manifest: Manifest) -> set[str]:
+    return {head.manifest_id, manifest.source, *manifest.parts.values()} - {""}
+
+
+def _delete_parts(kv: KeyValue, part_ids: set[str]) -> None:
+    """Delete parts that no head names any more; what fails only takes up room."""
+    for part_id in part_ids:
         kv.delete(part_key(part_id))
 
 
@@ -214,23 +265,24 @@
     return Err(failure)
 
 
-def _swap_manifest(kv: KeyValue, manifest: Manifest, revision: int) -> Result[Applied, ApplyError]:
+def _swap_head(kv: KeyValue, data: _Prepared, revision: int) -> Result[Applied, ApplyError]:
     """Swap until the outcome is known: ours, another's, or beyond what was tried.
 
     Swapping again against the same revision settles a lost answer: only one of our tries can
     ever win, and once any swap has won, all others against that revision lose.
     """
-    value = msgspec.json.encode(manifest)
+    head = data.head
+    value = msgspec.json.encode(head)
     for _ in range(_SETTLE_ATTEMPTS):
-        swapped = kv.swap(MANIFEST_KEY, value, expected_revision=revision)
+        swapped = kv.swap(HEAD_KEY, value, expected_revision=revision)
         if isinstance(swapped, Ok) and swapped.ok_value.won:
-            return Ok(Applied(manifest))
-        found = read_manifest(kv)
-        if isinstance(found, Ok) and found.ok_value.apply_id == manifest.apply_id:
-            return Ok(Applied(manifest))
-        if isinstance(found, Ok) and found.ok_value.version >= manifest.version:
+            return Ok(Applied(data.manifest))
+        found = read_head(kv)
+        if isinstance(found, Ok) and found.ok_value.apply_id == head.apply_id:
+            return Ok(Applied(data.manifest))
+        if isinstance(found, Ok) and found.ok_value.version >= head.version:
             return Err(Conflict(found.ok_value))
         if isinstance(swapped, Err) and not swapped.err_value.may_have_written:
             return Err(swapped.err_value)
-    message = f"outcome of apply {manifest.apply_id} is unknown; read the manifest again"
+    message = f"outcome of apply {head.apply_id} is unknown; read the head again"
     return Err(PlatformError(message, may_have_written=True))
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -40,7 +40,7 @@
     plan_max_moves: int = 1_000
     poll_min_ms: int = 1_000
     poll_max_ms: int = 3_000
-    control_bytes_per_s: int = 3_500
+    control_bytes_per_s: int = 3_200
     subset_size: int = 8
     peer_limit: int = 30
     leave_ms: int = 1_000
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -18,7 +18,7 @@
 )
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.config.spread import Spreader
-from dalehollow.config.store import MANIFEST_KEY, part_key
+from dalehollow.config.store import HEAD_KEY, part_key, read_head
 from dalehollow.errors import PlatformError
 from dalehollow.platform import HttpKeyValue
 from standins.keyvalue import KeyValueStandIn
@@ -139,7 +139,8 @@
     after = apply_text(kv, json.dumps(raw), apply_id="b").unwrap().manifest
     changed = set(after.parts.values()) - set(before.parts.values())
     assert len(changed) == 1
-    kept = {part_key(i) for i in [*after.parts.values(), after.source]}
+    head = read_head(kv).unwrap()
+    kept = {part_key(i) for i in [*after.parts.values(), after.source, head.manifest_id]}
     assert {k for k in standin.list_keys() if k.startswith("config/part/")} == kept
 
 
@@ -148,10 +149,10 @@
     apply_text(kv, make_text(), apply_id="first").unwrap()
 
     class Racing(HttpKeyValue):
-        """Let another operator apply just before this one's swap of the manifest."""
+        """Let another operator apply just before this one's swap of the head."""
 
         def swap(self, key: str, *args: Any, **kwargs: Any) -> Any:
-            if key == MANIFEST_KEY:
+            if key == HEAD_KEY:
                 apply_text(kv, make_text(deployment="winner"), apply_id="winner").unwrap()
             return super().swap(key, *args, **kwargs)
 
@@ -159,8 +160,8 @@
         Racing(kv._address), make_text(deployment="loser"), apply_id="loser"
     ).unwrap_err()
     assert isinstance(error, Conflict) and error.winner.apply_id == "winner"
-    manifest = read_manifest(kv).unwrap()
-    kept = {part_key(i) for i in [*manifest.parts.values(), manifest.source]}
+    manifest, head = read_manifest(kv).unwrap(), read_head(kv).unwrap()
+    kept = {part_key(i) for i in [*manifest.parts.values(), manifest.source, head.manifest_id]}
     assert {k for k in standin.list_keys() if k.startswith("config/part/")} == kept
 
 
