--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import hashlib
 import json
@@ -13,10 +14,11 @@
 
 import msgspec
 
+from dalehollow.config import check_text
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.config.model import Account, Config, Hall, Service, Upstream
 from dalehollow.config.parts import name_parts, split_config
-from dalehollow.config.store import Manifest
+from dalehollow.config.store import EMPTY_MANIFEST, Manifest, PastVersion, _make_parts
 from dalehollow.entry.pool import Pool
 from dalehollow.groups import POLICIES, ExpertMap, plan_map
 from dalehollow.groups.expert_map import make_layer
@@ -172,6 +174,24 @@
     return {"beat": len(encode(beat)), "beat_reply": len(encode(reply))}
 
 
+def config_bytes() -> dict[str, int]:
+    """Return what a full-size configuration puts on the wire, with 19 earlier versions listed."""
+    text = make_text(accounts=4_400, upstreams=1_000)
+    prepared = _make_parts(EMPTY_MANIFEST, check_text(text).unwrap(), text, "a" * 32, 1)
+    past = tuple(PastVersion(i, "a" * 32, 1_700_000_000_000) for i in range(19))
+    manifest = dataclasses.replace(prepared.manifest, past=past)
+    ids = manifest.parts
+    accounts = [len(prepared.parts[i]) for n, i in ids.items() if n.startswith("accounts-")]
+    upstreams = [len(prepared.parts[i]) for n, i in ids.items() if n.startswith("upstreams-")]
+    return {
+        "head_bytes": len(msgspec.json.encode(prepared.head)),
+        "manifest_bytes": len(msgspec.json.encode(manifest)),
+        "generations_bytes": len(msgspec.json.encode(manifest.generations)),
+        "accounts_part_bytes": sum(accounts) // len(accounts),
+        "upstreams_part_bytes": sum(upstreams) // len(upstreams),
+    }
+
+
 def main() -> None:
     """Print what one state costs beyond the process without it."""
     kind, size = sys.argv[1], int(sys.argv[2])
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from benchmarks.child import message_bytes
+from benchmarks.child import config_bytes, message_bytes
 from benchmarks.load import run_threads, send_chat
 from benchmarks.report import print_pairs
 from dalehollow.web import HttpClient
@@ -42,6 +42,7 @@
     sizes_bytes = message_bytes()
     exchange = sum(sizes_bytes.values()) + WIRE_OVERHEAD_BYTES
     print_pairs(**{f"{k}_bytes": v for k, v in sizes_bytes.items()}, exchange_bytes=exchange)
+    print_pairs(**config_bytes())
     _measure_requests()
 
 
