Bound a wait in the test of planned stops

Cause: the test looked for four running streams without end; streams that were over before it looked would have hung the run instead of failing it. Change: the wait ends with a failure after 20 s as all others do, and the streams are twice as long.

--- a/tests/test_hall.py
+++ b/tests/test_hall.py
@@ -11,8 +11,9 @@
 
 from dalehollow.web import Answer, HttpClient
 from standins.engine import make_token
-from standins.hall import ACCOUNT_KEYS, Hall, send_request
+from standins.hall import ACCOUNT_KEYS, Hall, send_request, start_hall
 from standins.processes import Launcher
+from tests.payment_bench import wait_for
 
 AUTH = {"authorization": f"Bearer {ACCOUNT_KEYS['colombo-city']}"}
 
@@ -133,8 +134,6 @@
 
 def test_planned_stops_cut_nothing_off() -> None:
     with Launcher() as launcher:
-        from standins.hall import start_hall
-
         hall = start_hall(launcher, engines=1, plain=(), settings={"leave_ms": 50})
         with ThreadPoolExecutor(4) as pool:
             request = {
@@ -142,15 +141,17 @@
                 "priority": "normal",
                 "method": "POST",
                 "path": "/v1/chat/completions",
-                "body": {**chat("long", 200), "stream": True},
+                "body": {**chat("long", 400), "stream": True},
             }
             running = [pool.submit(send_request, hall.entries[0], request) for _ in range(4)]
             stats_of = hall.engines[0].http
             client = HttpClient(connect_timeout_s=1)
-            while True:
+
+            def count_running() -> int:
                 answer = client.call("GET", stats_of, "/stats", timeout_s=5).unwrap()
-                if json.loads(answer.read())["running"] == 4:
-                    break
+                return int(json.loads(answer.read())["running"])
+
+            wait_for(lambda: count_running() == 4, "four streams")
             hall.entries[0].send_signal(signal.SIGTERM)
             hall.sidecars["model-0"].send_signal(signal.SIGTERM)
             for future in running:
