Let one piece of code serve where the logic stood twice

Cause: a read of the whole change found twins: whether an answer may be read at once (entry and sidecar), whether a committed map is still to come (votes, planner, the sidecar's ranks), and the name under which a key is owned, which entry and sidecar must make alike; and a method nobody called. Change: Answer.is_whole, votes.is_switching and once.make_scope serve both sides; behaviour as before. Left: entry and sidecar each ask find_owner and make beats with the same few lines.

--- a/dalehollow/entry/admit.py
+++ b/dalehollow/entry/admit.py
@@ -13,6 +13,7 @@
 
 from dalehollow.config.model import PRIORITIES, Account, Config, Service
 from dalehollow.errors import Failure, Reason
+from dalehollow.once import make_scope
 from dalehollow.protocol import headers as hdr
 from dalehollow.verdict import Verdict
 from dalehollow.web import HttpRequest
@@ -45,7 +46,7 @@
     @property
     def scope(self) -> str:
         """Return the name under which the key is owned, the same as the sidecar's."""
-        return f"{self.service.name}\0{self.account.name}\0{self.key}"
+        return make_scope(self.service.name, self.account.name, self.key)
 
 
 def read_request_id(req: HttpRequest) -> str:
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -26,7 +26,6 @@
 from dalehollow.web.client import AnswerCutError
 
 MAX_TRIES = 3
-MAX_WHOLE_BYTES = 1024 * 1024
 _RETRY_NO_UPSTREAM_MS = 1_000
 
 _log = logging.getLogger(__name__)
@@ -133,7 +132,7 @@
         if answer.headers.get(hdr.REPLAYED) == "true":
             headers[hdr.REPLAYED] = "true"
         body = stream_answer(answer, served.view)
-        if not _is_whole(answer):
+        if not answer.is_whole():
             return Ok(HttpResponse(answer.status, headers, self._mark_cut(job, answer, body)))
         try:
             whole = b"".join(body)
@@ -169,11 +168,6 @@
         )
 
 
-def _is_whole(answer: Answer) -> bool:
-    length = answer.headers.get("content-length", "")
-    return length.isdigit() and int(length) <= MAX_WHOLE_BYTES
-
-
 def _keep_doubt(failure: Failure) -> Failure:
     if failure.verdict is Verdict.RAN:
         return failure
--- a/dalehollow/groups/planner.py
+++ b/dalehollow/groups/planner.py
@@ -14,7 +14,7 @@
 from dalehollow.groups.expert_map import ExpertMap
 from dalehollow.groups.host import Change, LoadOrder, LoadState, RankState
 from dalehollow.groups.plan import Plan, Policy, plan_map
-from dalehollow.groups.votes import Proposal, ProposalId, Vote
+from dalehollow.groups.votes import Proposal, ProposalId, Vote, is_switching
 from dalehollow.telemetry import log_event
 
 LEAD_STEPS = 50
@@ -117,11 +117,7 @@
         """Return the map of all ranks, or None while they differ or wait for an outcome."""
         ledgers = [state.ledger for state in states.values()]
         digests = {ledger.map_digest for ledger in ledgers}
-        is_open = any(
-            ledger.armed is not None
-            or (ledger.committed is not None and ledger.step < ledger.committed.switch_step)
-            for ledger in ledgers
-        )
+        is_open = any(ledger.armed is not None or is_switching(ledger) for ledger in ledgers)
         if is_open or len(digests) != 1:
             return None
         digest = digests.pop()
--- a/dalehollow/groups/votes.py
+++ b/dalehollow/groups/votes.py
@@ -92,13 +92,13 @@
         return ledger, Vote.PENDING
     refused = replace(ledger, highest=proposal.id)
     follows = proposal.base_version == ledger.version
-    is_early = ledger.step < proposal.switch_step and not _is_switching(ledger)
+    is_early = ledger.step < proposal.switch_step and not is_switching(ledger)
     if not (follows and is_early and is_loaded):
         return refused, Vote.NO
     return replace(refused, armed=proposal), Vote.YES
 
 
-def _is_switching(ledger: Ledger) -> bool:
+def is_switching(ledger: Ledger) -> bool:
     """Return whether a committed map is still to come into force."""
     return ledger.committed is not None and ledger.step < ledger.committed.switch_step
 
@@ -136,4 +136,4 @@
 
 def digest_in_step(ledger: Ledger) -> str:
     """Return the digest of the map that the next step uses."""
-    return ledger.previous_digest if _is_switching(ledger) else ledger.map_digest
+    return ledger.previous_digest if is_switching(ledger) else ledger.map_digest
--- a/dalehollow/limits/shares.py
+++ b/dalehollow/limits/shares.py
@@ -86,10 +86,6 @@
         """Change the limit; grants come down as their holders ask again."""
         self.limit_per_s = limit_per_s
 
-    def total_held_per_s(self) -> float:
-        """Return what is handed out."""
-        return sum(holder.held_per_s for holder in self._holders.values())
-
     def _take(self, ask: ShareAsk) -> None:
         """Believe what an entry says it holds: a new incarnation says 0."""
         self._holders[ask.entry] = _Holder(ask.held_per_s, ask.demand_per_s)
--- a/dalehollow/once/__init__.py
+++ b/dalehollow/once/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dalehollow.once.birth import read_birth_ms
-from dalehollow.once.owners import Generation, Owner, extend_generations, find_owner
+from dalehollow.once.owners import Generation, Owner, extend_generations, find_owner, make_scope
 from dalehollow.once.table import (
     NEVER_MS,
     KeptAnswer,
@@ -24,5 +24,6 @@
     "Owner",
     "extend_generations",
     "find_owner",
+    "make_scope",
     "read_birth_ms",
 ]
--- a/dalehollow/once/owners.py
+++ b/dalehollow/once/owners.py
@@ -31,6 +31,11 @@
     settled: bool
 
 
+def make_scope(service: str, account: str, key: str | None) -> str:
+    """Return the name under which a key is owned and remembered, the same in every process."""
+    return f"{service}\0{account}\0{key}"
+
+
 def _score(member: str, scope: str) -> bytes:
     return hashlib.blake2b(f"{member}\0{scope}".encode(), digest_size=8).digest()
 
--- a/dalehollow/sidecar/call.py
+++ b/dalehollow/sidecar/call.py
@@ -10,7 +10,7 @@
 
 from dalehollow.config.model import PRIORITIES
 from dalehollow.errors import Failure, Reason
-from dalehollow.once import read_birth_ms
+from dalehollow.once import make_scope, read_birth_ms
 from dalehollow.protocol import headers as hdr
 from dalehollow.verdict import Verdict
 from dalehollow.web import HttpRequest
@@ -37,7 +37,7 @@
     @property
     def scope(self) -> str:
         """Return the name under which the key is owned and remembered."""
-        return f"{self.service}\0{self.account}\0{self.key}"
+        return make_scope(self.service, self.account, self.key)
 
     @property
     def birth_ms(self) -> int | None:
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -21,7 +21,6 @@
 from dalehollow.web.client import AnswerCutError
 from dalehollow.web.refusal import make_refusal
 
-MAX_WHOLE_BYTES = 1024 * 1024
 _RETRY_UNREACHABLE_MS = 1_000
 _MS_PER_S = 1000
 
@@ -80,7 +79,7 @@
         if isinstance(begun, Err):
             return begun
         answer, began_s = begun.ok_value
-        if _is_whole(answer):
+        if answer.is_whole():
             return self._read_whole(call, answer, began_s).map(self._respond_whole)
         headers = self._answer_headers(answer)
         return Ok(HttpResponse(answer.status, headers, self._relay(answer, began_s)))
@@ -190,9 +189,3 @@
             hdr.MAY_RETRY: "true" if failure.may_retry else "false",
         }
         return HttpResponse(response.status, headers, response.body)
-
-
-def _is_whole(answer: Answer) -> bool:
-    """Return whether the answer's length is known and small enough to be read at once."""
-    length = answer.headers.get("content-length", "")
-    return length.isdigit() and int(length) <= MAX_WHOLE_BYTES
--- a/dalehollow/sidecar/ranks.py
+++ b/dalehollow/sidecar/ranks.py
@@ -15,7 +15,7 @@
 from dalehollow.groups.host import LoadOrder, LoadState, RankHost, RankState
 from dalehollow.groups.planner import GroupLinks, Planner
 from dalehollow.groups.voter import RankVoter, count_outcomes
-from dalehollow.groups.votes import ProposalId
+from dalehollow.groups.votes import ProposalId, is_switching
 from dalehollow.protocol import (
     PeerLink,
     Prepare,
@@ -167,13 +167,12 @@
             return Refused(read.err_value)
         state = read.ok_value
         ledger = state.ledger
-        is_switching = ledger.committed is not None and ledger.step < ledger.committed.switch_step
         return RankReply(
             rank=request.rank,
             step=ledger.step,
             version=ledger.version,
             map_digest=ledger.map_digest,
-            is_undecided=ledger.armed is not None or is_switching,
+            is_undecided=ledger.armed is not None or is_switching(ledger),
             step_ms=state.step_ms,
             counts=state.counts,
         )
--- a/dalehollow/web/client.py
+++ b/dalehollow/web/client.py
@@ -15,6 +15,7 @@
 )
 
 READ_CHUNK_BYTES = 64 * 1024
+MAX_WHOLE_BYTES = 1024 * 1024
 _HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length"}
 )
@@ -49,6 +50,11 @@
         """Return the headers meant for the far end."""
         return {k: v for k, v in self.headers.items() if k not in _HOP_HEADERS}
 
+    def is_whole(self) -> bool:
+        """Return whether the length is known and small enough for the body to be read at once."""
+        length = self.headers.get("content-length", "")
+        return length.isdigit() and int(length) <= MAX_WHOLE_BYTES
+
     def read(self) -> bytes:
         """Read the body whole; raise AnswerCutError if it was cut short."""
         try:
