Close idle connections at a planned stop, refuse what comes late, watch all keys at once

Change: idle connections are closed as the stop begins; from 2.5 s on, when the balancer has noticed, requests are refused as not run with a short Retry-After. One watch on all keys.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -77,7 +77,7 @@
     """Answer one request."""
     admitted = admit(request, state.table, state.names, state.rng)
     if isinstance(admitted, Refusal):
-        _refuse(state, caller, request.get(state.names.request_id), admitted)
+        refuse(state, caller, request, admitted)
         return
     progress = _Progress()
     try:
@@ -99,9 +99,11 @@
     _fail(state, caller, job, HTTPStatus.SERVICE_UNAVAILABLE, "timeout_not_run", progress)
 
 
-def _refuse(
-    state: GatewayState, caller: CallerConnection, request_id: bytes | None, refusal: Refusal
+def refuse(
+    state: GatewayState, caller: CallerConnection, request: CallerRequest, refusal: Refusal
 ) -> None:
+    """Answer a request that was not admitted."""
+    request_id = request.get(state.names.request_id)
     headers = [(state.names.request_id, request_id)] if request_id is not None else []
     if refusal.retry_after_s is not None:
         value = f"{refusal.retry_after_s:.3f}".encode()
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -10,7 +10,8 @@
 from http import HTTPStatus
 
 from dalehollow.aio import CallerConnection, CallerRequest, Limits
-from dalehollow.gateway.exchange import GatewayState, RetryLimits, serve_request
+from dalehollow.gateway.admit import Refusal
+from dalehollow.gateway.exchange import GatewayState, RetryLimits, refuse, serve_request
 from dalehollow.gateway.settings import GatewaySettings
 from dalehollow.gateway.table import CallerLimits
 from dalehollow.gateway.upstreams import UpstreamSet
@@ -21,7 +22,10 @@
 _MS_PER_S = 1000
 _BACKLOG = 512
 MIN_STOP_S = 2.5
-"""A stopping gateway serves on for so long: the balancer asks each second, and twice."""
+"""A stopping gateway serves on for so long: the balancer asks each second, and twice. What still
+comes later is refused, since it may not end within the grace."""
+STOPPING_RETRY_AFTER_S = 0.05
+"""Another gateway takes the request at once; the pause lets the balancer's choice differ."""
 STOP_MARGIN_S = 0.6
 """Time kept at the end of the grace to close connections."""
 
@@ -46,6 +50,7 @@
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
         )
         self._is_stopping = False
+        self._refuses_new = False
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
         self._followers: list[Follower] = []
@@ -75,7 +80,7 @@
         listener = Listener(state.take_table, state.upstreams.put, state.upstreams.remove)
         self._followers = [
             Follower(self._settings.store, prefix, listener)
-            for prefix in (CONFIG_KEY, UPSTREAM_PREFIX)
+            for prefix in ("",)
         ]
         loop = asyncio.get_running_loop()
         return [loop.create_task(follower.run()) for follower in self._followers]
@@ -104,6 +109,12 @@
     async def _serve(self, caller: CallerConnection, request: CallerRequest) -> None:
         if self._is_stopping:
             caller.keeps_alive = False
+        if self._refuses_new:
+            refusal = Refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_S
+            )
+            refuse(self.state, caller, request, refusal)
+            return
         await serve_request(self.state, caller, request)
 
     async def _answer_ready(self, asker: CallerConnection, request: CallerRequest) -> None:
@@ -117,15 +128,20 @@
         self._is_stopping = True
         last_s = began_s + self._settings.stop_grace_ms / _MS_PER_S - STOP_MARGIN_S
         log_event(_LOG, "stopping", in_hand=self._count_busy())
+        self._close_idle()
         await asyncio.sleep(MIN_STOP_S)
+        self._refuses_new = True
         while self._count_busy() and loop.time() < last_s:
             await asyncio.sleep(0.02)
         server.close()
-        for caller in list(self._callers):
-            caller.close_if_idle()
+        self._close_idle()
         while self._count_busy() and loop.time() < last_s:
             await asyncio.sleep(0.02)
         log_event(_LOG, "stopped", in_hand=self._count_busy())
 
+    def _close_idle(self) -> None:
+        for caller in list(self._callers):
+            caller.close_if_idle()
+
     def _count_busy(self) -> int:
         return sum(1 for caller in self._callers if caller.is_busy)
