Plan expert maps from sampled counts and switch them at all ranks or none

Change: one gateway holds the duty under a lease in the store; it samples counts, improves each layer within places and copies, prepares, holds the group before a step some passes ahead, arms all ranks, and releases. Versions carry the duty's fence.

--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -17,5 +17,7 @@
     is_leaving: bool
     cold_remaining_ms: int = 0
     group: str = ""
+    group_rank: int = 0
+    group_size: int = 0
     group_epoch: int = 0
     group_is_open: bool = True
--- /dev/null
+++ b/dalehollow/gateway/planner.py
@@ -0,0 +1,286 @@
+"""Plan the expert map of one rank group while this gateway holds the duty for it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from dalehollow.gateway.table import ExpertFigures
+from dalehollow.groups.place import Bounds, Improved, deal_in_turn, improve_layer
+from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankPort
+from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
+from dalehollow.telemetry.logs import log_event
+
+VERSIONS_PER_FENCE = 1_000_000
+"""A version holds the planner's fence above its own count, so that two planners never give the
+same version to different maps, and ranks refuse the older planner's."""
+REPORT_LAG_S = 0.2
+"""Reports read from another VM show what was so long ago."""
+SWITCH_MARGIN_S = 0.15
+SWITCH_MARGIN_STEPS = 3
+"""The switch is set so far ahead of the step last heard of, beyond the reports' lag: the round
+trips of hold, arms and release, and some passes that are shorter than expected."""
+COPY_MARGIN = 1.2
+MIN_COUNTS = 400
+"""Counts of one layer below which a window says nothing: a few requests' worth."""
+FALLBACK_STEP_S = 0.1
+PREPARE_TRIES = 4
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class PlanPolicy:
+    """Hold how often to look and what a change must bring.
+
+    `copy_price` is the share of the mean load that a copied weight must take off the longest
+    rank; `begin_gain` the share that all of a change must.
+    """
+
+    interval_s: float
+    sampled_ranks: int
+    copy_price: float
+    begin_gain: float
+    memory: float
+
+
+class Duties(Protocol):
+    """Name what a planner needs of the keeper of duties."""
+
+    def fence(self, duty: str) -> int | None:
+        """Return the fence of a duty that is surely held now, or None."""
+
+    async def take_duty(self, duty: str) -> bool:
+        """Try to take a duty that nobody holds."""
+
+    async def drop_duty(self, duty: str, why: str) -> None:
+        """Give a duty up."""
+
+
+@dataclass
+class DemandWindow:
+    """Hold the demand seen at the sampled ranks, the newest counting most."""
+
+    memory: float
+    demand: list[list[float]] = field(default_factory=list)
+    _last: dict[int, RankCounts] = field(default_factory=dict)
+
+    def add(self, read: Mapping[int, RankCounts]) -> bool:
+        """Add what was chosen since the last reading; return whether it says something."""
+        window: list[list[float]] = []
+        for rank, counts in read.items():
+            last = self._last.get(rank)
+            self._last[rank] = counts
+            if last is None or last.epoch != counts.epoch or last.step > counts.step:
+                continue
+            change: list[list[float]] = [
+                [now - before for now, before in zip(a, b, strict=True)]
+                for a, b in zip(counts.counts, last.counts, strict=True)
+            ]
+            window = _add_layers(window, change, 1.0) if window else change
+        if not window or sum(window[0]) < MIN_COUNTS:
+            return False
+        self.demand = _add_layers(window, self.demand, self.memory) if self.demand else window
+        return True
+
+
+def _add_layers(
+    first: list[list[float]], second: list[list[float]], weight: float
+) -> list[list[float]]:
+    return [
+        [a + weight * b for a, b in zip(x, y, strict=True)]
+        for x, y in zip(first, second, strict=True)
+    ]
+
+
+def plan_layers(
+    current: GroupMap, demand: list[list[float]], figures: ExpertFigures, policy: PlanPolicy
+) -> list[Improved]:
+    """Plan each layer by itself."""
+    bounds = Bounds(
+        places=figures.places,
+        spare=figures.spare,
+        price=policy.copy_price,
+        max_copies=figures.spare * len(current[0]),
+    )
+    return [
+        improve_layer(layer, wanted, bounds) for layer, wanted in zip(current, demand, strict=True)
+    ]
+
+
+@dataclass
+class GroupPlanner:
+    """Hold the planner of one group; `ranks` gives the addresses by rank, all of them or none."""
+
+    duty: str
+    duties: Duties
+    holder: Callable[[], str | None]
+    port: RankPort
+    ranks: Callable[[], Mapping[int, str]]
+    figures: ExpertFigures
+    policy: PlanPolicy
+    rng: random.Random
+    current: GroupMap | None = None
+    changes: int = 0
+    copies: int = 0
+    _epoch: int = -1
+    _count: int = 0
+    _window: DemandWindow = field(init=False)
+    _sample: list[int] = field(default_factory=list)
+    _step_s: float = FALLBACK_STEP_S
+    _last_step: tuple[float, int] | None = None
+
+    def __post_init__(self) -> None:
+        """Begin without demand."""
+        self._window = DemandWindow(self.policy.memory)
+
+    async def run(self) -> None:
+        """Look at the group at intervals while the duty is held, and try to take it otherwise."""
+        while True:
+            await asyncio.sleep(self.policy.interval_s)
+            fence = self.duties.fence(self.duty)
+            if fence is None:
+                self._epoch = -1
+                await self._try_take()
+            elif self.ranks():
+                await self._round(fence)
+
+    async def _try_take(self) -> None:
+        if self.holder() is not None or not self.ranks():
+            return
+        await asyncio.sleep(self.rng.uniform(0, self.policy.interval_s / 4))
+        if self.holder() is None:
+            await self.duties.take_duty(self.duty)
+
+    async def _round(self, fence: int) -> None:
+        read = await self._read_counts()
+        if not read:
+            return
+        epoch = max(counts.epoch for counts in read.values())
+        if epoch != self._epoch and not await self._begin_epoch(epoch, fence):
+            return
+        is_new = self._window.add(read)
+        if self._window.demand and (is_new or self.current is None) and self.current:
+            await self._improve(fence)
+
+    async def _read_counts(self) -> dict[int, RankCounts]:
+        ranks = sorted(self.ranks())
+        if not self._sample or not set(self._sample) <= set(ranks):
+            self._sample = self.rng.sample(ranks, min(self.policy.sampled_ranks, len(ranks)))
+        read = await asyncio.gather(*(self.port.read_counts(rank) for rank in self._sample))
+        found = {r: c for r, c in zip(self._sample, read, strict=True) if c is not None}
+        if found:
+            self._note_step(max(c.step for c in found.values()))
+        return found
+
+    def _note_step(self, step: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._last_step is not None and step > self._last_step[1]:
+            self._step_s = (now_s - self._last_step[0]) / (step - self._last_step[1])
+        self._last_step = (now_s, step)
+
+    async def _begin_epoch(self, epoch: int, fence: int) -> bool:
+        """Learn the map in force, and settle what another planner may have left open."""
+        ranks = sorted(self.ranks())
+        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
+        known = {rank: r for rank, r in zip(ranks, reports, strict=True) if r is not None}
+        if len(known) < len(ranks) or any(
+            r.epoch != epoch or not r.is_open for r in known.values()
+        ):
+            return False
+        current = await self._read_map(ranks, known[ranks[0]].map_version)
+        if current is None:
+            return False
+        next_version = self._next_version(fence)
+        if not await settle_switch(self.port, known, current, next_version):
+            await self.duties.drop_duty(self.duty, "another planner's switch is unresolved")
+            return False
+        if any(r.armed_version for r in known.values()):
+            return False
+        self.current, self._epoch = current, epoch
+        log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
+        return True
+
+    async def _read_map(self, ranks: list[int], version: int) -> GroupMap | None:
+        if version == 0:
+            layer = deal_in_turn(len(ranks), self.figures.experts)
+            return (layer,) * self.figures.layers
+        held = await asyncio.gather(*(self.port.read_layers(rank) for rank in ranks))
+        if any(layers is None for layers in held):
+            return None
+        by_rank = [layers for layers in held if layers is not None]
+        return tuple(tuple(layers[idx] for layers in by_rank) for idx in range(self.figures.layers))
+
+    def _next_version(self, fence: int) -> int:
+        self._count += 1
+        return fence * VERSIONS_PER_FENCE + self._count
+
+    async def _improve(self, fence: int) -> None:
+        assert self.current is not None
+        improved = []
+        for layer, wanted in zip(self.current, self._window.demand, strict=True):
+            improved += plan_layers((layer,), [wanted], self.figures, self.policy)
+            # A layer takes some ms to plan: streams are relayed in between.
+            await asyncio.sleep(0)
+        before = sum(i.longest_before for i in improved) / len(improved)
+        after = sum(i.longest_after for i in improved) / len(improved)
+        copies = sum(i.copies for i in improved)
+        if not copies or before - after < self.policy.begin_gain * before:
+            return
+        log_event(
+            _LOG,
+            "map_planned",
+            duty=self.duty,
+            longest_before=round(before, 3),
+            longest_after=round(after, 3),
+            copies=copies,
+            step_ms=round(self._step_s * 1000, 1),
+        )
+        planned = tuple(i.layer for i in improved)
+        outcome = await self._carry_out(planned, fence)
+        log_event(_LOG, "map_switch", duty=self.duty, outcome=outcome, epoch=self._epoch)
+        if outcome is SwitchOutcome.SWITCHED:
+            self.current = planned
+            self.changes += 1
+            self.copies += copies
+        elif outcome is SwitchOutcome.UNRESOLVED:
+            await self.duties.drop_duty(self.duty, "a switch is unresolved")
+
+    async def _carry_out(self, planned: GroupMap, fence: int) -> SwitchOutcome:
+        assert self.current is not None
+        ranks = sorted(self.ranks())
+        version = self._next_version(fence)
+        replies = await asyncio.gather(*(self._prepare(r, version, planned) for r in ranks))
+        if any(reply is not OrderReply.TAKEN for reply in replies):
+            return SwitchOutcome.ABANDONED
+        await asyncio.sleep(self._copy_time_s(planned))
+        report = await self.port.read_report(ranks[0])
+        if report is None or report.epoch != self._epoch:
+            return SwitchOutcome.ABANDONED
+        if self.duties.fence(self.duty) != fence:
+            return SwitchOutcome.ABANDONED
+        ahead = math.ceil((REPORT_LAG_S + SWITCH_MARGIN_S) / self._step_s) + SWITCH_MARGIN_STEPS
+        proposal = Proposal(version, report.step + ahead, self._epoch, self.current)
+        return await switch_map(self.port, ranks, proposal)
+
+    async def _prepare(self, rank: int, version: int, planned: GroupMap) -> OrderReply:
+        reply = OrderReply.UNANSWERED
+        for _ in range(PREPARE_TRIES):
+            reply = await self.port.prepare(rank, version, planned, self._epoch)
+            if reply is not OrderReply.UNANSWERED:
+                break
+        return reply
+
+    def _copy_time_s(self, planned: GroupMap) -> float:
+        """Return how long the rank with the most new experts copies."""
+        assert self.current is not None
+        copied = [0] * len(planned[0])
+        for old, new in zip(self.current, planned, strict=True):
+            for rank, (before, after) in enumerate(zip(old, new, strict=True)):
+                copied[rank] += len(set(after) - set(before))
+        return max(copied) * self.figures.copy_s * COPY_MARGIN
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -12,11 +12,15 @@
 from dalehollow.aio import CallerConnection, CallerRequest, Limits
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.exchange import GatewayState, RetryLimits, refuse, serve_request
+from dalehollow.gateway.groups import GroupRanks
+from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
 from dalehollow.gateway.settings import GatewaySettings
-from dalehollow.gateway.table import CallerLimits
+from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform.follow import Follower, Listener
-from dalehollow.platform.names import CONFIG_KEY, HEADERS, UPSTREAM_PREFIX
+from dalehollow.platform.names import ALL_KEYS, HEADERS
+from dalehollow.platform.ranks import RankClient
+from dalehollow.platform.session import Session
 from dalehollow.telemetry.logs import log_event
 
 _MS_PER_S = 1000
@@ -53,7 +57,11 @@
         self._refuses_new = False
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
-        self._followers: list[Follower] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._members: dict[str, str] = {}
+        self._holders: dict[str, str] = {}
+        self._planners: dict[str, GroupPlanner] = {}
+        self._session = Session(settings.store, settings.name, settings.http.encode())
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is in hand."""
@@ -62,13 +70,13 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: log_event(_LOG, "reload"))
-        tasks = self._start_following()
+        self._tasks += self._start_following()
         await self._listen(self._settings.ready, self._answer_ready, self._askers)
         server = await self._listen(self._settings.http, self._serve, self._callers)
         log_event(_LOG, "started", name=self._settings.name, hall=self._settings.hall)
         await stopping.wait()
         await self._stop(server)
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
 
     def is_ready(self) -> bool:
@@ -77,13 +85,61 @@
 
     def _start_following(self) -> list[asyncio.Task[None]]:
         state = self.state
-        listener = Listener(state.take_table, state.upstreams.put, state.upstreams.remove)
-        self._followers = [
-            Follower(self._settings.store, prefix, listener)
-            for prefix in ("",)
-        ]
+        listener = Listener(
+            self._take_table,
+            state.upstreams.put,
+            state.upstreams.remove,
+            self._note_member,
+            self._note_holder,
+        )
+        follower = Follower(self._settings.store, ALL_KEYS, listener)
         loop = asyncio.get_running_loop()
-        return [loop.create_task(follower.run()) for follower in self._followers]
+        return [loop.create_task(follower.run()), loop.create_task(self._session.run())]
+
+    def _take_table(self, table: RoutingTable) -> None:
+        self.state.take_table(table)
+        if self.state.table is None:
+            return
+        for service in self.state.table.services.values():
+            engine = service.engine
+            if engine is None or engine.experts is None or service.name in self._planners:
+                continue
+            self._planners[service.name] = self._make_planner(service.name, engine.experts)
+            task = asyncio.get_running_loop().create_task(self._planners[service.name].run())
+            self._tasks.append(task)
+
+    def _make_planner(self, service: str, figures: ExpertFigures) -> GroupPlanner:
+        ranks = GroupRanks(self.state.upstreams, service)
+        settings = self._settings
+        return GroupPlanner(
+            duty=service,
+            duties=self._session,
+            holder=lambda: self._holders.get(service),
+            port=RankClient(figures.layers, ranks),
+            ranks=ranks.read,
+            figures=figures,
+            policy=PlanPolicy(
+                interval_s=settings.plan_interval_ms / _MS_PER_S,
+                sampled_ranks=settings.plan_sampled_ranks,
+                copy_price=settings.plan_copy_price,
+                begin_gain=settings.plan_begin_gain,
+                memory=settings.plan_memory,
+            ),
+            rng=self.state.rng,
+        )
+
+    def _note_member(self, name: str, address: str | None) -> None:
+        if address is None:
+            self._members.pop(name, None)
+        else:
+            self._members[name] = address
+        log_event(_LOG, "members", count=len(self._members), name=name, address=address)
+
+    def _note_holder(self, duty: str, holder: str | None) -> None:
+        if holder is None:
+            self._holders.pop(duty, None)
+        else:
+            self._holders[duty] = holder
 
     async def _listen(
         self, address: str, handler: object, connections: set[CallerConnection]
@@ -110,9 +166,7 @@
         if self._is_stopping:
             caller.keeps_alive = False
         if self._refuses_new:
-            refusal = Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_S
-            )
+            refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_S)
             refuse(self.state, caller, request, refusal)
             return
         await serve_request(self.state, caller, request)
@@ -135,6 +189,7 @@
             await asyncio.sleep(0.02)
         server.close()
         self._close_idle()
+        await self._session.end()
         while self._count_busy() and loop.time() < last_s:
             await asyncio.sleep(0.02)
         log_event(_LOG, "stopped", in_hand=self._count_busy())
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -39,6 +39,13 @@
     # Gateways that share the extra repeats where their real number is not known.
     gateways_expected: int = 12
     connect_timeout_ms: int = 400
+    # The planner of expert maps: how often it looks, at how many ranks, what a copied weight and a
+    # whole change must take off the longest rank, and how much of the last demand it remembers.
+    plan_interval_ms: int = 1_000
+    plan_sampled_ranks: int = 4
+    plan_copy_price: float = 0.005
+    plan_begin_gain: float = 0.05
+    plan_memory: float = 0.5
 
 
 def read_gateway_settings(path: str) -> GatewaySettings:
--- a/dalehollow/gateway/table.py
+++ b/dalehollow/gateway/table.py
@@ -48,6 +48,23 @@
         return self.kind is RequestKind.REPEATABLE
 
 
+@dataclass(frozen=True)
+class ExpertFigures:
+    """Hold what is published of a rank group's experts, which stand at ranks layer by layer."""
+
+    layers: int
+    experts: int
+    places: int
+    spare: int
+    expert_mb: float
+    link_mbps: float
+
+    @property
+    def copy_s(self) -> float:
+        """Return how long a rank takes to copy one expert's weights."""
+        return self.expert_mb * 8 / self.link_mbps
+
+
 @dataclass(frozen=True)
 class EngineFigures:
     """Hold what is published of a service's model engines; times in ms, rates in tokens."""
@@ -61,6 +78,7 @@
     usual_prompt_tokens: int
     usual_answer_tokens: int
     form_ms: float
+    experts: ExpertFigures | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/dalehollow/groups/place.py
@@ -0,0 +1,215 @@
+"""Improve where a layer's experts stand, within the places and copies that ranks allow.
+
+A pass lasts as long as the most loaded rank of each layer, so a change is worth what it takes off
+that rank's load, less a price for each weight that must be copied.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+LayerMap = tuple[tuple[int, ...], ...]
+
+_POWER = 6
+"""Ranks weigh by this power of their load: high enough that the longest decide, low enough that
+taking one of two equally long ranks down counts as progress."""
+_LIGHT_RANKS = 4
+"""Targets looked at for a move, the least loaded ranks: more cost time and change little."""
+_GIVE_UP_STEPS = 4
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Bound a change of one layer.
+
+    `places` experts a rank at most, `spare` experts new to a rank in one change; `price` is the
+    share of the mean load that one copied weight must take off the longest rank; `max_copies`
+    bounds all copies of the layer.
+    """
+
+    places: int
+    spare: int
+    price: float
+    max_copies: int
+
+
+@dataclass(frozen=True)
+class Improved:
+    """Hold a changed layer, its copies, and the longest rank over the mean before and after."""
+
+    layer: LayerMap
+    copies: int
+    longest_before: float
+    longest_after: float
+
+
+def layer_loads(layer: LayerMap, demand: Sequence[float]) -> list[float]:
+    """Return each rank's load over the mean load; an expert's tokens are shared by its holders."""
+    holders = _count_holders(layer, len(demand))
+    total = sum(demand) or 1.0
+    scale = len(layer) / total
+    return [sum(demand[e] / holders[e] for e in experts) * scale for experts in layer]
+
+
+def improve_layer(layer: LayerMap, demand: Sequence[float], bounds: Bounds) -> Improved:
+    """Take changes while they pay; keep the ones up to where they paid most."""
+    work = _Work(layer, demand, bounds)
+    before = max(work.loads)
+    best = Improved(layer, 0, before, before)
+    best_gain = 0.0
+    since_best = 0
+    while work.copies < bounds.max_copies and since_best < _GIVE_UP_STEPS:
+        if not work.take_best():
+            break
+        longest = max(work.loads)
+        gain = before - longest - bounds.price * work.copies
+        since_best += 1
+        if gain > best_gain:
+            best = Improved(work.as_layer(), work.copies, before, longest)
+            best_gain, since_best = gain, 0
+    return best
+
+
+def _count_holders(layer: LayerMap, experts: int) -> list[int]:
+    holders = [0] * experts
+    for held in layer:
+        for expert in held:
+            holders[expert] += 1
+    return holders
+
+
+@dataclass(frozen=True)
+class _Change:
+    """Add `expert` to the rank `target`; drop what gives way there and perhaps at the source."""
+
+    score: float
+    copies: int
+    target: int
+    expert: int
+    dropped: int | None
+    source: int
+    leaves_source: bool
+    returns: int | None
+
+
+class _Work:
+    """Hold a layer while it is changed."""
+
+    def __init__(self, layer: LayerMap, demand: Sequence[float], bounds: Bounds) -> None:
+        self._bounds = bounds
+        total = sum(demand) or 1.0
+        self._demand = [d * len(layer) / total for d in demand]
+        self._origin = [frozenset(held) for held in layer]
+        self._held = [set(held) for held in layer]
+        self._holders = _count_holders(layer, len(demand))
+        self.loads = layer_loads(layer, demand)
+        self.copies = 0
+
+    def as_layer(self) -> LayerMap:
+        return tuple(tuple(sorted(held)) for held in self._held)
+
+    def take_best(self) -> bool:
+        """Take the change that relieves the most loaded rank best; return False if none does."""
+        source = max(range(len(self.loads)), key=self.loads.__getitem__)
+        ranks = sorted(range(len(self.loads)), key=self.loads.__getitem__)
+        best: _Change | None = None
+        for target in ranks[:_LIGHT_RANKS]:
+            if target == source:
+                continue
+            for expert in self._held[source] - self._held[target]:
+                for change in self._list_changes(source, target, expert):
+                    if best is None or change.score < best.score:
+                        best = change
+        if best is None or best.score >= 0:
+            return False
+        self._apply(best)
+        return True
+
+    def _list_changes(self, source: int, target: int, expert: int) -> list[_Change]:
+        if not self._may_copy(target, expert):
+            return []
+        changes = []
+        if len(self._held[target]) < self._bounds.places:
+            changes.append(self._rate(source, target, expert, None, False, None))
+            changes.append(self._rate(source, target, expert, None, True, None))
+        for other in self._held[target]:
+            if self._holders[other] > 1:
+                changes.append(self._rate(source, target, expert, other, False, None))
+            elif other not in self._held[source] and self._may_copy(source, other):
+                changes.append(self._rate(source, target, expert, other, True, other))
+        return changes
+
+    def _may_copy(self, rank: int, expert: int) -> bool:
+        if expert in self._origin[rank]:
+            return True
+        return len(self._held[rank] - self._origin[rank]) < self._bounds.spare
+
+    def _rate(
+        self,
+        source: int,
+        target: int,
+        expert: int,
+        dropped: int | None,
+        leaves_source: bool,
+        returns: int | None,
+    ) -> _Change:
+        """Rate a change by the sum of the changed ranks' loads to a power, lower being better."""
+        changed: dict[int, float] = {}
+        demand, holders = self._demand, self._holders
+
+        def add(rank: int, load: float) -> None:
+            changed[rank] = changed.get(rank, 0.0) + load
+
+        if leaves_source:
+            share = demand[expert] / holders[expert]
+            add(source, -share)
+            add(target, share)
+        else:
+            share = demand[expert] / (holders[expert] + 1)
+            lost = demand[expert] / holders[expert] - share
+            for rank, held in enumerate(self._held):
+                if expert in held:
+                    add(rank, -lost)
+            add(target, share)
+        if returns is not None:
+            share = demand[returns] / holders[returns]
+            add(target, -share)
+            add(source, share)
+        elif dropped is not None:
+            left = holders[dropped] - 1
+            gained = demand[dropped] / left - demand[dropped] / holders[dropped]
+            for rank, held in enumerate(self._held):
+                if dropped in held and rank != target:
+                    add(rank, gained)
+            add(target, -demand[dropped] / holders[dropped])
+        score = 0.0
+        for rank, delta in changed.items():
+            load = self.loads[rank]
+            score += (load + delta) ** _POWER - load**_POWER
+        copies = (expert not in self._origin[target]) + (
+            returns is not None and returns not in self._origin[source]
+        )
+        return _Change(
+            score / max(1, copies), copies, target, expert, dropped, source, leaves_source, returns
+        )
+
+    def _apply(self, change: _Change) -> None:
+        self._held[change.target].add(change.expert)
+        if change.dropped is not None:
+            self._held[change.target].discard(change.dropped)
+        if change.leaves_source:
+            self._held[change.source].discard(change.expert)
+        if change.returns is not None:
+            self._held[change.source].add(change.returns)
+        layer = self.as_layer()
+        self._holders = _count_holders(layer, len(self._demand))
+        self.loads = layer_loads(layer, self._demand)
+        self.copies = sum(
+            len(held - origin) for held, origin in zip(self._held, self._origin, strict=True)
+        )
+
+
+def deal_in_turn(ranks: int, experts: int) -> LayerMap:
+    """Return the layer that a group starts with: expert e stands at rank e modulo the ranks."""
+    return tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -11,7 +11,7 @@
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.table import RoutingTable
-from dalehollow.platform.names import CONFIG_KEY, UPSTREAM_PREFIX
+from dalehollow.platform.names import CONFIG_KEY, DUTY_PREFIX, MEMBER_PREFIX, UPSTREAM_PREFIX
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream, read_incarnation
 from dalehollow.platform.store import Change, HistoryGoneError, Reading, Store
@@ -36,6 +36,10 @@
     on_table: Callable[[RoutingTable], None]
     on_upstream: Callable[[ListedUpstream], None]
     on_gone: Callable[[str], None]
+    # Name and control address of a gateway that is there, or None as address once it is gone.
+    on_member: Callable[[str, str | None], None]
+    # A duty and the name of the gateway that holds it, or None once nobody does.
+    on_duty: Callable[[str, str | None], None]
 
 
 class Follower:
@@ -105,6 +109,8 @@
                 self._known.add(key)
                 self._lapsing_until_s.pop(key, None)
                 self._listener.on_upstream(decode_upstream(key, value))
+            elif self._tell_gateway_key(key, value.decode()):
+                self._known.add(key)
         except ValueError as exc:
             log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
 
@@ -112,11 +118,24 @@
         """Drop an upstream, or wait a little for it where its entry may only have lapsed."""
         if key not in self._known:
             return
+        if self._tell_gateway_key(key, None):
+            self._known.discard(key)
+            return
         if time.monotonic() - self._failed_at_s > LAPSE_GRACE_S:
             self._drop(key)
         else:
             self._lapsing_until_s.setdefault(key, time.monotonic() + LAPSE_GRACE_S)
 
+    def _tell_gateway_key(self, key: str, value: str | None) -> bool:
+        """Tell of a key that gateways write; return whether it is one."""
+        if key.startswith(MEMBER_PREFIX):
+            self._listener.on_member(key.removeprefix(MEMBER_PREFIX), value)
+        elif key.startswith(DUTY_PREFIX):
+            self._listener.on_duty(key.removeprefix(DUTY_PREFIX), value)
+        else:
+            return False
+        return True
+
     def _drop_lapsed(self) -> None:
         now_s = time.monotonic()
         for key, until_s in list(self._lapsing_until_s.items()):
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -4,6 +4,8 @@
 
 from dalehollow.gateway.headers import HeaderNames
 
+# The prefix of every key: one watch costs one call where three would cost three.
+ALL_KEYS = ""
 CONFIG_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 
@@ -29,3 +31,5 @@
     # The upstream that a refusal is about, which need not be the one that sends it.
     faulty_upstream=b"at-server",
 )
+MEMBER_PREFIX = "dalehollow/members/"
+DUTY_PREFIX = "dalehollow/duties/"
--- a/dalehollow/platform/operator.py
+++ b/dalehollow/platform/operator.py
@@ -7,6 +7,7 @@
 from dalehollow.gateway.table import (
     CallerLimits,
     EngineFigures,
+    ExpertFigures,
     KeyHolder,
     RequestKind,
     Route,
@@ -59,6 +60,14 @@
     stride: int = 1
     usual: _Usual = msgspec.field(default_factory=_Usual)
     form_ms: float = 0.0
+    link_mbps: float = msgspec.field(name="linkMbps", default=0.0)
+    # Sets of layers that are mapped together; each is planned as one layer.
+    sets: int = 0
+    experts: int = 0
+    # Experts that one rank can hold of a set, and how many of a new map may be new to it.
+    places: int = 0
+    spare: int = 0
+    expert_mb: float = msgspec.field(name="expertMb", default=0.0)
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -141,5 +150,19 @@
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
         form_ms=engine.form_ms,
+        experts=_convert_experts(engine),
     )
     return Service(service.name, service.max_connections, figures)
+
+
+def _convert_experts(engine: _Engine) -> ExpertFigures | None:
+    if not engine.sets:
+        return None
+    return ExpertFigures(
+        layers=engine.sets,
+        experts=engine.experts,
+        places=engine.places,
+        spare=engine.spare,
+        expert_mb=engine.expert_mb,
+        link_mbps=engine.link_mbps,
+    )
--- /dev/null
+++ b/dalehollow/platform/ranks.py
@@ -0,0 +1,164 @@
+"""Give orders to the model servers that are ranks of a group, and read what they tell."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from dalehollow.aio import ConnectError, CutError, connect
+from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankReport
+
+CONNECT_TIMEOUT_S = 0.3
+ORDER_TIMEOUT_S = 0.3
+"""An order is answered in a round trip; one without an answer by then will not get one."""
+READ_TIMEOUT_S = 0.5
+_TAKEN_STATUSES = frozenset({200, 202})
+_OK_STATUS = 200
+GROUP_OPEN = "open"
+
+
+class _Group(msgspec.Struct):
+    epoch: int = 0
+    state: str = GROUP_OPEN
+
+
+class _Armed(msgspec.Struct):
+    version: int = 0
+    step: int = 0
+
+
+class _Report(msgspec.Struct):
+    group: _Group
+    # The last pass that began, counted since the group formed.
+    step: int = 0
+    # The versions of the maps in use and prepared.
+    map: int = 0
+    prepared: int | None = None
+    armed: _Armed | None = None
+    # The pass that is not to begin.
+    held: int | None = None
+
+
+class _Counts(msgspec.Struct):
+    step: int
+    epoch: int
+    # Layer after layer in one list.
+    counts: list[int]
+
+
+class _Held(msgspec.Struct):
+    experts: list[list[int]]
+    version: int = 0
+
+
+class _Lists(msgspec.Struct):
+    map: _Held
+
+
+class RankClient:
+    """Speak to the ranks of one group, by their addresses."""
+
+    def __init__(self, layers: int, addresses: Mapping[int, str]) -> None:
+        """Prepare; `addresses` is read anew at each call."""
+        self._layers = layers
+        self._addresses = addresses
+        self.orders = 0
+        self.counts_read = 0
+
+    async def prepare(self, rank: int, version: int, group_map: GroupMap, epoch: int) -> OrderReply:
+        """Copy the weights that a map needs."""
+        return await self._order(
+            rank, {"operation": "prepare", "version": version, "map": group_map, "epoch": epoch}
+        )
+
+    async def arm(self, rank: int, version: int, step: int, epoch: int) -> OrderReply:
+        """Take a prepared map as a step begins."""
+        return await self._order(
+            rank, {"operation": "arm", "version": version, "step": step, "epoch": epoch}
+        )
+
+    async def disarm(self, rank: int, version: int, epoch: int) -> OrderReply:
+        """Take back an arm."""
+        return await self._order(rank, {"operation": "disarm", "version": version, "epoch": epoch})
+
+    async def hold(self, rank: int, step: int, epoch: int) -> OrderReply:
+        """Keep the group from beginning a step."""
+        return await self._order(rank, {"operation": "hold", "step": step, "epoch": epoch})
+
+    async def release(self, rank: int, step: int, epoch: int) -> OrderReply:
+        """End a hold."""
+        return await self._order(rank, {"operation": "go", "step": step, "epoch": epoch})
+
+    async def read_report(self, rank: int) -> RankReport | None:
+        """Read a rank's report."""
+        body = await self._get(rank, "/report")
+        if body is None:
+            return None
+        report = msgspec.json.decode(body, type=_Report)
+        armed = report.armed or _Armed()
+        return RankReport(
+            epoch=report.group.epoch,
+            step=report.step,
+            is_open=report.group.state == GROUP_OPEN,
+            map_version=report.map,
+            prepared_version=report.prepared or 0,
+            armed_version=armed.version,
+            armed_step=armed.step,
+            held_step=report.held or 0,
+        )
+
+    async def read_counts(self, rank: int) -> RankCounts | None:
+        """Read a rank's counts."""
+        body = await self._get(rank, "/picked")
+        if body is None:
+            return None
+        picked = msgspec.json.decode(body, type=_Counts)
+        self.counts_read += len(picked.counts)
+        width = len(picked.counts) // self._layers
+        layers = (picked.counts[i * width : (i + 1) * width] for i in range(self._layers))
+        return RankCounts(picked.epoch, picked.step, tuple(map(tuple, layers)))
+
+    async def read_layers(self, rank: int) -> tuple[tuple[int, ...], ...] | None:
+        """Read the experts that stand at a rank."""
+        body = await self._get(rank, "/picked?lists=1")
+        if body is None:
+            return None
+        lists = msgspec.json.decode(body, type=_Lists)
+        return tuple(tuple(layer) for layer in lists.map.experts)
+
+    async def _order(self, rank: int, order: dict[str, Any]) -> OrderReply:
+        self.orders += 1
+        answered = await self._call(rank, "POST", "/order", msgspec.json.encode(order))
+        if answered is None:
+            return OrderReply.UNANSWERED
+        return OrderReply.TAKEN if answered[0] in _TAKEN_STATUSES else OrderReply.REFUSED
+
+    async def _get(self, rank: int, path: str) -> bytes | None:
+        answered = await self._call(rank, "GET", path, b"", READ_TIMEOUT_S)
+        return answered[1] if answered is not None and answered[0] == _OK_STATUS else None
+
+    async def _call(
+        self, rank: int, method: str, path: str, body: bytes, timeout_s: float = ORDER_TIMEOUT_S
+    ) -> tuple[int, bytes] | None:
+        """Call a rank on a connection of its own; None where no whole answer came."""
+        address = self._addresses.get(rank)
+        if address is None:
+            return None
+        connection = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await connect(address, CONNECT_TIMEOUT_S)
+                head = f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
+                if body:
+                    head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+                connection.send([head.encode(), b"\r\n", body])
+                answer = await connection.read_head()
+                return answer.status, await connection.read_body()
+        except (ConnectError, CutError, TimeoutError):
+            return None
+        finally:
+            if connection is not None:
+                connection.abort()
--- a/dalehollow/platform/servers.py
+++ b/dalehollow/platform/servers.py
@@ -14,6 +14,7 @@
 class _Group(msgspec.Struct):
     name: str = ""
     epoch: int = 0
+    rank: int = 0
     state: str = _GROUP_OPEN
 
 
@@ -25,6 +26,8 @@
     state: str
     cold_remaining_ms: int = 0
     group: _Group | None = None
+    # Ranks in the group.
+    size: int = 0
 
 
 def read_incarnation(key: str) -> str:
@@ -45,6 +48,8 @@
         is_leaving=entry.state == _LEAVING,
         cold_remaining_ms=entry.cold_remaining_ms,
         group=group.name,
+        group_rank=group.rank,
+        group_size=entry.size,
         group_epoch=group.epoch,
         group_is_open=group.state == _GROUP_OPEN,
     )
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -15,9 +15,19 @@
 CONNECT_TIMEOUT_S = 1.0
 """One lost opening packet is sent again after a second; a store that is near answers in ms."""
 _HISTORY_GONE_STATUS = 410
+_CONFLICT_STATUS = 412
+_LEASE_GONE_STATUS = 404
 _OK_STATUS = 200
 
 
+class ConflictError(Exception):
+    """Report that a condition of a write did not hold; nothing of it was done."""
+
+
+class LeaseGoneError(LookupError):
+    """Report that a lease is over, and what was kept under it is gone."""
+
+
 class HistoryGoneError(LookupError):
     """Report that the store has dropped the changes a watch asked for: read everything again."""
 
@@ -58,6 +68,15 @@
     events: list[_Item] = msgspec.field(default_factory=list)
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+    ttl_ms: int = msgspec.field(name="ttlMs")
+
+
 class Store:
     """Call the store over one kept connection; one call at a time."""
 
@@ -98,37 +117,78 @@
         )
         return Reading(tuple(map(_convert_item, events.events)), events.revision)
 
+    async def create(self, key: str, value: bytes, lease: int, timeout_s: float) -> int:
+        """Create a key that must not be there; return the revision, or raise ConflictError."""
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        # A condition of revision 0 says that the key is not there.
+        body = {"expectedRevision": [{"key": key, "revision": 0}], "setKeys": [item]}
+        answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
+        return msgspec.json.decode(answer, type=_Written).revision
+
+    async def delete(self, key: str, revision: int, timeout_s: float) -> None:
+        """Delete a key if it is still of this revision, or raise ConflictError."""
+        body = {"expectedRevision": [{"key": key, "revision": revision}], "delete": [key]}
+        await self._call("/kv-txn", timeout_s, method="POST", body=body)
+
+    async def grant_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
+        """Return a new lease and the seconds that it holds."""
+        body = {"ttlMs": round(ttl_s * 1000)}
+        answer = await self._call("/kv-lease", timeout_s, method="POST", body=body)
+        lease = msgspec.json.decode(answer, type=_Lease)
+        return lease.lease, lease.ttl_ms / 1000
+
+    async def keep_lease(self, lease: int, timeout_s: float) -> None:
+        """Renew a lease, or raise LeaseGoneError."""
+        await self._call(f"/kv-keep/{lease}", timeout_s, method="POST", body={})
+
+    async def end_lease(self, lease: int, timeout_s: float) -> None:
+        """End a lease, and with it what is kept under it."""
+        await self._call(f"/kv-lease-end/{lease}", timeout_s, method="DELETE")
+
     def close(self) -> None:
         """Drop the connection."""
         if self._connection is not None:
             self._connection.abort()
             self._connection = None
 
-    async def _call(self, path: str, timeout_s: float) -> bytes:
+    async def _call(
+        self, path: str, timeout_s: float, *, method: str = "GET", body: object = None
+    ) -> bytes:
         self.calls += 1
+        data = msgspec.json.encode(body) if body is not None else b""
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if body is not None:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+        is_write = method != "GET"
         try:
             async with asyncio.timeout(timeout_s):
                 if self._connection is None:
                     self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
-                self._connection.send(
-                    [f"GET {path} HTTP/1.1\r\nHost: {self._address}\r\n\r\n".encode()]
-                )
-                head = await self._connection.read_head()
-                body = await self._connection.read_body()
+                self._connection.send([head.encode(), b"\r\n", data])
+                answer = await self._connection.read_head()
+                answer_body = await self._connection.read_body()
         except (ConnectError, CutError, TimeoutError) as exc:
             self.close()
-            raise PlatformError(
-                f"{path}: {str(exc) or 'timed out'}", may_have_written=False
-            ) from exc
+            message = f"{path}: {str(exc) or 'timed out'}"
+            sent = is_write and not isinstance(exc, ConnectError)
+            raise PlatformError(message, may_have_written=sent) from exc
         except asyncio.CancelledError:
             self.close()
             raise
-        if head.status == _HISTORY_GONE_STATUS:
+        return self._check_status(path, answer.status, answer_body)
+
+    def _check_status(self, path: str, status: int, body: bytes) -> bytes:
+        if status == _OK_STATUS:
+            return body
+        if status == _HISTORY_GONE_STATUS:
             raise HistoryGoneError(path)
-        if head.status != _OK_STATUS:
-            self.close()
-            raise PlatformError(f"{path}: status {head.status}", may_have_written=False)
-        return body
+        if status == _CONFLICT_STATUS:
+            raise ConflictError(path)
+        if status == _LEASE_GONE_STATUS:
+            raise LeaseGoneError(path)
+        # Another connection may reach a part of the store that serves this process.
+        self.close()
+        raise PlatformError(f"{path}: status {status}", may_have_written=False)
 
 
 def _convert_item(item: _Item) -> Change:
