--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -43,8 +43,8 @@
     # whole change must take off the longest rank, and how much of the last demand it remembers.
     plan_interval_ms: int = 1_000
     plan_sampled_ranks: int = 4
-    plan_copy_price: float = 0.005
-    plan_begin_gain: float = 0.05
+    plan_copy_price: float = 0.02
+    plan_begin_gain: float = 0.25
     plan_memory: float = 0.5
 
 
