--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -42,9 +42,9 @@
     # The planner of expert maps: how often it looks, at how many ranks, what a copied weight and a
     # whole change must take off the longest rank, and how much of the last demand it remembers.
     plan_interval_ms: int = 1_000
-    plan_sampled_ranks: int = 4
-    plan_copy_price: float = 0.02
-    plan_begin_gain: float = 0.25
+    plan_sampled_ranks: int = 2
+    plan_copy_price: float = 0.03
+    plan_begin_gain: float = 0.3
     plan_memory: float = 0.5
 
 
