--- /dev/null
+++ b/dalehollow/gateway/admission.py
@@ -0,0 +1,207 @@
+"""Let requests of one service through to its upstreams, or have them wait or come back.
+
+An upstream takes as many requests at once as it has slots; what all gateways have in hand there
+is known from their words. Beyond that a request waits a short time at its gateway, where urgent
+ones and callers that come back go first, and is then refused with the time after which a place
+is expected: waiting longer than a quarter of the objective would be late anyway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from dalehollow.gateway.peers import GroupHealth
+from dalehollow.gateway.upstreams import Upstream, UpstreamSet
+
+PATIENCE_SHARE = 0.22
+"""A first try waits for this share of its objective: refused within a quarter, a caller that comes
+back can still be served in time."""
+RETURN_PATIENCE_S = 1.0
+"""A caller that was refused once waits so long: callers of streams leave after two seconds, and a
+first piece under full load takes up to one."""
+REOPEN_PATIENCE_S = 1.6
+"""While a group is broken it waits longer: as the group opens all of its slots are free, and a
+first piece takes a few tenths of a second."""
+RETURN_LEFT_SHARE = 0.96
+"""A request with less than this share of the longest time left seen on its route has come back."""
+PRIORITY_HEAD_START_S = 0.025
+"""A level of priority counts as much as having come so much earlier: urgent requests go first,
+yet under steady overload none starves."""
+RETURN_HEAD_START_S = 0.5
+RETRY_AFTER_MIN_S = 0.25
+RETRY_AFTER_MAX_S = 5.0
+LEFT_SHARE = 0.33
+"""Callers honour a time to come back up to a third of what they have left."""
+RETURN_RATE_SHARE = 0.5
+"""Of the places that become free, this share is promised to callers told to come back."""
+PROBE_INTERVAL_S = 0.25
+"""A broken group is offered one request so often from each gateway, to learn that it opened."""
+RATE_WEIGHT = 0.1
+
+
+@dataclass(frozen=True)
+class Turn:
+    """Hold what decides a request's turn; times are seconds on the monotonic clock."""
+
+    route: str
+    priority: int
+    objective_s: float
+    left_s: float
+    caller_left_s: float
+
+
+@dataclass(frozen=True)
+class NoPlace:
+    """Hold why no place was found and when to come back."""
+
+    reason: str
+    retry_after_s: float
+
+
+@dataclass
+class _Waiter:
+    order_s: float
+    tried: Collection[str]
+    granted: asyncio.Future[Upstream]
+
+
+@dataclass
+class Admission:
+    """Hold what waits for one service."""
+
+    service: str
+    upstreams: UpstreamSet
+    health: GroupHealth
+    rng: random.Random
+    clock: Callable[[], float]
+    count_gateways: Callable[[], int]
+    waiting: list[_Waiter] = field(default_factory=list)
+    _longest_left_s: dict[str, float] = field(default_factory=dict)
+    _probed_at_s: float = float("-inf")
+    _promised_until_s: float = 0.0
+    _done_interval_s: float = 0.1
+    _done_at_s: float = 0.0
+
+    async def take(self, turn: Turn, tried: Collection[str]) -> Upstream | NoPlace:
+        """Return an upstream, counted as in hand there, or when to come back."""
+        is_return = self._note_left(turn)
+        if not self.upstreams.of_service(self.service):
+            return NoPlace("no_upstream", self._retry_after_s(turn))
+        if self.health.is_broken(self.service) and not self._may_probe():
+            if not is_return:
+                return NoPlace("group_broken", self._longest_retry_after_s(turn))
+        elif not self.waiting or self.health.is_broken(self.service):
+            upstream = self._find(tried)
+            if upstream is not None:
+                return self._count(upstream)
+        patience_s = self._patience_s(turn, is_return)
+        if self._expected_wait_s() > patience_s:
+            return NoPlace("no_place_in_time", self._retry_after_s(turn))
+        return await self._wait(turn, tried, is_return, patience_s)
+
+    def give_back(self, upstream: Upstream) -> None:
+        """Count a request as over."""
+        upstream.in_hand -= 1
+        now_s = self.clock()
+        if self._done_at_s:
+            interval_s = min(1.0, now_s - self._done_at_s)
+            self._done_interval_s += RATE_WEIGHT * (interval_s - self._done_interval_s)
+        self._done_at_s = now_s
+        self.grant()
+
+    def suggest_return_s(self, turn: Turn) -> float:
+        """Return when a refused caller should come back."""
+        if self.health.is_broken(self.service):
+            return self._longest_retry_after_s(turn)
+        return self._retry_after_s(turn)
+
+    def grant(self) -> None:
+        """Give places that have become free to those whose turn it is."""
+        if self.health.is_broken(self.service):
+            return
+        while self.waiting:
+            waiter = min(self.waiting, key=lambda w: w.order_s)
+            upstream = self._find(waiter.tried)
+            if upstream is None:
+                return
+            self.waiting.remove(waiter)
+            if not waiter.granted.done():
+                waiter.granted.set_result(self._count(upstream))
+
+    async def _wait(
+        self, turn: Turn, tried: Collection[str], is_return: bool, patience_s: float
+    ) -> Upstream | NoPlace:
+        order_s = self.clock() + turn.priority * PRIORITY_HEAD_START_S
+        if is_return:
+            order_s -= RETURN_HEAD_START_S
+        waiter = _Waiter(order_s, tried, asyncio.get_running_loop().create_future())
+        self.waiting.append(waiter)
+        try:
+            async with asyncio.timeout(patience_s):
+                return await waiter.granted
+        except TimeoutError:
+            return NoPlace("no_place", self._retry_after_s(turn))
+        except asyncio.CancelledError:
+            if waiter.granted.done() and not waiter.granted.cancelled():
+                self.give_back(waiter.granted.result())
+            raise
+        finally:
+            if waiter in self.waiting:
+                self.waiting.remove(waiter)
+
+    def _patience_s(self, turn: Turn, is_return: bool) -> float:
+        patience_s = PATIENCE_SHARE * turn.objective_s
+        if is_return:
+            is_broken = self.health.is_broken(self.service)
+            patience_s = REOPEN_PATIENCE_S if is_broken else RETURN_PATIENCE_S
+        return min(patience_s, turn.left_s)
+
+    def _expected_wait_s(self) -> float:
+        """Return how long a request that comes now would wait behind the others here."""
+        if self.health.is_broken(self.service):
+            return 0.0 if len(self.waiting) < self._own_slots() else float("inf")
+        since_done_s = self.clock() - self._done_at_s if self._done_at_s else 0.0
+        return (len(self.waiting) + 1) * max(self._done_interval_s, since_done_s)
+
+    def _own_slots(self) -> float:
+        """Return this gateway's part of the service's slots."""
+        slots = sum(u.listed.slots for u in self.upstreams.of_service(self.service))
+        return slots / max(1, self.count_gateways())
+
+    def _find(self, tried: Collection[str]) -> Upstream | None:
+        return self.upstreams.choose(self.service, tried, self.clock())
+
+    def _count(self, upstream: Upstream) -> Upstream:
+        upstream.in_hand += 1
+        return upstream
+
+    def _note_left(self, turn: Turn) -> bool:
+        """Note the time a caller has left, and return whether it has been here before."""
+        longest_s = max(turn.caller_left_s, self._longest_left_s.get(turn.route, 0.0))
+        self._longest_left_s[turn.route] = longest_s
+        return turn.caller_left_s < RETURN_LEFT_SHARE * longest_s
+
+    def _may_probe(self) -> bool:
+        now_s = self.clock()
+        if now_s - self._probed_at_s < PROBE_INTERVAL_S:
+            return False
+        self._probed_at_s = now_s
+        return True
+
+    def _longest_retry_after_s(self, turn: Turn) -> float:
+        return min(RETRY_AFTER_MAX_S, LEFT_SHARE * turn.left_s)
+
+    def _retry_after_s(self, turn: Turn) -> float:
+        """Return when a place is expected: after those that were promised one before."""
+        now_s = self.clock()
+        longest_s = self._longest_retry_after_s(turn)
+        interval_s = self._done_interval_s / RETURN_RATE_SHARE
+        self._promised_until_s = max(self._promised_until_s, now_s) + interval_s
+        wait_s = RETRY_AFTER_MIN_S + self._promised_until_s - now_s
+        if wait_s <= longest_s:
+            return wait_s
+        self._promised_until_s = now_s + longest_s
+        return self.rng.uniform(min(RETRY_AFTER_MIN_S, longest_s), longest_s)
--- a/dalehollow/gateway/admit.py
+++ b/dalehollow/gateway/admit.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True)
 class Job:
-    """Hold one admitted request; `give_up_at_s` is on this process's monotonic clock."""
+    """Hold one admitted request; `give_up_at_s` is on this process's monotonic clock.
+
+    `caller_left_s` is what the caller said it would wait, before the route's bound.
+    """
 
     request: CallerRequest
     request_id: bytes
@@ -31,6 +34,7 @@
     priority: int
     began_at_s: float
     give_up_at_s: float
+    caller_left_s: float
     table_version: int
 
 
@@ -77,6 +81,7 @@
         priority=_combine_priority(holder, route),
         began_at_s=request.began_at_s,
         give_up_at_s=request.began_at_s + allowed_ms / _MS_PER_S,
+        caller_left_s=time_left_ms / _MS_PER_S,
         table_version=table.version,
     )
 
--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -8,7 +8,7 @@
 from dalehollow.aio import AnswerHead, ClientConnection, ConnectError, CutError, connect
 from dalehollow.gateway.admit import Job
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
-from dalehollow.gateway.upstreams import LoadReport, Upstream
+from dalehollow.gateway.upstreams import Upstream
 
 _MS_PER_S = 1000
 _MISDIRECTED_STATUS = 421
@@ -24,12 +24,15 @@
 
 @dataclass(frozen=True)
 class NotRun:
-    """Hold that an upstream surely did not run the request, and why."""
+    """Hold that an upstream surely did not run the request, and why.
+
+    `is_group_broken` says that the refusal is about another rank of its group.
+    """
 
     reason: str
     is_unreachable: bool = False
     is_other_upstream: bool = False
-    faulty_upstream: bytes | None = None
+    is_group_broken: bool = False
 
 
 @dataclass(frozen=True)
@@ -108,21 +111,18 @@
 
 def _read_not_run(head: AnswerHead, names: HeaderNames) -> NotRun | None:
     if head.status == _MISDIRECTED_STATUS:
-        faulty = head.get(names.faulty_upstream)
-        return NotRun("another_upstream", is_other_upstream=True, faulty_upstream=faulty)
+        return NotRun("another_upstream", is_other_upstream=True)
     if head.get(names.not_run) is None:
         return None
-    faulty = head.get(names.faulty_upstream)
-    return NotRun(f"refused_{head.status}", faulty_upstream=faulty)
+    is_broken = head.get(names.faulty_upstream) is not None
+    return NotRun(f"refused_{head.status}", is_group_broken=is_broken)
 
 
 def _note_load(upstream: Upstream, head: AnswerHead, names: HeaderNames, now_s: float) -> None:
     value = head.get(names.load)
     parts = value.split(b",") if value else []
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return
-    running, waiting, slots = map(int, parts)
-    upstream.load = LoadReport(running, waiting, slots, upstream.in_hand, now_s)
+    if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+        upstream.note_told(int(parts[0]) + int(parts[1]), now_s)
 
 
 def _named_in_connection(value: bytes | None) -> frozenset[bytes]:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -5,21 +5,24 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from dalehollow.aio import AnswerHead, CallerConnection, CallerRequest, CutError
+from dalehollow.gateway.admission import Admission, NoPlace, Turn
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
+from dalehollow.gateway.peers import GroupHealth
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.table import RequestKind, RoutingTable
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 from dalehollow.telemetry.logs import log_event
 
 _FIRST_FAILED_STATUS = 500
-REFUSED_RETRY_AFTER_S = 0.3
+_MS_PER_S = 1000
 
 _LOG = logging.getLogger(__name__)
 
@@ -33,6 +36,14 @@
     extra: float
 
 
+def _do_nothing() -> None:
+    pass
+
+
+def _count_one() -> int:
+    return 1
+
+
 @dataclass
 class GatewayState:
     """Hold what all requests of a gateway share."""
@@ -42,8 +53,12 @@
     upstreams: UpstreamSet
     retry_limits: RetryLimits
     connect_timeout_s: float
+    health: GroupHealth = field(default_factory=GroupHealth)
     table: RoutingTable | None = None
     retries: dict[str, RetryWindow] = field(default_factory=dict)
+    admissions: dict[str, Admission] = field(default_factory=dict)
+    on_change: Callable[[], None] = _do_nothing
+    count_gateways: Callable[[], int] = _count_one
 
     def take_table(self, table: RoutingTable) -> None:
         """Put a configuration in force unless a newer one is."""
@@ -61,6 +76,22 @@
             self.retries[service] = window
         return window
 
+    def admission(self, service: str) -> Admission:
+        """Return what lets requests through to a service."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            clock = asyncio.get_running_loop().time
+            admission = Admission(
+                service, self.upstreams, self.health, self.rng, clock, self.count_gateways
+            )
+            self.admissions[service] = admission
+        return admission
+
+    def grant_all(self) -> None:
+        """Give free places to those that wait, after a change that may have made some."""
+        for admission in self.admissions.values():
+            admission.grant()
+
 
 @dataclass
 class _Progress:
@@ -125,6 +156,7 @@
     status: int,
     reason: str,
     progress: _Progress,
+    retry_after_s: float | None = None,
 ) -> None:
     log_event(
         _LOG,
@@ -135,10 +167,11 @@
         route=job.route.name,
         tried=",".join(progress.tried),
         config_version=job.table_version,
+        retry_after_s=round(retry_after_s, 3) if retry_after_s is not None else None,
     )
     headers = [(state.names.request_id, job.request_id)]
-    if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        headers.append((state.names.retry_after_s, f"{REFUSED_RETRY_AFTER_S:.3f}".encode()))
+    if retry_after_s is not None:
+        headers.append((state.names.retry_after_s, f"{retry_after_s:.3f}".encode()))
     caller.send_whole(status, headers, b"")
 
 
@@ -156,24 +189,32 @@
 
     async def run(self) -> None:
         """Try upstreams until one answers or no other try is allowed."""
+        admission = self._state.admission(self._job.service)
         while True:
-            upstream = self._choose()
-            if upstream is None:
-                return self._give_up("no_upstream")
-            self._progress.tried.append(upstream.listed.incarnation)
-            upstream.in_hand += 1
+            place = await admission.take(self._make_turn(), self._progress.tried)
+            if isinstance(place, NoPlace):
+                return self._give_up(place.reason, place.retry_after_s)
+            self._progress.tried.append(place.listed.incarnation)
+            self._state.on_change()
             try:
-                is_done = await self._try_one(upstream)
+                is_done = await self._try_one(place)
             finally:
-                upstream.in_hand -= 1
+                admission.give_back(place)
+                self._state.on_change()
             if is_done:
                 return None
             if not self._may_repeat():
-                return self._give_up("no_try_left")
-
-    def _choose(self) -> Upstream | None:
-        upstreams = self._state.upstreams
-        return upstreams.choose(self._job.service, self._progress.tried, self._clock())
+                return self._give_up("no_try_left", None)
+
+    def _make_turn(self) -> Turn:
+        job = self._job
+        return Turn(
+            route=job.route.name,
+            priority=job.priority,
+            objective_s=job.route.objective_ms / _MS_PER_S,
+            left_s=job.give_up_at_s - self._clock(),
+            caller_left_s=job.caller_left_s,
+        )
 
     async def _try_one(self, upstream: Upstream) -> bool:
         """Try one upstream; return whether the request is over."""
@@ -207,13 +248,22 @@
     def _note_result(self, upstream: Upstream, result: AttemptResult) -> None:
         upstreams = self._state.upstreams
         if isinstance(result, Answered):
+            self._state.health.note_served(self._job.service, self._clock())
             return
+        if isinstance(result, NotRun) and result.is_group_broken:
+            self._note_broken()
         self._log_attempt(upstream, "attempt_failed", result.reason)
         if isinstance(result, MayHaveRun):
             upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
         elif result.is_unreachable:
             upstreams.note_failure(upstream, self._clock(), is_unreachable=True)
 
+    def _note_broken(self) -> None:
+        service, health = self._job.service, self._state.health
+        if not health.is_broken(service):
+            log_event(_LOG, "group_broken", service=service)
+        health.note_refused(service, self._clock())
+
     async def _relay(self, upstream: Upstream, answered: Answered) -> bool:
         """Relay an answer; return False where another try would serve better."""
         head, connection = answered.head, answered.connection
@@ -255,22 +305,34 @@
             return False
         if (progress.may_have_run or is_answered) and not job.route.is_repeatable:
             return False
-        if self._choose() is None:
+        if self._state.health.is_broken(job.service):
+            # Another rank of a broken group refuses too; the try would be for nothing.
             return False
         return self._state.retry_window(job.service).take_repeat(self._clock())
 
-    def _give_up(self, reason: str) -> None:
+    def _give_up(self, reason: str, retry_after_s: float | None) -> None:
         """Tell the caller at once that nothing more is done for its request."""
         if self._caller.has_begun:
             log_event(_LOG, "answer_cut", request=self._job.request_id.decode(), reason=reason)
             self._caller.cut()
             return
-        status = (
-            HTTPStatus.BAD_GATEWAY
-            if self._progress.may_have_run
-            else HTTPStatus.SERVICE_UNAVAILABLE
+        if self._progress.may_have_run:
+            _fail(
+                self._state, self._caller, self._job, HTTPStatus.BAD_GATEWAY, reason, self._progress
+            )
+            return
+        if retry_after_s is None:
+            admission = self._state.admission(self._job.service)
+            retry_after_s = admission.suggest_return_s(self._make_turn())
+        _fail(
+            self._state,
+            self._caller,
+            self._job,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            reason,
+            self._progress,
+            retry_after_s,
         )
-        _fail(self._state, self._caller, self._job, status, reason, self._progress)
 
     def _log_attempt(self, upstream: Upstream, event: str, reason: str) -> None:
         log_event(
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -29,8 +29,17 @@
 MIN_COUNTS = 400
 """Counts of one layer below which a window says nothing: a few requests' worth."""
 FALLBACK_STEP_S = 0.1
+TAKE_SPREAD_S = 0.1
+"""Gateways that see a duty become vacant try for it spread over this, so that most need not."""
 PREPARE_TRIES = 4
 
+KEPT_SCALE = 1_000
+"""A kept demand is scaled to whole thousandths of a layer's total: finer than any plan needs."""
+FIRST_LOOK_S = 0.4
+"""A planner that has just begun looks again after this: two readings make a window."""
+
+Demand = tuple[tuple[int, ...], ...]
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -61,6 +70,9 @@
     async def drop_duty(self, duty: str, why: str) -> None:
         """Give a duty up."""
 
+    async def keep_demand(self, duty: str, demand: Demand) -> None:
+        """Keep the demand that a plan was made for, for planners to come."""
+
 
 @dataclass
 class DemandWindow:
@@ -98,6 +110,14 @@
     ]
 
 
+def _scale_demand(demand: list[list[float]]) -> Demand:
+    totals = [sum(layer) or 1.0 for layer in demand]
+    return tuple(
+        tuple(round(value * KEPT_SCALE / total) for value in layer)
+        for layer, total in zip(demand, totals, strict=True)
+    )
+
+
 def plan_layers(
     current: GroupMap, demand: list[list[float]], figures: ExpertFigures, policy: PlanPolicy
 ) -> list[Improved]:
@@ -134,39 +154,71 @@
     _sample: list[int] = field(default_factory=list)
     _step_s: float = FALLBACK_STEP_S
     _last_step: tuple[float, int] | None = None
+    _kept: list[list[float]] = field(default_factory=list)
+    _is_stopping: bool = False
+    _wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         """Begin without demand."""
         self._window = DemandWindow(self.policy.memory)
 
+    def stop(self) -> None:
+        """Plan no more; a switch in hand is brought to its end, then the duty is given up."""
+        self._is_stopping = True
+        self._wake.set()
+
+    def note_kept_demand(self, demand: Demand) -> None:
+        """Take in what some planner last planned for; the own readings go first."""
+        self._kept = [list(map(float, layer)) for layer in demand]
+
     async def run(self) -> None:
         """Look at the group at intervals while the duty is held, and try to take it otherwise."""
-        while True:
-            await asyncio.sleep(self.policy.interval_s)
+        while not self._is_stopping:
+            await self._pause()
             fence = self.duties.fence(self.duty)
+            if self._is_stopping:
+                break
             if fence is None:
                 self._epoch = -1
                 await self._try_take()
             elif self.ranks():
                 await self._round(fence)
+        await self.duties.drop_duty(self.duty, "planned stop")
+
+    async def _pause(self) -> None:
+        has_window = bool(self._window.demand)
+        is_held = self.duties.fence(self.duty) is not None
+        pause_s = self.policy.interval_s if has_window or not is_held else FIRST_LOOK_S
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    def note_vacancy(self) -> None:
+        """Look at once: nobody holds the duty any more."""
+        self._wake.set()
 
     async def _try_take(self) -> None:
         if self.holder() is not None or not self.ranks():
             return
-        await asyncio.sleep(self.rng.uniform(0, self.policy.interval_s / 4))
-        if self.holder() is None:
-            await self.duties.take_duty(self.duty)
+        await asyncio.sleep(self.rng.uniform(0, TAKE_SPREAD_S))
+        if self.holder() is None and await self.duties.take_duty(self.duty):
+            self._wake.set()
 
     async def _round(self, fence: int) -> None:
         read = await self._read_counts()
         if not read:
             return
         epoch = max(counts.epoch for counts in read.values())
-        if epoch != self._epoch and not await self._begin_epoch(epoch, fence):
+        is_begun = epoch != self._epoch
+        if is_begun and not await self._begin_epoch(epoch, fence):
             return
         is_new = self._window.add(read)
-        if self._window.demand and (is_new or self.current is None) and self.current:
-            await self._improve(fence)
+        demand = self._window.demand or self._kept
+        if demand and (is_new or is_begun):
+            await self._improve(fence, demand)
 
     async def _read_counts(self) -> dict[int, RankCounts]:
         ranks = sorted(self.ranks())
@@ -220,10 +272,10 @@
         self._count += 1
         return fence * VERSIONS_PER_FENCE + self._count
 
-    async def _improve(self, fence: int) -> None:
+    async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
         improved = []
-        for layer, wanted in zip(self.current, self._window.demand, strict=True):
+        for layer, wanted in zip(self.current, demand, strict=True):
             improved += plan_layers((layer,), [wanted], self.figures, self.policy)
             # A layer takes some ms to plan: streams are relayed in between.
             await asyncio.sleep(0)
@@ -248,6 +300,7 @@
             self.current = planned
             self.changes += 1
             self.copies += copies
+            await self.duties.keep_demand(self.duty, _scale_demand(demand))
         elif outcome is SwitchOutcome.UNRESOLVED:
             await self.duties.drop_duty(self.duty, "a switch is unresolved")
 
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -13,6 +13,7 @@
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.exchange import GatewayState, RetryLimits, refuse, serve_request
 from dalehollow.gateway.groups import GroupRanks
+from dalehollow.gateway.peers import PeerWords
 from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
 from dalehollow.gateway.settings import GatewaySettings
 from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
@@ -25,7 +26,7 @@
 
 _MS_PER_S = 1000
 _BACKLOG = 512
-MIN_STOP_S = 2.5
+MIN_STOP_S = 3.0
 """A stopping gateway serves on for so long: the balancer asks each second, and twice. What still
 comes later is refused, since it may not end within the grace."""
 STOPPING_RETRY_AFTER_S = 0.05
@@ -61,7 +62,12 @@
         self._members: dict[str, str] = {}
         self._holders: dict[str, str] = {}
         self._planners: dict[str, GroupPlanner] = {}
-        self._session = Session(settings.store, settings.name, settings.http.encode())
+        self._session = Session(settings.store, settings.name, settings.peer.encode())
+        self._words = PeerWords(
+            settings.name, self.state.upstreams, self.state.health, self.state.grant_all
+        )
+        self.state.on_change = self._words.note_change
+        self.state.count_gateways = self._words.count_gateways
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is in hand."""
@@ -70,6 +76,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: log_event(_LOG, "reload"))
+        await self._open_peers()
         self._tasks += self._start_following()
         await self._listen(self._settings.ready, self._answer_ready, self._askers)
         server = await self._listen(self._settings.http, self._serve, self._callers)
@@ -91,11 +98,18 @@
             state.upstreams.remove,
             self._note_member,
             self._note_holder,
+            self._note_demand,
         )
         follower = Follower(self._settings.store, ALL_KEYS, listener)
         loop = asyncio.get_running_loop()
         return [loop.create_task(follower.run()), loop.create_task(self._session.run())]
 
+    async def _open_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = self._settings.peer.rpartition(":")
+        await loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
+        self._tasks.append(loop.create_task(self._words.run()))
+
     def _take_table(self, table: RoutingTable) -> None:
         self.state.take_table(table)
         if self.state.table is None:
@@ -133,11 +147,19 @@
             self._members.pop(name, None)
         else:
             self._members[name] = address
+        self._words.note_member(name, address)
         log_event(_LOG, "members", count=len(self._members), name=name, address=address)
 
+    def _note_demand(self, service: str, demand: tuple[tuple[int, ...], ...]) -> None:
+        planner = self._planners.get(service)
+        if planner is not None:
+            planner.note_kept_demand(demand)
+
     def _note_holder(self, duty: str, holder: str | None) -> None:
         if holder is None:
             self._holders.pop(duty, None)
+            if duty in self._planners:
+                self._planners[duty].note_vacancy()
         else:
             self._holders[duty] = holder
 
@@ -180,6 +202,8 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         self._is_stopping = True
+        for planner in self._planners.values():
+            planner.stop()
         last_s = began_s + self._settings.stop_grace_ms / _MS_PER_S - STOP_MARGIN_S
         log_event(_LOG, "stopping", in_hand=self._count_busy())
         self._close_idle()
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -15,7 +15,7 @@
 from dalehollow.telemetry.logs import LEVELS
 
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
-_ADDRESS_FIELDS = ("http", "ready", "metrics", "store")
+_ADDRESS_FIELDS = ("http", "ready", "metrics", "store", "peer")
 
 
 @dataclass(frozen=True)
@@ -27,6 +27,8 @@
     http: str
     ready: str
     store: str
+    # Where other gateways send their words, by datagram.
+    peer: str
     metrics: str = "127.0.0.1:0"
     log_level: str = "info"
     log_lines_per_s: int = 40
@@ -38,7 +40,7 @@
     retry_extra: float = 90.0
     # Gateways that share the extra repeats where their real number is not known.
     gateways_expected: int = 12
-    connect_timeout_ms: int = 400
+    connect_timeout_ms: int = 150
     # The planner of expert maps: how often it looks, at how many ranks, what a copied weight and a
     # whole change must take off the longest rank, and how much of the last demand it remembers.
     plan_interval_ms: int = 1_000
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -20,42 +20,42 @@
 """An upstream is ejected when half of its last few answers failed; plain services fail up to a
 seventh of their requests in ordinary operation, which stays far below."""
 MAX_EJECTED_SHARE = 0.34
-LOAD_REPORT_LIFE_S = 1.0
-"""A load told with an answer says little about others' requests after this."""
-
+TOLD_LIFE_S = 2.0
+"""A load told with an answer counts so long: about the time that a stream runs."""
 _LOG = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class LoadReport:
-    """Hold the load an upstream told with an answer, and what this gateway had there then."""
-
-    running: int
-    waiting: int
-    slots: int
-    own_in_hand: int
-    at_s: float
-
-
 @dataclass
 class Upstream:
     """Hold the state of one upstream as this gateway sees it."""
 
     listed: ListedUpstream
     in_hand: int = 0
-    load: LoadReport | None = None
+    others_in_hand: int = 0
+    unknown: int = 0
+    unknown_at_s: float = float("-inf")
     ejected_until_s: float = 0.0
     _ejections: int = 0
     _failure_share: float = 0.0
     _samples: int = 0
 
-    def expected_load(self, now_s: float) -> float:
-        """Return the requests expected there, own and others', for each slot."""
-        others = 0.0
-        if self.load is not None and now_s - self.load.at_s < LOAD_REPORT_LIFE_S:
-            told = self.load.running + self.load.waiting
-            others = max(0.0, told - self.load.own_in_hand)
-        return (self.in_hand + others) / max(1, self.listed.slots)
+    def load(self, now_s: float) -> float:
+        """Return the requests that are known or told to be there, for each slot."""
+        unknown = self.unknown if now_s - self.unknown_at_s < TOLD_LIFE_S else 0
+        return (self.known_in_hand() + unknown) / max(1, self.listed.slots)
+
+    def known_in_hand(self) -> int:
+        """Return the requests that this and the other gateways have there."""
+        return self.in_hand + max(0, self.others_in_hand)
+
+    def note_told(self, told: int, now_s: float) -> None:
+        """Take the load that an answer told; what no gateway knows of is left by a lost one."""
+        self.note_unknown(max(0, told - self.known_in_hand()), now_s)
+
+    def note_unknown(self, unknown: int, at_s: float) -> None:
+        """Take how many requests nobody knows of, if that is newer than what is known."""
+        if at_s > self.unknown_at_s:
+            self.unknown, self.unknown_at_s = unknown, at_s
 
     def note_answer(self, *, failed: bool) -> None:
         """Count an answer, or a request that got none."""
@@ -98,6 +98,18 @@
             log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
         elif listed.is_leaving and not known.listed.is_leaving:
             log_event(_LOG, "upstream_leaving", incarnation=listed.incarnation)
+        if (known.listed.group_epoch, known.listed.group_is_open) != (
+            listed.group_epoch,
+            listed.group_is_open,
+        ):
+            log_event(
+                _LOG,
+                "group_state",
+                incarnation=listed.incarnation,
+                rank=listed.group_rank,
+                epoch=listed.group_epoch,
+                is_open=listed.group_is_open,
+            )
         if known.listed.service != listed.service:
             self._by_service.get(known.listed.service, {}).pop(listed.incarnation, None)
         known.listed = listed
@@ -114,14 +126,26 @@
         """Return a service's upstreams that may get new requests."""
         return [u for u in self._by_service.get(service, {}).values() if not u.listed.is_leaving]
 
+    def note_unknown(self, incarnation: str, unknown: int, at_s: float) -> None:
+        """Take what another gateway found that nobody has in hand at an upstream."""
+        known = self._known.get(incarnation)
+        if known is not None:
+            known.note_unknown(unknown, at_s)
+
+    def add_others(self, incarnation: str, change: int) -> None:
+        """Change how many requests other gateways have at an upstream."""
+        known = self._known.get(incarnation)
+        if known is not None:
+            known.others_in_hand += change
+
     def choose(self, service: str, tried: Collection[str], now_s: float) -> Upstream | None:
-        """Choose the upstream that is expected to be least busy, or None where none is left."""
+        """Choose the least busy upstream with a free slot, or None where none has one."""
         staying = [u for u in self.of_service(service) if u.listed.incarnation not in tried]
-        if not staying:
-            return None
         sound = [u for u in staying if u.ejected_until_s <= now_s]
-        candidates = sound or staying
-        return min(candidates, key=lambda u: (u.expected_load(now_s), self.rng.random()))
+        free = [u for u in sound or staying if u.load(now_s) < 1.0]
+        if not free:
+            return None
+        return min(free, key=lambda u: (u.load(now_s), self.rng.random()))
 
     def note_failure(self, upstream: Upstream, now_s: float, *, is_unreachable: bool) -> None:
         """Count a failure, and eject the upstream where that is due and leaves most in."""
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -33,3 +33,4 @@
 )
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
+DEMAND_PREFIX = "dalehollow/demand/"
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -13,16 +13,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from dalehollow.errors import PlatformError
-from dalehollow.platform.names import DUTY_PREFIX, MEMBER_PREFIX
+from dalehollow.platform.names import DEMAND_PREFIX, DUTY_PREFIX, MEMBER_PREFIX
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store
 from dalehollow.telemetry.logs import log_event
 
-LEASE_S = 2.0
+LEASE_S = 1.0
 """Another process takes a duty over within this of its holder's end."""
-RENEW_S = 0.6
+RENEW_S = 0.3
 """Two renewals may fail before the lease is over."""
-MARGIN_S = 0.3
+MARGIN_S = 0.2
 """A holder stops so long before its lease ends: a renewal's longest way plus drift."""
 CALL_TIMEOUT_S = 0.5
 
@@ -104,6 +106,16 @@
         finally:
             store.close()
 
+    async def keep_demand(self, duty: str, demand: tuple[tuple[int, ...], ...]) -> None:
+        """Keep the demand that a plan was made for, for planners to come."""
+        store = Store(self.address)
+        try:
+            await store.put(DEMAND_PREFIX + duty, msgspec.json.encode(demand), CALL_TIMEOUT_S)
+        except PlatformError as exc:
+            log_event(_LOG, "demand_not_kept", duty=duty, error=exc)
+        finally:
+            store.close()
+
     async def end(self) -> None:
         """End the lease at a planned stop, so that others notice at once."""
         lease, self._lease = self._lease, 0
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -125,6 +125,12 @@
         answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
         return msgspec.json.decode(answer, type=_Written).revision
 
+    async def put(self, key: str, value: bytes, timeout_s: float) -> None:
+        """Write a key whatever it holds; for values of which any recent one will do."""
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+        body = {"expectedRevision": [], "setKeys": [item]}
+        await self._call("/kv-txn", timeout_s, method="POST", body=body)
+
     async def delete(self, key: str, revision: int, timeout_s: float) -> None:
         """Delete a key if it is still of this revision, or raise ConflictError."""
         body = {"expectedRevision": [{"key": key, "revision": revision}], "delete": [key]}
