Look at ranks when passes grow longer, and plan at once after a break

Cause: a turn of demand was noticed 1 to 2.2 s later, by reading on a clock; a group that opened anew ran with its first map for over a second; returned callers were held while it was broken. Change: the pauses of streams, batch for batch, tell when passes grow longer; two readings 0.3 s apart then make a window; the list's word on a group ends and begins its break; a broken group refuses at once with the longest time that callers honour.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -22,9 +22,6 @@
 RETURN_PATIENCE_S = 1.0
 """A caller that was refused once waits so long: callers of streams leave after two seconds, and a
 first piece under full load takes up to one."""
-REOPEN_PATIENCE_S = 1.6
-"""While a group is broken it waits longer: as the group opens all of its slots are free, and a
-first piece takes a few tenths of a second."""
 RETURN_LEFT_SHARE = 0.96
 """A request with less than this share of the longest time left seen on its route has come back."""
 PRIORITY_HEAD_START_S = 0.025
@@ -77,7 +74,6 @@
     health: GroupHealth
     rng: random.Random
     clock: Callable[[], float]
-    count_gateways: Callable[[], int]
     waiting: list[_Waiter] = field(default_factory=list)
     _longest_left_s: dict[str, float] = field(default_factory=dict)
     _probed_at_s: float = float("-inf")
@@ -90,10 +86,11 @@
         is_return = self._note_left(turn)
         if not self.upstreams.of_service(self.service):
             return NoPlace("no_upstream", self._retry_after_s(turn))
-        if self.health.is_broken(self.service) and not self._may_probe():
-            if not is_return:
-                return NoPlace("group_broken", self._longest_retry_after_s(turn))
-        elif not self.waiting or self.health.is_broken(self.service):
+        is_broken = self.health.is_broken(self.service)
+        if is_broken and not self._may_probe():
+            # When it opens cannot be told before it does: a wait would mostly be for nothing.
+            return NoPlace("group_broken", self._longest_retry_after_s(turn))
+        if not self.waiting or is_broken:
             upstream = self._find(tried)
             if upstream is not None:
                 return self._count(upstream)
@@ -155,22 +152,14 @@
     def _patience_s(self, turn: Turn, is_return: bool) -> float:
         patience_s = PATIENCE_SHARE * turn.objective_s
         if is_return:
-            is_broken = self.health.is_broken(self.service)
-            patience_s = REOPEN_PATIENCE_S if is_broken else RETURN_PATIENCE_S
+            patience_s = RETURN_PATIENCE_S
         return min(patience_s, turn.left_s)
 
     def _expected_wait_s(self) -> float:
         """Return how long a request that comes now would wait behind the others here."""
-        if self.health.is_broken(self.service):
-            return 0.0 if len(self.waiting) < self._own_slots() else float("inf")
         since_done_s = self.clock() - self._done_at_s if self._done_at_s else 0.0
         return (len(self.waiting) + 1) * max(self._done_interval_s, since_done_s)
 
-    def _own_slots(self) -> float:
-        """Return this gateway's part of the service's slots."""
-        slots = sum(u.listed.slots for u in self.upstreams.of_service(self.service))
-        return slots / max(1, self.count_gateways())
-
     def _find(self, tried: Collection[str]) -> Upstream | None:
         return self.upstreams.choose(self.service, tried, self.clock())
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -17,6 +17,7 @@
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
 from dalehollow.gateway.peers import GroupHealth
 from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import RequestKind, RoutingTable
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 from dalehollow.telemetry.logs import log_event
@@ -40,10 +41,6 @@
     pass
 
 
-def _count_one() -> int:
-    return 1
-
-
 @dataclass
 class GatewayState:
     """Hold what all requests of a gateway share."""
@@ -57,8 +54,8 @@
     table: RoutingTable | None = None
     retries: dict[str, RetryWindow] = field(default_factory=dict)
     admissions: dict[str, Admission] = field(default_factory=dict)
+    rhythms: dict[str, Rhythm] = field(default_factory=dict)
     on_change: Callable[[], None] = _do_nothing
-    count_gateways: Callable[[], int] = _count_one
 
     def take_table(self, table: RoutingTable) -> None:
         """Put a configuration in force unless a newer one is."""
@@ -81,12 +78,27 @@
         admission = self.admissions.get(service)
         if admission is None:
             clock = asyncio.get_running_loop().time
-            admission = Admission(
-                service, self.upstreams, self.health, self.rng, clock, self.count_gateways
-            )
+            admission = Admission(service, self.upstreams, self.health, self.rng, clock)
             self.admissions[service] = admission
         return admission
 
+    def rhythm(self, service: str) -> Rhythm:
+        """Return what follows the passes of a service's group."""
+        rhythm = self.rhythms.get(service)
+        if rhythm is None:
+            rhythm = Rhythm(
+                asyncio.get_running_loop().time,
+                lambda: self.upstreams.mean_batch(service),
+                lambda batch: self._pass_ms(service, batch),
+            )
+            self.rhythms[service] = rhythm
+        return rhythm
+
+    def _pass_ms(self, service: str, batch: float) -> float:
+        known = self.table.services.get(service) if self.table is not None else None
+        engine = known.engine if known is not None else None
+        return engine.pass_ms(batch) if engine is not None else 1.0
+
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change that may have made some."""
         for admission in self.admissions.values():
@@ -293,8 +305,16 @@
             self._caller.begin_stream(
                 head.status, _end_to_end(head), length=int(length) if length else None
             )
+        rhythm = self._state.rhythm(self._job.service)
+        last_s = None
         while (piece := await connection.read_piece()) is not None:
-            await self._caller.send_piece(splitter.feed(piece))
+            events = splitter.feed(piece)
+            if events:
+                now_s = self._clock()
+                if last_s is not None:
+                    rhythm.note_pause(now_s - last_s)
+                last_s = now_s
+            await self._caller.send_piece(events)
         await self._caller.send_piece(splitter.take_rest())
         self._caller.end_stream()
 
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.place import Bounds, Improved, deal_in_turn, improve_layer
 from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankPort
@@ -19,12 +20,13 @@
 VERSIONS_PER_FENCE = 1_000_000
 """A version holds the planner's fence above its own count, so that two planners never give the
 same version to different maps, and ranks refuse the older planner's."""
-REPORT_LAG_S = 0.2
-"""Reports read from another VM show what was so long ago."""
-SWITCH_MARGIN_S = 0.15
-SWITCH_MARGIN_STEPS = 3
-"""The switch is set so far ahead of the step last heard of, beyond the reports' lag: the round
-trips of hold, arms and release, and some passes that are shorter than expected."""
+SWITCH_MARGIN_S = 0.06
+SWITCH_MARGIN_STEPS = 2
+"""The switch is set so far ahead of the step that is expected to run: the round trips of hold,
+arms and release, and passes that are shorter than expected."""
+LOST_ORDER_MARGIN_S = 0.3
+"""So much further ahead while orders go unanswered: two repeats of an order."""
+SWITCH_TRIES = 3
 COPY_MARGIN = 1.2
 MIN_COUNTS = 400
 """Counts of one layer below which a window says nothing: a few requests' worth."""
@@ -35,8 +37,10 @@
 
 KEPT_SCALE = 1_000
 """A kept demand is scaled to whole thousandths of a layer's total: finer than any plan needs."""
-FIRST_LOOK_S = 0.4
-"""A planner that has just begun looks again after this: two readings make a window."""
+WINDOW_S = 0.3
+"""Two readings so far apart make a window: some passes, with several requests at each rank."""
+LONGEST_WINDOW_S = 0.6
+"""A window that is longer has seen the time before the passes grew longer."""
 
 Demand = tuple[tuple[int, ...], ...]
 
@@ -82,8 +86,15 @@
     demand: list[list[float]] = field(default_factory=list)
     _last: dict[int, RankCounts] = field(default_factory=dict)
 
-    def add(self, read: Mapping[int, RankCounts]) -> bool:
-        """Add what was chosen since the last reading; return whether it says something."""
+    def begin(self, read: Mapping[int, RankCounts]) -> None:
+        """Begin a window and forget what was counted before."""
+        self._last.update(read)
+
+    def add(self, read: Mapping[int, RankCounts], *, forget: bool) -> bool:
+        """Add what was chosen since the last reading; return whether it says something.
+
+        With `forget`, demand that was seen before counts no more.
+        """
         window: list[list[float]] = []
         for rank, counts in read.items():
             last = self._last.get(rank)
@@ -97,7 +108,8 @@
             window = _add_layers(window, change, 1.0) if window else change
         if not window or sum(window[0]) < MIN_COUNTS:
             return False
-        self.demand = _add_layers(window, self.demand, self.memory) if self.demand else window
+        is_first = forget or not self.demand
+        self.demand = window if is_first else _add_layers(window, self.demand, self.memory)
         return True
 
 
@@ -145,6 +157,7 @@
     figures: ExpertFigures
     policy: PlanPolicy
     rng: random.Random
+    rhythm: Rhythm
     current: GroupMap | None = None
     changes: int = 0
     copies: int = 0
@@ -157,10 +170,15 @@
     _kept: list[list[float]] = field(default_factory=list)
     _is_stopping: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
+    _next_pause_s: float = 0.0
+    _is_slower: bool = False
+    _read_at_s: float = float("-inf")
+    _lost_orders: bool = False
 
     def __post_init__(self) -> None:
         """Begin without demand."""
         self._window = DemandWindow(self.policy.memory)
+        self.rhythm.on_slower = self._note_slower
 
     def stop(self) -> None:
         """Plan no more; a switch in hand is brought to its end, then the duty is given up."""
@@ -186,15 +204,24 @@
         await self.duties.drop_duty(self.duty, "planned stop")
 
     async def _pause(self) -> None:
-        has_window = bool(self._window.demand)
-        is_held = self.duties.fence(self.duty) is not None
-        pause_s = self.policy.interval_s if has_window or not is_held else FIRST_LOOK_S
         try:
-            async with asyncio.timeout(pause_s):
+            async with asyncio.timeout(self._next_pause_s):
                 await self._wake.wait()
         except TimeoutError:
             pass
         self._wake.clear()
+        self._next_pause_s = self.policy.interval_s
+
+    def note_epoch(self, epoch: int) -> None:
+        """Look at once: the group has opened anew, with its first map."""
+        if epoch != self._epoch:
+            self._wake.set()
+
+    def _note_slower(self) -> None:
+        """Look soon: passes last longer than they did with this map."""
+        if not self._is_slower:
+            self._is_slower = True
+            self._wake.set()
 
     def note_vacancy(self) -> None:
         """Look at once: nobody holds the duty any more."""
@@ -214,11 +241,33 @@
         epoch = max(counts.epoch for counts in read.values())
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
+            self._next_pause_s = WINDOW_S
             return
-        is_new = self._window.add(read)
-        demand = self._window.demand or self._kept
-        if demand and (is_new or is_begun):
-            await self._improve(fence, demand)
+        window_s = self._window_s()
+        known = self._window.demand or self._kept
+        if is_begun and known:
+            # The group begins with its first map: what was in demand before it broke still is.
+            self._window.begin(read)
+            await self._improve(fence, known)
+            self._next_pause_s = WINDOW_S
+            return
+        if self._is_slower and window_s > LONGEST_WINDOW_S:
+            # What was counted since is mostly from before the change: begin a window now.
+            self._window.begin(read)
+            self._next_pause_s = WINDOW_S
+            return
+        is_new = self._window.add(read, forget=self._is_slower)
+        self._is_slower = False
+        if is_new:
+            await self._improve(fence, self._window.demand)
+        if not self._window.demand:
+            self._next_pause_s = WINDOW_S
+
+    def _window_s(self) -> float:
+        """Return how long the window is that a reading now closes."""
+        now_s = asyncio.get_running_loop().time()
+        window_s, self._read_at_s = now_s - self._read_at_s, now_s
+        return window_s
 
     async def _read_counts(self) -> dict[int, RankCounts]:
         ranks = sorted(self.ranks())
@@ -298,6 +347,8 @@
         log_event(_LOG, "map_switch", duty=self.duty, outcome=outcome, epoch=self._epoch)
         if outcome is SwitchOutcome.SWITCHED:
             self.current = planned
+            self.rhythm.settle()
+            self._is_slower = False
             self.changes += 1
             self.copies += copies
             await self.duties.keep_demand(self.duty, _scale_demand(demand))
@@ -308,18 +359,32 @@
         assert self.current is not None
         ranks = sorted(self.ranks())
         version = self._next_version(fence)
+        self._lost_orders = False
         replies = await asyncio.gather(*(self._prepare(r, version, planned) for r in ranks))
         if any(reply is not OrderReply.TAKEN for reply in replies):
             return SwitchOutcome.ABANDONED
         await asyncio.sleep(self._copy_time_s(planned))
-        report = await self.port.read_report(ranks[0])
-        if report is None or report.epoch != self._epoch:
-            return SwitchOutcome.ABANDONED
-        if self.duties.fence(self.duty) != fence:
-            return SwitchOutcome.ABANDONED
-        ahead = math.ceil((REPORT_LAG_S + SWITCH_MARGIN_S) / self._step_s) + SWITCH_MARGIN_STEPS
-        proposal = Proposal(version, report.step + ahead, self._epoch, self.current)
-        return await switch_map(self.port, ranks, proposal)
+        outcome = SwitchOutcome.ABANDONED
+        for _ in range(SWITCH_TRIES):
+            if self.duties.fence(self.duty) != fence:
+                return SwitchOutcome.ABANDONED
+            proposal = Proposal(version, self._choose_step(), self._epoch, self.current)
+            outcome = await switch_map(self.port, ranks, proposal)
+            if outcome is not SwitchOutcome.TOO_LATE:
+                return outcome
+            counts = await self.port.read_counts(ranks[0])
+            if counts is not None:
+                self._note_step(counts.step)
+        return outcome
+
+    def _choose_step(self) -> int:
+        """Return a step that is about to come, far enough ahead for the orders."""
+        assert self._last_step is not None
+        read_at_s, step = self._last_step
+        step_s = self.rhythm.pass_s() or self._step_s
+        margin_s = SWITCH_MARGIN_S + (LOST_ORDER_MARGIN_S if self._lost_orders else 0.0)
+        since_s = asyncio.get_running_loop().time() - read_at_s
+        return step + math.ceil((since_s + margin_s) / step_s) + SWITCH_MARGIN_STEPS
 
     async def _prepare(self, rank: int, version: int, planned: GroupMap) -> OrderReply:
         reply = OrderReply.UNANSWERED
@@ -327,6 +392,7 @@
             reply = await self.port.prepare(rank, version, planned, self._epoch)
             if reply is not OrderReply.UNANSWERED:
                 break
+            self._lost_orders = True
         return reply
 
     def _copy_time_s(self, planned: GroupMap) -> float:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -13,6 +13,7 @@
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.exchange import GatewayState, RetryLimits, refuse, serve_request
 from dalehollow.gateway.groups import GroupRanks
+from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.peers import PeerWords
 from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
 from dalehollow.gateway.settings import GatewaySettings
@@ -67,7 +68,6 @@
             settings.name, self.state.upstreams, self.state.health, self.state.grant_all
         )
         self.state.on_change = self._words.note_change
-        self.state.count_gateways = self._words.count_gateways
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is in hand."""
@@ -94,7 +94,7 @@
         state = self.state
         listener = Listener(
             self._take_table,
-            state.upstreams.put,
+            self._take_upstream,
             state.upstreams.remove,
             self._note_member,
             self._note_holder,
@@ -122,6 +122,21 @@
             task = asyncio.get_running_loop().create_task(self._planners[service.name].run())
             self._tasks.append(task)
 
+    def _take_upstream(self, listed: ListedUpstream) -> None:
+        before = self.state.upstreams.find(listed.incarnation)
+        self.state.upstreams.put(listed)
+        if not listed.group or before is None or before == listed:
+            return
+        now_s = asyncio.get_running_loop().time()
+        is_new_epoch = listed.group_epoch > before.group_epoch
+        if listed.group_is_open and is_new_epoch:
+            self.state.health.note_served(listed.service, now_s)
+            self.state.grant_all()
+            if listed.service in self._planners:
+                self._planners[listed.service].note_epoch(listed.group_epoch)
+        elif not listed.group_is_open and before.group_is_open:
+            self.state.health.note_refused(listed.service, now_s)
+
     def _make_planner(self, service: str, figures: ExpertFigures) -> GroupPlanner:
         ranks = GroupRanks(self.state.upstreams, service)
         settings = self._settings
@@ -140,6 +155,7 @@
                 memory=settings.plan_memory,
             ),
             rng=self.state.rng,
+            rhythm=self.state.rhythm(service),
         )
 
     def _note_member(self, name: str, address: str | None) -> None:
--- a/dalehollow/gateway/table.py
+++ b/dalehollow/gateway/table.py
@@ -80,6 +80,12 @@
     form_ms: float
     experts: ExpertFigures | None = None
 
+    def pass_ms(self, batch: float) -> float:
+        """Return how long a pass lasts with so many requests a rank, evenly loaded."""
+        context_k = (self.usual_prompt_tokens + self.usual_answer_tokens / 2) / 1000
+        per_request_ms = self.per_request_ms + self.per_1k_context_ms * context_k
+        return self.steps_per_pass * (self.step_ms + per_request_ms * batch)
+
 
 @dataclass(frozen=True)
 class Service:
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -115,6 +115,11 @@
         known.listed = listed
         self._by_service.setdefault(listed.service, {})[listed.incarnation] = known
 
+    def find(self, incarnation: str) -> ListedUpstream | None:
+        """Return what the list last said of an upstream."""
+        known = self._known.get(incarnation)
+        return known.listed if known is not None else None
+
     def remove(self, incarnation: str) -> None:
         """Forget an upstream that is gone."""
         known = self._known.pop(incarnation, None)
@@ -138,6 +143,11 @@
         if known is not None:
             known.others_in_hand += change
 
+    def mean_batch(self, service: str) -> float:
+        """Return the requests that a service's upstreams have in hand on average."""
+        upstreams = self.of_service(service)
+        return sum(u.known_in_hand() for u in upstreams) / max(1, len(upstreams))
+
     def choose(self, service: str, tried: Collection[str], now_s: float) -> Upstream | None:
         """Choose the least busy upstream with a free slot, or None where none has one."""
         staying = [u for u in self.of_service(service) if u.listed.incarnation not in tried]
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -49,7 +49,8 @@
         is_final = reply is OrderReply.REFUSED and not past_refusals
         if reply is OrderReply.TAKEN or is_final:
             return reply
-        await asyncio.sleep(RETRY_PAUSE_S)
+        if reply is OrderReply.REFUSED:
+            await asyncio.sleep(RETRY_PAUSE_S)
     return reply
 
 
--- a/dalehollow/platform/ranks.py
+++ b/dalehollow/platform/ranks.py
@@ -11,8 +11,8 @@
 from dalehollow.aio import ConnectError, CutError, connect
 from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankReport
 
-CONNECT_TIMEOUT_S = 0.3
-ORDER_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.12
+ORDER_TIMEOUT_S = 0.12
 """An order is answered in a round trip; one without an answer by then will not get one."""
 READ_TIMEOUT_S = 0.5
 _TAKEN_STATUSES = frozenset({200, 202})
