Prove the switch over lost and late orders, and find that words between gateways never went out

Found by the new tests (red first): the datagram socket's class failed an assertion, so gateways told each other nothing; an arm that was repeated could be carried out after its disarm; an answer to another request ended the one that followed it on its connection. Change: no such assertion; a rank is disarmed until it has prepared a newer version; answers are parsed one after the other. Stand-ins for the store and the servers speak the published protocol.

--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -56,10 +56,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._ends_with_connection = False
         self._is_interim = False
-        self._is_ended = False
         self._error: Exception | None = None
         self._is_paused = False
-        self.has_surplus = False
 
     # The connection, as asyncio reports it.
 
@@ -70,10 +68,7 @@
         tune_socket(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what came; bytes beyond the answer make the connection unusable."""
-        if self._is_ended:
-            self.has_surplus = True
-            return
+        """Parse what came."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -82,7 +77,7 @@
 
     def eof_received(self) -> bool:
         """End an answer that has no length; cut any other."""
-        if self._ends_with_connection and not self._is_ended:
+        if self._ends_with_connection:
             self._finish()
         else:
             self._fail(CutError("the server closed the connection"))
@@ -94,11 +89,6 @@
 
     # The answer, as the parser reports it.
 
-    def on_message_begin(self) -> None:
-        """Note an answer after the end of another."""
-        if self._is_ended:
-            self.has_surplus = True
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers.append((name.lower(), value))
@@ -108,7 +98,7 @@
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         self._is_interim = status < _FIRST_FINAL_STATUS
-        if self._is_ended or self._is_interim:
+        if self._is_interim:
             return
         framing = {name for name, _ in headers}
         is_framed = bool(framing & {b"content-length", b"transfer-encoding"})
@@ -117,8 +107,6 @@
 
     def on_body(self, body: bytes) -> None:
         """Hand a piece of the body over."""
-        if self._is_ended:
-            return
         self._buffered_bytes += len(body)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport and not self._is_paused:
             self._is_paused = True
@@ -136,7 +124,6 @@
         """Send a whole request."""
         if self._transport is None or self._transport.is_closing():
             raise CutError("the connection is closed")
-        self._is_ended = False
         self._transport.write(b"".join(parts))
 
     async def read_head(self) -> AnswerHead:
@@ -188,7 +175,7 @@
         self._wake()
 
     def _finish(self) -> None:
-        self._is_ended = True
+        self._ends_with_connection = False
         self._put(None)
 
     def _fail(self, error: Exception) -> None:
--- a/dalehollow/gateway/peers.py
+++ b/dalehollow/gateway/peers.py
@@ -11,6 +11,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import cast
 
 import msgspec
 
@@ -88,8 +89,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # The event loop's own class does not derive from the abstract one: nothing to check.
+        self._transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a peer's word in."""
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-import signal
 import time
 from http import HTTPStatus
 
@@ -55,8 +54,11 @@
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
         )
+        # The addresses in use, once `listening` is set; a port 0 of the settings picks a free one.
+        self.http = self.ready = ""
+        self.listening = asyncio.Event()
         self._is_stopping = False
-        self._refuses_new = False
+        self.refuses_new = False
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
@@ -69,20 +71,18 @@
         )
         self.state.on_change = self._words.note_change
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then finish what is in hand."""
-        loop = asyncio.get_running_loop()
-        stopping = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_event(_LOG, "reload"))
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serve until told to stop, then finish what is in hand."""
         await self._open_peers()
         self._tasks += self._start_following()
-        await self._listen(self._settings.ready, self._answer_ready, self._askers)
+        ready = await self._listen(self._settings.ready, self._answer_ready, self._askers)
         server = await self._listen(self._settings.http, self._serve, self._callers)
+        self.http, self.ready = _read_address(server), _read_address(ready)
+        self.listening.set()
         log_event(_LOG, "started", name=self._settings.name, hall=self._settings.hall)
         await stopping.wait()
         await self._stop(server)
+        ready.close()
         for task in self._tasks:
             task.cancel()
 
@@ -203,7 +203,7 @@
     async def _serve(self, caller: CallerConnection, request: CallerRequest) -> None:
         if self._is_stopping:
             caller.keeps_alive = False
-        if self._refuses_new:
+        if self.refuses_new:
             refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_S)
             refuse(self.state, caller, request, refusal)
             return
@@ -224,7 +224,7 @@
         log_event(_LOG, "stopping", in_hand=self._count_busy())
         self._close_idle()
         await asyncio.sleep(MIN_STOP_S)
-        self._refuses_new = True
+        self.refuses_new = True
         while self._count_busy() and loop.time() < last_s:
             await asyncio.sleep(0.02)
         server.close()
@@ -240,3 +240,8 @@
 
     def _count_busy(self) -> int:
         return sum(1 for caller in self._callers if caller.is_busy)
+
+
+def _read_address(server: asyncio.Server) -> str:
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -3,8 +3,9 @@
 The group is held before the step while ranks are armed, so no pass can begin with some of them
 armed and some not. The hold is placed several passes ahead and ends as soon as all have
 answered, so that in the ordinary course nothing waits. An order that got no answer may be
-carried out much later; such an arm is harmless once its step has begun or once a newer version
-is prepared there, and that is made sure of before a hold ends without a switch.
+carried out much later, also one that was repeated and taken; such an arm is harmless once its
+step has begun or once a newer version is prepared there, and that is made sure of at every rank
+before a hold ends without a switch.
 """
 
 from __future__ import annotations
@@ -63,7 +64,7 @@
     replies = await asyncio.gather(*(_arm(port, rank, proposal) for rank in ranks))
     outcome = SwitchOutcome.SWITCHED
     if any(reply is not OrderReply.TAKEN for reply in replies):
-        if not await _take_back(port, ranks, replies, proposal):
+        if not await _take_back(port, ranks, proposal):
             return SwitchOutcome.UNRESOLVED
         outcome = SwitchOutcome.ABANDONED
     if not await _release(port, holders, proposal):
@@ -91,7 +92,7 @@
     if version:
         replies = await asyncio.gather(*(_arm(port, rank, proposal) for rank in ranks))
         is_split = any(reply is not OrderReply.TAKEN for reply in replies)
-        if is_split and not await _take_back(port, ranks, replies, proposal, next_version):
+        if is_split and not await _take_back(port, ranks, proposal, next_version):
             return False
     return await _release(port, holders, proposal)
 
@@ -119,38 +120,30 @@
 
 
 async def _take_back(
-    port: RankPort,
-    ranks: Sequence[int],
-    replies: Sequence[OrderReply],
-    proposal: Proposal,
-    next_version: int = 0,
+    port: RankPort, ranks: Sequence[int], proposal: Proposal, next_version: int = 0
 ) -> bool:
     """Disarm all ranks and make late arms harmless; return whether all is sure."""
-    disarmed = await asyncio.gather(
-        *(
-            _repeat(
-                lambda rank=rank: port.disarm(rank, proposal.version, proposal.epoch),  # type: ignore[misc]
-                past_refusals=False,
-            )
-            for rank in ranks
-        )
-    )
-    if any(reply is OrderReply.UNANSWERED for reply in disarmed):
-        return False
-    unsure = [
-        rank for rank, reply in zip(ranks, replies, strict=True) if reply is not OrderReply.TAKEN
-    ]
     newer = max(next_version, proposal.version + 1)
-    superseded = await asyncio.gather(
-        *(
-            _repeat(
-                lambda rank=rank: port.prepare(rank, newer, proposal.current, proposal.epoch),  # type: ignore[misc]
-                past_refusals=False,
-            )
-            for rank in unsure
+    sure = await asyncio.gather(*(_take_back_at(port, rank, proposal, newer) for rank in ranks))
+    return all(sure)
+
+
+async def _take_back_at(port: RankPort, rank: int, proposal: Proposal, newer: int) -> bool:
+    """Disarm a rank until it has prepared a newer version, after which no arm can be carried out.
+
+    An arm that was repeated may be carried out once more between the two orders.
+    """
+    for _ in range(ORDER_TRIES):
+        await _repeat(
+            lambda: port.disarm(rank, proposal.version, proposal.epoch), past_refusals=False
         )
-    )
-    return all(reply is not OrderReply.UNANSWERED for reply in superseded)
+        reply = await _repeat(
+            lambda: port.prepare(rank, newer, proposal.current, proposal.epoch),
+            past_refusals=False,
+        )
+        if reply is OrderReply.TAKEN:
+            return True
+    return False
 
 
 async def _release(port: RankPort, holders: Sequence[int], proposal: Proposal) -> bool:
--- /dev/null
+++ b/standins/metadata.py
@@ -0,0 +1,169 @@
+"""Stand in for the users' metadata store: items, ranges, watches, transactions and leases.
+
+It speaks the published protocol over HTTP in the caller's event loop, and fails on command.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import itertools
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from dalehollow.aio import CallerConnection, CallerRequest
+
+_PAGE_ITEMS = 500
+
+
+@dataclass
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class MetadataStandIn:
+    """Hold the items, their changes and the fault in force.
+
+    `fault` is `none`, `busy` (503), `silent` (no answer) or `lost` (done, then the connection is
+    closed without an answer).
+    """
+
+    def __init__(self) -> None:
+        self.fault = "none"
+        self.calls: list[str] = []
+        self.items: dict[str, _Item] = {}
+        self.revision = 1
+        self.oldest_kept = 0
+        self._events: list[tuple[int, str, bytes | None]] = []
+        self._leases: dict[int, float] = {}
+        self._lease_ids = itertools.count(1)
+        self._changed = asyncio.Event()
+
+    async def handle(self, caller: CallerConnection, request: CallerRequest) -> None:
+        path, _, query_text = request.target.decode().partition("?")
+        self.calls.append(path)
+        if self.fault == "silent":
+            await asyncio.Event().wait()
+        if self.fault == "busy":
+            caller.send_whole(503, [], b"")
+            return
+        query = {k: v[0] for k, v in parse_qs(query_text, keep_blank_values=True).items()}
+        body = msgspec.json.decode(request.body) if request.body else {}
+        status, answer = await self._answer(request.method, path, query, body)
+        if self.fault == "lost":
+            caller.cut()
+            return
+        caller.send_whole(status, [], msgspec.json.encode(answer))
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write an item as the operator or a server would."""
+        self.revision += 1
+        before = self.items.get(key)
+        created = before.created if before is not None else self.revision
+        self.items[key] = _Item(value, self.revision, created, lease)
+        self._tell(key, value)
+
+    def delete(self, key: str) -> None:
+        """Delete an item."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._tell(key, None)
+
+    def forget_history(self) -> None:
+        """Drop what watches could still ask for."""
+        self.oldest_kept = self.revision
+        self._wake()
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and what stands under it."""
+        self._leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            self.delete(key)
+
+    def end_all_leases(self) -> None:
+        """End every lease, as a long outage would."""
+        for lease in list(self._leases):
+            self.end_lease(lease)
+
+    def _tell(self, key: str, value: bytes | None) -> None:
+        self._events.append((self.revision, key, value))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(
+        self, method: bytes, path: str, query: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, Any]:
+        if path == "/kv-range":
+            return 200, self._range(query["pathPrefix"])
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._transact(body)
+        if path == "/kv-lease":
+            lease = next(self._lease_ids)
+            self._leases[lease] = body["ttlMs"]
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self._leases:
+            return 404, {}
+        if method == b"DELETE":
+            self.end_lease(lease)
+        return 200, {}
+
+    def _range(self, prefix: str) -> dict[str, Any]:
+        found = sorted(k for k in self.items if k.startswith(prefix))[:_PAGE_ITEMS]
+        items = [self._encode(k, self.items[k]) for k in found]
+        return {"items": items, "hasMore": False, "timestamp": self.revision}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        after, prefix = int(query["afterRevision"]), query["pathPrefix"]
+        try:
+            async with asyncio.timeout(int(query["waitMs"]) / 1000):
+                while True:
+                    if after < self.oldest_kept:
+                        return 410, {}
+                    found = [e for e in self._events if e[0] > after and e[1].startswith(prefix)]
+                    if found:
+                        break
+                    await self._changed.wait()
+        except TimeoutError:
+            found = []
+        events = [
+            {"key": key, "revision": revision, "deleted": True}
+            if value is None
+            else {"key": key, "revision": revision, "value": base64.b64encode(value).decode()}
+            for revision, key, value in found
+        ]
+        return 200, {"events": events, "timestamp": self.revision}
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, Any]:
+        for row in body.get("expectedRevision", []):
+            item = self.items.get(row["key"])
+            if (item.revision if item is not None else 0) != row["revision"]:
+                return 412, {"items": []}
+        puts = body.get("setKeys", [])
+        if any(put["lease"] and put["lease"] not in self._leases for put in puts):
+            return 404, {}
+        for put in puts:
+            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        for key in body.get("delete", []):
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    def _encode(self, key: str, item: _Item) -> dict[str, Any]:
+        return {
+            "key": key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+        }
--- /dev/null
+++ b/tests/fake_ranks.py
@@ -0,0 +1,150 @@
+"""Fake a rank group that checks, at each pass, that all ranks hold one map."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankReport
+
+
+@dataclass
+class FakeRank:
+    """Hold what one rank was told; `highest` is the newest version it ever prepared."""
+
+    version: int = 0
+    prepared: int = 0
+    highest: int = 0
+    armed: tuple[int, int] | None = None
+    held: int | None = None
+
+
+class MapsDifferError(AssertionError):
+    """Report a pass that began with two maps."""
+
+
+@dataclass
+class FakeGroup:
+    """Hold the ranks and the orders that will be carried out late.
+
+    `fate` decides for each order: `taken`, `lost` (never carried out) or `late` (not answered,
+    carried out at some later moment), or `deaf` (carried out, not answered).
+    """
+
+    size: int
+    fate: Callable[[str, int], str] = lambda name, rank: "taken"
+    step: int = 10
+    epoch: int = 1
+    ranks: list[FakeRank] = field(default_factory=list)
+    late: list[tuple[str, int, tuple[int, ...]]] = field(default_factory=list)
+    orders: list[tuple[str, int]] = field(default_factory=list)
+    on_order: Callable[[str, int], None] | None = None
+
+    def __post_init__(self) -> None:
+        self.ranks = [FakeRank() for _ in range(self.size)]
+
+    def run_pass(self) -> bool:
+        """Begin the next pass unless the group is held; fail if the maps differ in it."""
+        following = self.step + 1
+        if any(rank.held is not None and rank.held <= following for rank in self.ranks):
+            return False
+        self.step = following
+        for rank in self.ranks:
+            if rank.armed is not None and rank.armed[1] == following:
+                rank.version, rank.armed = rank.armed[0], None
+        if len({rank.version for rank in self.ranks}) > 1:
+            raise MapsDifferError(f"step {following}: {[r.version for r in self.ranks]}")
+        return True
+
+    def carry_out_late(self, rng: random.Random) -> None:
+        """Carry out one of the orders that are still under way."""
+        if self.late:
+            name, rank, values = self.late.pop(rng.randrange(len(self.late)))
+            self._carry_out(name, rank, values)
+
+    def _order(self, name: str, rank: int, *values: int) -> OrderReply:
+        self.orders.append((name, rank))
+        if self.on_order is not None:
+            self.on_order(name, rank)
+        fate = self.fate(name, rank)
+        if fate == "lost":
+            return OrderReply.UNANSWERED
+        if fate == "late":
+            self.late.append((name, rank, values))
+            return OrderReply.UNANSWERED
+        taken = self._carry_out(name, rank, values)
+        if fate == "deaf":
+            return OrderReply.UNANSWERED
+        return OrderReply.TAKEN if taken else OrderReply.REFUSED
+
+    def _carry_out(self, name: str, rank: int, values: tuple[int, ...]) -> bool:
+        state, (*rest, epoch) = self.ranks[rank], values
+        if epoch != self.epoch:
+            return False
+        if name == "prepare":
+            (version,) = rest
+            if version == state.prepared:
+                return True
+            if version <= state.highest or state.armed is not None:
+                return False
+            state.prepared = state.highest = version
+            return True
+        if name == "arm":
+            version, step = rest
+            if state.armed == (version, step):
+                return True
+            if state.prepared != version or self.step >= step or state.armed is not None:
+                return False
+            state.armed = (version, step)
+            return True
+        if name == "disarm":
+            (version,) = rest
+            if state.version == version:
+                return False
+            if state.armed is not None and state.armed[0] == version:
+                state.armed = None
+            return True
+        (step,) = rest
+        if name == "hold":
+            if self.step >= step or state.held not in (None, step):
+                return False
+            state.held = step
+            return True
+        if state.held == step:
+            state.held = None
+        return True
+
+    async def prepare(self, rank: int, version: int, group_map: GroupMap, epoch: int) -> OrderReply:
+        return self._order("prepare", rank, version, epoch)
+
+    async def arm(self, rank: int, version: int, step: int, epoch: int) -> OrderReply:
+        return self._order("arm", rank, version, step, epoch)
+
+    async def disarm(self, rank: int, version: int, epoch: int) -> OrderReply:
+        return self._order("disarm", rank, version, epoch)
+
+    async def hold(self, rank: int, step: int, epoch: int) -> OrderReply:
+        return self._order("hold", rank, step, epoch)
+
+    async def release(self, rank: int, step: int, epoch: int) -> OrderReply:
+        return self._order("release", rank, step, epoch)
+
+    async def read_report(self, rank: int) -> RankReport | None:
+        state = self.ranks[rank]
+        return RankReport(
+            epoch=self.epoch,
+            step=self.step,
+            is_open=True,
+            map_version=state.version,
+            prepared_version=state.prepared,
+            armed_version=state.armed[0] if state.armed else 0,
+            armed_step=state.armed[1] if state.armed else 0,
+            held_step=state.held or 0,
+        )
+
+    async def read_counts(self, rank: int) -> RankCounts | None:
+        return None
+
+    async def read_layers(self, rank: int) -> tuple[tuple[int, ...], ...] | None:
+        return None
--- /dev/null
+++ b/tests/gateway_bench.py
@@ -0,0 +1,228 @@
+"""Run a gateway, a store and servers in one event loop, and send requests to them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+
+from dalehollow.aio import AnswerHead, CallerConnection, ClientConnection, CutError, Limits, connect
+from dalehollow.gateway.process import Gateway
+from dalehollow.gateway.settings import GatewaySettings
+from standins.metadata import MetadataStandIn
+from standins.server import ServerStandIn
+
+TIMEOUT_S = 20.0
+"""Bound of a whole test; none is expected to come near it."""
+KEY = "key-of-ana"
+HOST = "floor.example"
+
+_LIMITS = Limits(65_536, 65_536, 10.0, 60.0)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what a caller got; `is_whole` is False for an answer that was cut."""
+
+    status: int
+    head: AnswerHead
+    body: bytes
+    is_whole: bool
+
+
+def make_config(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return a configuration with a plain, a stream and a payment route."""
+    route = {"host": HOST, "service": "desk", "timeoutMs": 5000, "targetLatencyMs": 400}
+    routes = [
+        {**route, "name": "read", "pathPrefix": "/read/", "kind": "safe", "maxAttempts": 2},
+        {**route, "name": "pay", "pathPrefix": "/pay/", "kind": "unsafe", "maxAttempts": 2},
+        {
+            **route,
+            "name": "talk",
+            "pathPrefix": "/stream/",
+            "kind": "streaming",
+            "maxAttempts": 3,
+            "resumable": True,
+        },
+        {**route, "name": "open", "pathPrefix": "/open/", "kind": "safe", "public": True},
+    ]
+    config: dict[str, object] = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "desk", "maxConnections": 50, "healthPath": "/health"}],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 4096,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "ana", "apiKeys": [KEY], "priority": 1}],
+    }
+    return {**config, **changes}
+
+
+@dataclass
+class GatewayBench:
+    """Hold what runs; use `run_bench` to make one."""
+
+    store: MetadataStandIn
+    store_address: str
+    gateway: Gateway
+    stopping: asyncio.Event
+    running: asyncio.Task[None]
+    servers: dict[str, ServerStandIn] = field(default_factory=dict)
+    _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    async def add_server(self, incarnation: str, *ways: object, slots: int = 4) -> ServerStandIn:
+        """Start a server, list it, and wait until the gateway knows it."""
+        server = ServerStandIn(incarnation, list(ways))  # type: ignore[arg-type]
+        address = await listen(server.handle)
+        self.servers[incarnation] = server
+        self.list_server(incarnation, address, slots=slots)
+        await self.until(lambda: self.gateway.state.upstreams.find(incarnation) is not None)
+        return server
+
+    def list_server(self, incarnation: str, address: str, **changes: object) -> None:
+        """Write a server's entry."""
+        entry = {
+            "service": "desk",
+            "address": address,
+            "zone": "hall",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 1,
+            **changes,
+        }
+        self.store.put(f"servers/{incarnation}", msgspec.json.encode(entry))
+
+    async def apply(self, config: Mapping[str, object]) -> None:
+        """Put a configuration into the store and wait until it is in force."""
+        self.store.put("op/config", msgspec.json.encode(config))
+        await self.until(lambda: self.version() == config["version"])
+
+    def version(self) -> int | None:
+        """Return the version in force."""
+        table = self.gateway.state.table
+        return table.version if table is not None else None
+
+    async def until(self, is_so: Callable[[], bool]) -> None:
+        """Wait for something that the gateway will come to."""
+        while not is_so():
+            await asyncio.sleep(0.001)
+
+    async def connect(self) -> ClientConnection:
+        """Open a caller's connection."""
+        return await connect(self.gateway.http, TIMEOUT_S)
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        connection: ClientConnection | None = None,
+        headers: Mapping[str, str] | None = None,
+        left_ms: int = 5000,
+        key: str | None = KEY,
+        body: bytes = b"",
+    ) -> Answer:
+        """Send one request and return what came."""
+        connection = connection or await self.connect()
+        connection.send([make_request(path, next(self._ids), headers, left_ms, key, body)])
+        return await read_answer(connection)
+
+    async def is_ready(self) -> bool:
+        """Ask as the balancer does."""
+        connection = await connect(self.gateway.ready, TIMEOUT_S)
+        connection.send([b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"])
+        head = await connection.read_head()
+        connection.abort()
+        return head.status == 200
+
+
+def make_request(
+    path: str,
+    number: int,
+    headers: Mapping[str, str] | None = None,
+    left_ms: int = 5000,
+    key: str | None = KEY,
+    body: bytes = b"",
+) -> bytes:
+    """Return a caller's request as it is sent."""
+    lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: r{number}"]
+    lines += [f"X-Deadline-Ms: {left_ms}", f"Content-Length: {len(body)}"]
+    lines += [f"X-Key: {key}"] if key is not None else []
+    lines += [f"{k}: {v}" for k, v in (headers or {}).items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(connection: ClientConnection) -> Answer:
+    """Read an answer to its end, or to where it is cut."""
+    head = await connection.read_head()
+    pieces: list[bytes] = []
+    try:
+        while (piece := await connection.read_piece()) is not None:
+            pieces.append(piece)
+    except CutError:
+        return Answer(head.status, head, b"".join(pieces), False)
+    return Answer(head.status, head, b"".join(pieces), True)
+
+
+async def listen(
+    handler: Callable[[CallerConnection, object], Awaitable[None]], port: int = 0
+) -> str:
+    """Serve on loopback and return the address."""
+    connections: set[CallerConnection] = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: CallerConnection(handler, lambda: _LIMITS, connections),  # type: ignore[arg-type]
+        "127.0.0.1",
+        port,
+    )
+    return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+
+async def start_gateway(store_address: str, name: str = "gw-1", **changes: object) -> Gateway:
+    """Start a gateway in this event loop; the caller runs it."""
+    settings = GatewaySettings(
+        name=name,
+        hall="hall",
+        http="127.0.0.1:0",
+        ready="127.0.0.1:0",
+        store=store_address,
+        peer="127.0.0.1:0",
+        **changes,  # type: ignore[arg-type]
+    )
+    return Gateway(settings)
+
+
+def run_bench(scenario: Callable[[GatewayBench], Awaitable[None]], **changes: object) -> None:
+    """Run a scenario against one gateway, its store and no servers yet."""
+
+    async def run() -> None:
+        store = MetadataStandIn()
+        store_address = await listen(store.handle)
+        gateway = await start_gateway(store_address, **changes)
+        stopping = asyncio.Event()
+        running = asyncio.get_running_loop().create_task(gateway.run(stopping))
+        await gateway.listening.wait()
+        bench = GatewayBench(store, store_address, gateway, stopping, running)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(bench)
+        finally:
+            running.cancel()
+
+    asyncio.run(run())
+
+
+@contextmanager
+def replaced(owner: object, name: str, value: object) -> Iterator[None]:
+    """Set an attribute for a while, such as a constant that would make a test slow."""
+    before = getattr(owner, name)
+    setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        setattr(owner, name, before)
