--- a/dalehollow/gateway/peers.py
+++ b/dalehollow/gateway/peers.py
@@ -1,7 +1,7 @@
 """Tell the other gateways what this one has in hand, and keep what they tell.
 
 Word goes out as a datagram to each listed gateway when something has changed, at most every
-`MIN_INTERVAL_S`, and now and then without a change. It is soft state: a lost datagram is made up
+`BUSY_INTERVAL_S`, and now and then without a change. It is soft state: a lost datagram is made up
 for by the next, and a gateway that falls silent is forgotten.
 """
 
@@ -18,8 +18,12 @@
 from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
 from dalehollow.telemetry.logs import log_event
 
-MIN_INTERVAL_S = 0.05
+BUSY_INTERVAL_S = 0.05
 """Less than half of a pass of an engine: what changes within a pass is told before the next."""
+CALM_INTERVAL_S = 0.25
+"""While upstreams have slots to spare, an older word chooses as well."""
+BUSY_LOAD = 0.7
+"""From this share of all slots on, words decide who is admitted."""
 IDLE_INTERVAL_S = 1.0
 SILENT_AFTER_S = 3.0
 """Three idle intervals: the load of a gateway that is gone must not bind others for long."""
@@ -145,7 +149,8 @@
             self._changed.clear()
             self._forget_silent()
             self._send()
-            await asyncio.sleep(MIN_INTERVAL_S)
+            is_busy = self._upstreams.highest_load() >= BUSY_LOAD
+            await asyncio.sleep(BUSY_INTERVAL_S if is_busy else CALM_INTERVAL_S)
 
     def _send(self) -> None:
         if self._transport is None or not self._addresses:
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -42,6 +42,9 @@
 LONGEST_WINDOW_S = 0.6
 """A window that is longer has seen the time before the passes grew longer."""
 
+MIN_LOAD = 0.3
+"""A copy must bring more the fewer requests gain by it; below this load no more than that."""
+
 Demand = tuple[tuple[int, ...], ...]
 
 _LOG = logging.getLogger(__name__)
@@ -131,13 +134,13 @@
 
 
 def plan_layers(
-    current: GroupMap, demand: list[list[float]], figures: ExpertFigures, policy: PlanPolicy
+    current: GroupMap, demand: list[list[float]], figures: ExpertFigures, copy_price: float
 ) -> list[Improved]:
     """Plan each layer by itself."""
     bounds = Bounds(
         places=figures.places,
         spare=figures.spare,
-        price=policy.copy_price,
+        price=copy_price,
         max_copies=figures.spare * len(current[0]),
     )
     return [
@@ -158,6 +161,7 @@
     policy: PlanPolicy
     rng: random.Random
     rhythm: Rhythm
+    load: Callable[[], float]
     current: GroupMap | None = None
     changes: int = 0
     copies: int = 0
@@ -324,8 +328,9 @@
     async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
         improved = []
+        copy_price = self.policy.copy_price / max(MIN_LOAD, min(1.0, self.load()))
         for layer, wanted in zip(self.current, demand, strict=True):
-            improved += plan_layers((layer,), [wanted], self.figures, self.policy)
+            improved += plan_layers((layer,), [wanted], self.figures, copy_price)
             # A layer takes some ms to plan: streams are relayed in between.
             await asyncio.sleep(0)
         before = sum(i.longest_before for i in improved) / len(improved)
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -156,6 +156,7 @@
             ),
             rng=self.state.rng,
             rhythm=self.state.rhythm(service),
+            load=lambda: self.state.upstreams.load_of(service),
         )
 
     def _note_member(self, name: str, address: str | None) -> None:
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -43,7 +43,7 @@
     connect_timeout_ms: int = 150
     # The planner of expert maps: how often it looks, at how many ranks, what a copied weight and a
     # whole change must take off the longest rank, and how much of the last demand it remembers.
-    plan_interval_ms: int = 2_000
+    plan_interval_ms: int = 4_000
     plan_sampled_ranks: int = 2
     plan_copy_price: float = 0.03
     plan_begin_gain: float = 0.3
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -143,6 +143,16 @@
         if known is not None:
             known.others_in_hand += change
 
+    def load_of(self, service: str) -> float:
+        """Return the share of a service's slots that is taken."""
+        upstreams = self.of_service(service)
+        slots = sum(u.listed.slots for u in upstreams)
+        return sum(u.known_in_hand() for u in upstreams) / max(1, slots)
+
+    def highest_load(self) -> float:
+        """Return the load of the service whose slots are taken most."""
+        return max(map(self.load_of, self._by_service), default=0.0)
+
     def mean_batch(self, service: str) -> float:
         """Return the requests that a service's upstreams have in hand on average."""
         upstreams = self.of_service(service)
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -25,7 +25,7 @@
 from dalehollow.platform.store import Change, HistoryGoneError, Reading, Store
 from dalehollow.telemetry.logs import log_event
 
-WATCH_WAIT_S = 1.5
+WATCH_WAIT_S = 2.5
 """A watch that hears nothing is asked again after this: with a connection attempt it bounds how
 long a path that went silent and came back goes unnoticed, below the bound on a new version."""
 READ_TIMEOUT_S = 1.0
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -1,8 +1,8 @@
 """Keep this process known in the users' store, and take duties there that one process holds.
 
-Everything stands under one lease, so it goes within seconds when the process does. The lease is
-counted from before each renewal was asked for, on the steady clock, less a margin; whoever holds
-a duty asks `fence` before each step that only the holder may take.
+The entry of the process and each duty stand under leases, so they go when the process does. A
+lease is counted from before each renewal was asked for, on the steady clock, less a margin;
+whoever holds a duty asks `fence` before each step that only the holder may take.
 """
 
 from __future__ import annotations
@@ -20,91 +20,142 @@
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store
 from dalehollow.telemetry.logs import log_event
 
-LEASE_S = 1.0
-"""Another process takes a duty over within this of its holder's end."""
-RENEW_S = 0.3
-"""Two renewals may fail before the lease is over."""
-MARGIN_S = 0.2
-"""A holder stops so long before its lease ends: a renewal's longest way plus drift."""
 CALL_TIMEOUT_S = 0.5
 
 _LOG = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True)
+class LeaseTimes:
+    """Hold how long a lease holds, how often it is renewed, and when it counts as over."""
+
+    ttl_s: float
+    renew_s: float
+    margin_s: float
+
+
+MEMBER_TIMES = LeaseTimes(ttl_s=3.0, renew_s=1.0, margin_s=0.3)
+"""Peers notice a gateway's silence by themselves: the list need not be faster."""
+DUTY_TIMES = LeaseTimes(ttl_s=1.0, renew_s=0.3, margin_s=0.2)
+"""The shortest lease the store gives: a group may stand still until its duty is taken over."""
+
+
+@dataclass
+class Lease:
+    """Hold one lease with the one key that stands under it."""
+
+    store: Store
+    key: str
+    value: bytes
+    times: LeaseTimes
+    clock: Callable[[], float]
+    revision: int = 0
+    _id: int = 0
+    _valid_until_s: float = 0.0
+
+    def is_valid(self) -> bool:
+        """Return whether the lease surely holds now."""
+        return bool(self._id) and self.clock() < self._valid_until_s
+
+    async def begin(self) -> None:
+        """Take a lease and create the key; raise ConflictError if the key is there."""
+        asked_at_s = self.clock()
+        lease, ttl_s = await self.store.grant_lease(self.times.ttl_s, CALL_TIMEOUT_S)
+        self.revision = await self.store.create(self.key, self.value, lease, CALL_TIMEOUT_S)
+        self._id = lease
+        self._valid_until_s = asked_at_s + ttl_s - self.times.margin_s
+
+    async def renew(self) -> None:
+        """Renew the lease, or raise LeaseGoneError."""
+        asked_at_s = self.clock()
+        await self.store.keep_lease(self._id, CALL_TIMEOUT_S)
+        self._valid_until_s = asked_at_s + self.times.ttl_s - self.times.margin_s
+
+    async def end(self) -> None:
+        """End the lease, and the key with it."""
+        lease, self._id, self._valid_until_s = self._id, 0, 0.0
+        if not lease:
+            return
+        try:
+            await self.store.end_lease(lease, CALL_TIMEOUT_S)
+        except (PlatformError, LeaseGoneError) as exc:
+            # It runs out by itself within its time.
+            log_event(_LOG, "lease_end_unsure", key=self.key, error=exc)
+        self.store.close()
+
+    def forget(self) -> None:
+        """Take the lease as over."""
+        self._id, self._valid_until_s = 0, 0.0
+
+
 @dataclass
 class Session:
-    """Hold the lease, and the duties held under it by name with their fences."""
+    """Hold the process's own lease, and those of the duties it holds by name."""
 
     address: str
     name: str
     member_value: bytes
     clock: Callable[[], float] = time.monotonic
-    duties: dict[str, int] = field(default_factory=dict)
-    _lease: int = 0
-    _ttl_s: float = LEASE_S
-    _valid_until_s: float = 0.0
+    _duties: dict[str, Lease] = field(default_factory=dict)
+    _renewing: dict[str, asyncio.Task[None]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Prepare the client."""
-        self._store = Store(self.address)
+        """Prepare the process's own lease."""
+        key = MEMBER_PREFIX + self.name
+        store = Store(self.address)
+        self._member = Lease(store, key, self.member_value, MEMBER_TIMES, self.clock)
+        self._is_listed = False
 
     def fence(self, duty: str) -> int | None:
         """Return the fence of a duty that is surely held now, or None."""
-        if self.clock() >= self._valid_until_s:
-            return None
-        return self.duties.get(duty)
+        lease = self._duties.get(duty)
+        return lease.revision if lease is not None and lease.is_valid() else None
 
     async def run(self) -> None:
-        """Keep the lease, for ever; after a lapse begin with a new one."""
+        """Keep the process listed, for ever; after a lapse begin with a new lease."""
         while True:
             try:
-                await self._renew()
+                await self._keep_listed()
             except LeaseGoneError:
-                self._forget("lease_lapsed")
+                self._unlist("member_lapsed")
                 continue
             except PlatformError as exc:
-                if self._lease and self.clock() >= self._valid_until_s:
-                    self._forget("lease_unconfirmed", str(exc))
+                if self._is_listed and not self._member.is_valid():
+                    self._unlist("member_unconfirmed", str(exc))
             except ConflictError:
-                # This process's earlier life is still listed; its entry goes with its lease.
-                self._forget("still_listed")
-            await asyncio.sleep(RENEW_S)
+                # The entry of this process's earlier life goes with its lease.
+                log_event(_LOG, "member_still_listed", name=self.name)
+            await asyncio.sleep(MEMBER_TIMES.renew_s)
 
     async def take_duty(self, duty: str) -> bool:
         """Try to take a duty that nobody holds; its fence is higher than any before."""
-        if not self._lease or self.clock() >= self._valid_until_s:
-            return False
-        lease = self._lease
+        key = DUTY_PREFIX + duty
         store = Store(self.address)
+        lease = Lease(store, key, self.name.encode(), DUTY_TIMES, self.clock)
         try:
-            key = DUTY_PREFIX + duty
-            fence = await store.create(key, self.name.encode(), lease, CALL_TIMEOUT_S)
+            await lease.begin()
         except (ConflictError, LeaseGoneError):
+            store.close()
             return False
         except PlatformError as exc:
+            # If it was taken all the same, its lease runs out by itself.
             log_event(_LOG, "duty_unsure", duty=duty, error=exc)
-            return False
-        finally:
             store.close()
-        if lease != self._lease:
             return False
-        self.duties[duty] = fence
-        log_event(_LOG, "duty_taken", duty=duty, fence=fence)
+        self._duties[duty] = lease
+        loop = asyncio.get_running_loop()
+        self._renewing[duty] = loop.create_task(self._keep_duty(duty, lease))
+        log_event(_LOG, "duty_taken", duty=duty, fence=lease.revision)
         return True
 
     async def drop_duty(self, duty: str, why: str) -> None:
         """Give a duty up, so that another process can take it at once."""
-        fence = self.duties.pop(duty, None)
-        if fence is None:
+        lease = self._duties.pop(duty, None)
+        if lease is None:
             return
-        log_event(_LOG, "duty_dropped", duty=duty, fence=fence, why=why)
-        store = Store(self.address)
-        try:
-            await store.delete(DUTY_PREFIX + duty, fence, CALL_TIMEOUT_S)
-        except (PlatformError, ConflictError, LeaseGoneError) as exc:
-            log_event(_LOG, "duty_drop_unsure", duty=duty, error=exc)
-        finally:
-            store.close()
+        self._renewing.pop(duty).cancel()
+        log_event(_LOG, "duty_dropped", duty=duty, fence=lease.revision, why=why)
+        await lease.end()
 
     async def keep_demand(self, duty: str, demand: tuple[tuple[int, ...], ...]) -> None:
         """Keep the demand that a plan was made for, for planners to come."""
@@ -117,31 +168,39 @@
             store.close()
 
     async def end(self) -> None:
-        """End the lease at a planned stop, so that others notice at once."""
-        lease, self._lease = self._lease, 0
-        self._valid_until_s = 0.0
-        self.duties.clear()
-        if lease:
-            try:
-                await self._store.end_lease(lease, CALL_TIMEOUT_S)
-            except (PlatformError, LeaseGoneError) as exc:
-                log_event(_LOG, "lease_end_unsure", error=exc)
-
-    async def _renew(self) -> None:
-        asked_at_s = self.clock()
-        if self._lease:
-            await self._store.keep_lease(self._lease, CALL_TIMEOUT_S)
-            self._valid_until_s = asked_at_s + self._ttl_s - MARGIN_S
+        """End all leases at a planned stop, so that others notice at once."""
+        for duty in list(self._duties):
+            await self.drop_duty(duty, "planned stop")
+        await self._member.end()
+
+    async def _keep_listed(self) -> None:
+        if self._is_listed:
+            await self._member.renew()
             return
-        lease, ttl_s = await self._store.grant_lease(LEASE_S, CALL_TIMEOUT_S)
-        await self._store.create(
-            MEMBER_PREFIX + self.name, self.member_value, lease, CALL_TIMEOUT_S
-        )
-        self._lease, self._ttl_s = lease, ttl_s
-        self._valid_until_s = asked_at_s + ttl_s - MARGIN_S
-        log_event(_LOG, "member_listed", lease=lease)
-
-    def _forget(self, event: str, error: str = "") -> None:
-        log_event(_LOG, event, lease=self._lease, duties=",".join(self.duties), error=error)
-        self._lease, self._valid_until_s = 0, 0.0
-        self.duties.clear()
+        await self._member.begin()
+        self._is_listed = True
+        log_event(_LOG, "member_listed", name=self.name)
+
+    def _unlist(self, event: str, error: str = "") -> None:
+        log_event(_LOG, event, name=self.name, error=error)
+        self._member.forget()
+        self._is_listed = False
+
+    async def _keep_duty(self, duty: str, lease: Lease) -> None:
+        """Renew a duty's lease until it is over."""
+        while True:
+            await asyncio.sleep(DUTY_TIMES.renew_s)
+            try:
+                await lease.renew()
+            except LeaseGoneError:
+                break
+            except PlatformError as exc:
+                if not lease.is_valid():
+                    log_event(_LOG, "duty_unconfirmed", duty=duty, error=exc)
+                    break
+        if self._duties.get(duty) is lease:
+            del self._duties[duty]
+            del self._renewing[duty]
+        lease.forget()
+        lease.store.close()
+        log_event(_LOG, "duty_lost", duty=duty, fence=lease.revision)
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -180,7 +180,7 @@
         "127.0.0.1",
         port,
     )
-    return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
 
 async def start_gateway(store_address: str, name: str = "gw-1", **changes: object) -> Gateway:
