Log within bounds to standard output, serve metrics and state, test the gateway's parts

Found by the new tests (red first): a batch that grew made passes look shorter than usual for one pass, after which every pass looked slow; the usual length now follows slowly, piece by piece.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dalehollow.aio.caller import CallerConnection, CallerRequest, Limits
+from dalehollow.aio.caller import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.aio.client import (
     AnswerHead,
     ClientConnection,
@@ -18,6 +18,7 @@
     "ClientConnection",
     "ConnectError",
     "CutError",
+    "Handler",
     "Limits",
     "connect",
 ]
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -47,7 +47,7 @@
         return None
 
 
-Handler = Callable[["CallerConnection", CallerRequest], Awaitable[None]]
+Handler = Callable[["CallerConnection", CallerRequest], Coroutine[Any, Any, None]]
 
 
 class CallerConnection(asyncio.Protocol):
--- a/dalehollow/gateway/__main__.py
+++ b/dalehollow/gateway/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import os
 import signal
@@ -11,7 +12,7 @@
 from dalehollow.errors import SettingsError
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.settings import GatewaySettings, read_gateway_settings
-from dalehollow.telemetry.logs import log_event, setup_logs
+from dalehollow.telemetry.logs import LineWriter, log_event, setup_logs
 
 SETTINGS_VARIABLE = "DALEHOLLOW_BOOT"
 EXIT_BAD_USE = 2
@@ -27,18 +28,37 @@
     except SettingsError as exc:
         print(f"dalehollow: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_USE)
-    setup_logs(settings.name, settings.log_level)
-    asyncio.run(_run(settings))
+    writer = setup_logs(settings.name, settings.log_level, settings.log_lines_per_s)
+    asyncio.run(_run(settings, path, writer))
 
 
-async def _run(settings: GatewaySettings) -> None:
-    """Run until SIGTERM or SIGINT."""
+async def _run(settings: GatewaySettings, path: str, writer: LineWriter) -> None:
+    """Run until SIGTERM or SIGINT; SIGHUP reads the settings anew."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log_event(_LOG, "reload"))
-    await Gateway(settings).run(stopping)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(settings, path, writer))
+    gateway = Gateway(settings)
+    gateway.lines_left_out = lambda: writer.left_out
+    await gateway.run(stopping)
+
+
+def _reload(started_with: GatewaySettings, path: str, writer: LineWriter) -> None:
+    """Take over the log settings; what else has changed waits for the next start."""
+    try:
+        settings = read_gateway_settings(path)
+    except SettingsError as exc:
+        log_event(_LOG, "reload_failed", logging.ERROR, error=exc)
+        return
+    logging.getLogger().setLevel(settings.log_level.upper())
+    writer.resize(settings.log_lines_per_s)
+    changed = [
+        f.name
+        for f in dataclasses.fields(settings)
+        if getattr(settings, f.name) != getattr(started_with, f.name)
+    ]
+    log_event(_LOG, "reload", changed=",".join(changed))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/dalehollow/gateway/outcome.py
@@ -0,0 +1,172 @@
+"""Tell callers, logs and metrics how a request ended.
+
+Refusals, failures and cuts each have their line; of the ordinary answers a sample has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.gateway.admit import Job, Refusal
+from dalehollow.gateway.events import EventSplitter
+from dalehollow.gateway.state import GatewayState
+from dalehollow.gateway.upstreams import Upstream
+from dalehollow.telemetry.logs import log_event
+
+SAMPLED_SHARE = 1 / 16
+"""Of the ordinary answers one in so many has a line: a few lines a second under full load."""
+_MS_PER_S = 1000
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclass
+class Progress:
+    """Hold how far a request has come; times are seconds on the monotonic clock."""
+
+    tried: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    waited_s: float = 0.0
+    first_piece_at_s: float = 0.0
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+
+def refuse(
+    state: GatewayState, caller: CallerConnection, request: CallerRequest, refusal: Refusal
+) -> None:
+    """Answer a request that was not admitted: it has not run and will not."""
+    request_id = request.get(state.names.request_id)
+    headers = [(state.names.request_id, request_id)] if request_id is not None else []
+    if refusal.retry_after_s is not None:
+        headers.append((state.names.retry_after_s, _format_s(refusal.retry_after_s)))
+    state.metrics.count("requests", outcome="refused", reason=refusal.reason)
+    log_event(
+        _LOG,
+        "request_refused",
+        request=(request_id or b"").decode("latin-1"),
+        status=int(refusal.status),
+        reason=refusal.reason,
+        retry_after_s=refusal.retry_after_s,
+        config_version=state.table.version if state.table is not None else None,
+    )
+    caller.send_whole(refusal.status, headers, b"")
+
+
+def fail(
+    state: GatewayState,
+    caller: CallerConnection,
+    job: Job,
+    progress: Progress,
+    reason: str,
+    *,
+    status: int,
+    retry_after_s: float | None = None,
+) -> None:
+    """Give the final answer of an admitted request that no upstream's answer ends."""
+    headers = [(state.names.request_id, job.request_id)]
+    if retry_after_s is not None:
+        headers.append((state.names.retry_after_s, _format_s(retry_after_s)))
+    state.metrics.count("requests", outcome="failed", reason=reason)
+    _log_end(
+        "request_failed",
+        job,
+        progress,
+        status=int(status),
+        reason=reason,
+        retry_after_s=round(retry_after_s, 3) if retry_after_s is not None else None,
+    )
+    caller.send_whole(status, headers, b"")
+
+
+def end_late(state: GatewayState, caller: CallerConnection, job: Job, progress: Progress) -> None:
+    """Give the final answer of a request whose time is over."""
+    if caller.has_begun:
+        cut(state, caller, job, progress, "timeout")
+        return
+    if progress.may_have_run:
+        status = HTTPStatus.GATEWAY_TIMEOUT
+        fail(state, caller, job, progress, "timeout", status=status)
+        return
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    fail(state, caller, job, progress, "timeout_not_run", status=status)
+
+
+def cut(
+    state: GatewayState, caller: CallerConnection, job: Job, progress: Progress, reason: str
+) -> None:
+    """Break off an answer that has begun and cannot be made whole."""
+    state.metrics.count("requests", outcome="cut", reason=reason)
+    last_id = progress.splitter.last_id
+    _log_end("answer_cut", job, progress, reason=reason, last_event=(last_id or b"").decode())
+    caller.cut()
+
+
+def note_done(state: GatewayState, job: Job, progress: Progress, status: int) -> None:
+    """Record an upstream's answer that went to the caller whole."""
+    now_s = asyncio.get_running_loop().time()
+    state.metrics.count("requests", outcome="answered", reason=str(status))
+    state.metrics.record_ms("answer", (now_s - job.began_at_s) * _MS_PER_S, service=job.service)
+    is_unusual = len(progress.tried) > 1 or status >= HTTPStatus.BAD_REQUEST
+    if is_unusual or state.rng.random() < SAMPLED_SHARE:
+        _log_end("request_done", job, progress, status=status, total_ms=_ms_since(job, now_s))
+
+
+def note_left(state: GatewayState, job: Job, progress: Progress) -> None:
+    """Record a caller that left before its answer was whole."""
+    now_s = asyncio.get_running_loop().time()
+    state.metrics.count("requests", outcome="left", reason="caller_left")
+    _log_end("caller_left", job, progress, after_ms=_ms_since(job, now_s))
+
+
+def note_first_piece(state: GatewayState, job: Job, progress: Progress) -> None:
+    """Record the first piece of a stream."""
+    progress.first_piece_at_s = asyncio.get_running_loop().time()
+    first_ms = (progress.first_piece_at_s - job.began_at_s) * _MS_PER_S
+    state.metrics.record_ms("first_piece", first_ms, service=job.service)
+
+
+def note_attempt(
+    state: GatewayState, job: Job, upstream: Upstream, event: str, reason: str, *, load: float
+) -> None:
+    """Record a try that did not end in a whole answer."""
+    state.metrics.count("attempts_failed", service=job.service, event=event)
+    log_event(
+        _LOG,
+        event,
+        request=job.request_id.decode("latin-1"),
+        incarnation=upstream.listed.incarnation,
+        reason=reason,
+        load=round(load, 2),
+        config_version=job.table_version,
+    )
+
+
+def _log_end(event: str, job: Job, progress: Progress, **pairs: object) -> None:
+    first_ms = None
+    if progress.first_piece_at_s:
+        first_ms = round((progress.first_piece_at_s - job.began_at_s) * _MS_PER_S)
+    log_event(
+        _LOG,
+        event,
+        request=job.request_id.decode("latin-1"),
+        route=job.route.name,
+        account=job.account,
+        priority=job.priority,
+        tried=",".join(progress.tried),
+        waited_ms=round(progress.waited_s * _MS_PER_S),
+        first_ms=first_ms,
+        config_version=job.table_version,
+        **pairs,
+    )
+
+
+def _ms_since(job: Job, now_s: float) -> int:
+    return round((now_s - job.began_at_s) * _MS_PER_S)
+
+
+def _format_s(seconds: float) -> bytes:
+    return f"{seconds:.3f}".encode()
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -6,16 +6,20 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, Limits
+from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.gateway.admit import Refusal
-from dalehollow.gateway.exchange import GatewayState, RetryLimits, refuse, serve_request
+from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.groups import GroupRanks
 from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.outcome import refuse
 from dalehollow.gateway.peers import PeerWords
 from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
 from dalehollow.gateway.settings import GatewaySettings
+from dalehollow.gateway.state import GatewayState, RetryLimits
+from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
 from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform.follow import Follower, Listener
@@ -44,18 +48,22 @@
         """Prepare; nothing is opened before `run`."""
         self._settings = settings
         rng = random.Random(f"{settings.name}{time.time_ns()}")
-        share = settings.retry_extra / max(1, settings.gateways_expected)
         self.state = GatewayState(
             names=HEADERS,
             rng=rng,
             upstreams=UpstreamSet(rng),
             retry_limits=RetryLimits(
-                settings.retry_window_ms / _MS_PER_S, settings.retry_share, share
+                window_s=settings.retry_window_ms / _MS_PER_S,
+                share=settings.retry_share,
+                extra=settings.retry_extra,
+                gateways=settings.gateways_expected,
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
         )
         # The addresses in use, once `listening` is set; a port 0 of the settings picks a free one.
-        self.http = self.ready = ""
+        self.http = self.ready = self.metrics = ""
+        # Set by whoever writes the logs: how many lines found no room.
+        self.lines_left_out: Callable[[], int] = lambda: 0
         self.listening = asyncio.Event()
         self._is_stopping = False
         self.refuses_new = False
@@ -77,15 +85,36 @@
         self._tasks += self._start_following()
         ready = await self._listen(self._settings.ready, self._answer_ready, self._askers)
         server = await self._listen(self._settings.http, self._serve, self._callers)
+        status = await self._listen_status()
         self.http, self.ready = _read_address(server), _read_address(ready)
         self.listening.set()
         log_event(_LOG, "started", name=self._settings.name, hall=self._settings.hall)
         await stopping.wait()
         await self._stop(server)
         ready.close()
+        status.close()
         for task in self._tasks:
             task.cancel()
 
+    async def _listen_status(self) -> asyncio.Server:
+        sources = StatusSources(
+            name=self._settings.name,
+            hall=self._settings.hall,
+            state=self.state,
+            planners=self._planners,
+            members=self._members,
+            holders=self._holders,
+            is_ready=self.is_ready,
+            store_age_s=self._follower.heard_age_s,
+            store_calls=lambda: self._follower.calls,
+            lines_left_out=self.lines_left_out,
+        )
+        watch_gauges(sources)
+        handler = make_status_handler(sources)
+        server = await self._listen(self._settings.metrics, handler, self._askers)
+        self.metrics = _read_address(server)
+        return server
+
     def is_ready(self) -> bool:
         """Return whether new connections should be sent here."""
         return self.state.table is not None and not self._is_stopping
@@ -100,9 +129,9 @@
             self._note_holder,
             self._note_demand,
         )
-        follower = Follower(self._settings.store, ALL_KEYS, listener)
+        self._follower = Follower(self._settings.store, ALL_KEYS, listener)
         loop = asyncio.get_running_loop()
-        return [loop.create_task(follower.run()), loop.create_task(self._session.run())]
+        return [loop.create_task(self._follower.run()), loop.create_task(self._session.run())]
 
     async def _open_peers(self) -> None:
         loop = asyncio.get_running_loop()
@@ -165,6 +194,7 @@
         else:
             self._members[name] = address
         self._words.note_member(name, address)
+        self.state.note_gateways(len(self._members))
         log_event(_LOG, "members", count=len(self._members), name=name, address=address)
 
     def _note_demand(self, service: str, demand: tuple[tuple[int, ...], ...]) -> None:
@@ -181,11 +211,11 @@
             self._holders[duty] = holder
 
     async def _listen(
-        self, address: str, handler: object, connections: set[CallerConnection]
+        self, address: str, handler: Handler, connections: set[CallerConnection]
     ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         return await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(handler, self._read_limits, connections),  # type: ignore[arg-type]
+            lambda: CallerConnection(handler, self._read_limits, connections),
             host,
             int(port),
             backlog=_BACKLOG,
--- a/dalehollow/gateway/rhythm.py
+++ b/dalehollow/gateway/rhythm.py
@@ -11,10 +11,19 @@
 MIN_PIECES = 6
 SLOWER = 1.3
 """Passes that last so much longer than after the last switch, batch for batch, call for a look."""
+USUAL_WEIGHT = 0.05
+_MS_PER_S = 1000
 SETTLE_S = 0.8
 """After a switch the length is learned anew for so long."""
 
 
+@dataclass(frozen=True)
+class _Piece:
+    at_s: float
+    pause_s: float
+    relative: float
+
+
 @dataclass
 class Rhythm:
     """Hold the recent pauses between pieces, and what they were after the last switch.
@@ -27,38 +36,37 @@
     mean_batch: Callable[[], float]
     pass_ms: Callable[[float], float]
     on_slower: Callable[[], None] | None = None
-    _pieces: deque[tuple[float, float]] = field(default_factory=deque)
+    _pieces: deque[_Piece] = field(default_factory=deque)
     _settled_at_s: float = float("-inf")
     _usual: float | None = None
 
     def note_pause(self, pause_s: float) -> None:
         """Take the pause between two pieces of one stream."""
         now_s = self.clock()
-        self._pieces.append((now_s, pause_s))
-        while self._pieces[0][0] < now_s - RECENT_S:
+        relative = pause_s * _MS_PER_S / self.pass_ms(self.mean_batch())
+        self._pieces.append(_Piece(now_s, pause_s, relative))
+        while self._pieces[0].at_s < now_s - RECENT_S:
             self._pieces.popleft()
-        if len(self._pieces) < MIN_PIECES:
-            return
-        length = self.length()
-        if now_s < self._settled_at_s:
-            return
-        if self._usual is None or length < self._usual:
-            self._usual = length
-        elif length > SLOWER * self._usual and self.on_slower is not None:
-            self.on_slower()
-
-    def length(self) -> float:
-        """Return the mean pause over the published one for the present batch."""
-        mean_s = sum(pause_s for _, pause_s in self._pieces) / len(self._pieces)
-        return mean_s * 1000 / self.pass_ms(self.mean_batch())
+        if len(self._pieces) >= MIN_PIECES and now_s >= self._settled_at_s:
+            self._compare()
 
     def pass_s(self) -> float | None:
         """Return how long passes last at present, if pieces tell."""
         if len(self._pieces) < MIN_PIECES:
             return None
-        return sum(pause_s for _, pause_s in self._pieces) / len(self._pieces)
+        return sum(piece.pause_s for piece in self._pieces) / len(self._pieces)
 
     def settle(self) -> None:
         """Learn the usual length anew: another map is in force."""
         self._usual = None
         self._settled_at_s = self.clock() + SETTLE_S
+
+    def _compare(self) -> None:
+        length = sum(piece.relative for piece in self._pieces) / len(self._pieces)
+        if self._usual is None:
+            self._usual = length
+        elif length < self._usual:
+            # Slowly: pauses follow a batch that has just grown a pass later.
+            self._usual += USUAL_WEIGHT * (length - self._usual)
+        elif length > SLOWER * self._usual and self.on_slower is not None:
+            self.on_slower()
--- /dev/null
+++ b/dalehollow/gateway/state.py
@@ -0,0 +1,129 @@
+"""Hold what all requests of a gateway share."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dalehollow.gateway.admission import Admission
+from dalehollow.gateway.headers import HeaderNames
+from dalehollow.gateway.peers import GroupHealth
+from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.table import RoutingTable
+from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.telemetry.logs import log_event
+from dalehollow.telemetry.metrics import Metrics
+
+SAFETY_SHARE = 0.8
+"""Of the repeats that all gateways together may send, this share is dealt out: their numbers
+differ for a moment when one comes or goes."""
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class RetryLimits:
+    """Hold the bounds of repeats to one service by all gateways together.
+
+    `gateways` is how many share the extra repeats at least; more are counted as they appear.
+    """
+
+    window_s: float
+    share: float
+    extra: float
+    gateways: int
+
+
+def _do_nothing() -> None:
+    pass
+
+
+@dataclass
+class GatewayState:
+    """Hold the configuration in force, the upstreams and what is kept for each service."""
+
+    names: HeaderNames
+    rng: random.Random
+    upstreams: UpstreamSet
+    retry_limits: RetryLimits
+    connect_timeout_s: float
+    health: GroupHealth = field(default_factory=GroupHealth)
+    metrics: Metrics = field(default_factory=Metrics)
+    table: RoutingTable | None = None
+    table_at_s: float = 0.0
+    admissions: dict[str, Admission] = field(default_factory=dict)
+    rhythms: dict[str, Rhythm] = field(default_factory=dict)
+    on_change: Callable[[], None] = _do_nothing
+    _retries: dict[str, RetryWindow] = field(default_factory=dict)
+    _most_gateways: int = 1
+
+    def take_table(self, table: RoutingTable) -> None:
+        """Put a configuration in force unless a newer one is."""
+        before = self.table.version if self.table is not None else 0
+        if table.version <= before:
+            return
+        self.table = table
+        self.table_at_s = asyncio.get_running_loop().time()
+        log_event(
+            _LOG,
+            "config_in_force",
+            version=table.version,
+            before=before,
+            routes=len(table.routes),
+            keys=len(table.keys),
+        )
+
+    def note_gateways(self, count: int) -> None:
+        """Share the extra repeats among the most gateways that were ever seen at once."""
+        self._most_gateways = max(self._most_gateways, count)
+        for window in self._retries.values():
+            window.extra = self._own_extra()
+
+    def retry_window(self, service: str) -> RetryWindow:
+        """Return the window of repeats to a service."""
+        window = self._retries.get(service)
+        if window is None:
+            limits = self.retry_limits
+            share = limits.share * SAFETY_SHARE
+            window = RetryWindow(limits.window_s, share, self._own_extra())
+            self._retries[service] = window
+        return window
+
+    def admission(self, service: str) -> Admission:
+        """Return what lets requests through to a service."""
+        admission = self.admissions.get(service)
+        if admission is None:
+            clock = asyncio.get_running_loop().time
+            admission = Admission(service, self.upstreams, self.health, self.rng, clock)
+            self.admissions[service] = admission
+        return admission
+
+    def rhythm(self, service: str) -> Rhythm:
+        """Return what follows the passes of a service's group."""
+        rhythm = self.rhythms.get(service)
+        if rhythm is None:
+            rhythm = Rhythm(
+                asyncio.get_running_loop().time,
+                lambda: self.upstreams.mean_batch(service),
+                lambda batch: self._pass_ms(service, batch),
+            )
+            self.rhythms[service] = rhythm
+        return rhythm
+
+    def grant_all(self) -> None:
+        """Give free places to those that wait, after a change that may have made some."""
+        for admission in self.admissions.values():
+            admission.grant()
+
+    def _own_extra(self) -> float:
+        gateways = max(self.retry_limits.gateways, self._most_gateways)
+        return self.retry_limits.extra * SAFETY_SHARE / gateways
+
+    def _pass_ms(self, service: str, batch: float) -> float:
+        known = self.table.services.get(service) if self.table is not None else None
+        engine = known.engine if known is not None else None
+        return engine.pass_ms(batch) if engine is not None else 1.0
--- /dev/null
+++ b/dalehollow/gateway/status.py
@@ -0,0 +1,102 @@
+"""Tell metrics and state of a running gateway over HTTP; /dump is the state, all else metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from dalehollow.aio import CallerConnection, CallerRequest, Handler
+from dalehollow.gateway.planner import GroupPlanner
+from dalehollow.gateway.state import GatewayState
+
+DUMP_PATH = b"/dump"
+_TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
+_JSON = ((b"content-type", b"application/json"),)
+
+
+@dataclass(frozen=True)
+class StatusSources:
+    """Hold what is told of: the shared state and a few readings."""
+
+    name: str
+    hall: str
+    state: GatewayState
+    planners: Mapping[str, GroupPlanner]
+    members: Mapping[str, str]
+    holders: Mapping[str, str]
+    is_ready: Callable[[], bool]
+    store_age_s: Callable[[], float]
+    store_calls: Callable[[], int]
+    lines_left_out: Callable[[], int]
+
+
+def watch_gauges(sources: StatusSources) -> None:
+    """Offer the ages and counts that are read when metrics are asked for."""
+    state, metrics = sources.state, sources.state.metrics
+    loop = asyncio.get_running_loop()
+    metrics.watch_gauge("config_version", lambda: state.table.version if state.table else 0)
+    metrics.watch_gauge("config_age_seconds", lambda: round(loop.time() - state.table_at_s, 3))
+    metrics.watch_gauge("store_heard_age_seconds", lambda: round(sources.store_age_s(), 3))
+    metrics.watch_gauge("store_calls", sources.store_calls)
+    metrics.watch_gauge("is_ready", lambda: int(sources.is_ready()))
+    metrics.watch_gauge("gateways_listed", lambda: len(sources.members))
+    metrics.watch_gauge("upstreams_listed", lambda: sum(1 for _ in state.upstreams))
+    metrics.watch_gauge("in_hand", lambda: sum(u.in_hand for u in state.upstreams))
+    metrics.watch_gauge("waiting", lambda: sum(len(a.waiting) for a in state.admissions.values()))
+    metrics.watch_gauge("log_lines_left_out", sources.lines_left_out)
+    metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
+    metrics.watch_gauge("expert_copies", lambda: sum(p.copies for p in sources.planners.values()))
+
+
+def make_dump(sources: StatusSources) -> dict[str, object]:
+    """Return the state of a gateway as plain values; keys of callers are not in it."""
+    state = sources.state
+    now_s = asyncio.get_running_loop().time()
+    return {
+        "name": sources.name,
+        "hall": sources.hall,
+        "is_ready": sources.is_ready(),
+        "config_version": state.table.version if state.table is not None else None,
+        "store_heard_age_s": age_s if math.isfinite(age_s := sources.store_age_s()) else None,
+        "gateways": dict(sources.members),
+        "duties": dict(sources.holders),
+        "services": {
+            service: {
+                "is_group_broken": state.health.is_broken(service),
+                "waiting": len(admission.waiting),
+                "load": round(state.upstreams.load_of(service), 3),
+            }
+            for service, admission in state.admissions.items()
+        },
+        "planners": {
+            name: {"changes": p.changes, "copies": p.copies} for name, p in sources.planners.items()
+        },
+        "upstreams": {
+            u.listed.incarnation: {
+                "service": u.listed.service,
+                "address": u.listed.address,
+                "is_leaving": u.listed.is_leaving,
+                "in_hand": u.in_hand,
+                "others_in_hand": u.others_in_hand,
+                "is_ejected": u.ejected_until_s > now_s,
+            }
+            for u in state.upstreams
+        },
+    }
+
+
+def make_status_handler(sources: StatusSources) -> Handler:
+    """Return the handler of the metrics address."""
+
+    async def answer(caller: CallerConnection, request: CallerRequest) -> None:
+        if request.target.startswith(DUMP_PATH):
+            body = json.dumps(make_dump(sources), indent=2).encode()
+            caller.send_whole(HTTPStatus.OK, _JSON, body)
+            return
+        caller.send_whole(HTTPStatus.OK, _TEXT, sources.state.metrics.expose().encode())
+
+    return answer
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -71,6 +71,10 @@
         """Return how many calls were made to the store."""
         return self._store.calls
 
+    def heard_age_s(self) -> float:
+        """Return how long ago the store last answered; infinite if it never did."""
+        return time.monotonic() - self.heard_at_s
+
     async def run(self) -> None:
         """Read everything, then watch, for ever; the store's failures are lived through."""
         revision = 0
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -85,10 +85,11 @@
         with open(self.log_path or "/dev/null", "a") as log:
             popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
         assert popen.stdout is not None
-        line = popen.stdout.readline()
-        if "event=ready" not in line:
+        # Log lines may come before it on the same output.
+        line = next((line for line in popen.stdout if line.startswith("event=ready")), "")
+        if not line:
             popen.wait()
-            raise RuntimeError(f"process {name!r} did not get ready: {line!r}")
+            raise RuntimeError(f"process {name!r} ended before it was ready")
         pairs = dict(pair.split("=", 1) for pair in line.split())
         running = Running(name, popen, pairs)
         self.running.append(running)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,160 @@
+"""Check who gets a place, who waits and who is told to come back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from dalehollow.gateway import admission as admission_module
+from dalehollow.gateway.admission import Admission, NoPlace, Turn
+from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.peers import GroupHealth
+from dalehollow.gateway.upstreams import Upstream, UpstreamSet
+
+SLOTS = 2
+
+
+def _turn(*, priority: int = 5, left_s: float = 8.0, objective_s: float = 40.0) -> Turn:
+    # The objective is long, so that no wait ends before the test ends it.
+    return Turn("talk", priority, objective_s, left_s, left_s)
+
+
+class _Desk:
+    """Hold one service with upstreams, and a clock that stands still unless told."""
+
+    def __init__(self, upstreams: int = 1) -> None:
+        rng = random.Random(7)
+        self.now_s = 1000.0
+        self.health = GroupHealth()
+        self.upstreams = UpstreamSet(rng)
+        for number in range(upstreams):
+            name = f"u{number}"
+            self.upstreams.put(ListedUpstream(name, "desk", name, "hall", SLOTS, False))
+        self.admission = Admission(
+            "desk", self.upstreams, self.health, rng, clock=lambda: self.now_s
+        )
+
+    async def take(self, **changes: object) -> Upstream | NoPlace:
+        return await self.admission.take(_turn(**changes), ())  # type: ignore[arg-type]
+
+    async def wait(self, **changes: object) -> asyncio.Task[Upstream | NoPlace]:
+        task = asyncio.ensure_future(self.take(**changes))
+        await asyncio.sleep(0)
+        return task
+
+
+def _run(scenario: Callable[[_Desk], Awaitable[None]], upstreams: int = 1) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(10):
+            await scenario(_Desk(upstreams))
+
+    asyncio.run(run())
+
+
+def test_slots_bound_what_is_let_through() -> None:
+    async def scenario(desk: _Desk) -> None:
+        taken = [await desk.take() for _ in range(2 * SLOTS)]
+        loads = [u.in_hand for u in desk.upstreams]
+        assert loads == [SLOTS, SLOTS]
+        assert all(isinstance(u, Upstream) for u in taken)
+        waiting = await desk.wait()
+        assert not waiting.done()
+        waiting.cancel()
+
+    _run(scenario, upstreams=2)
+
+
+def test_what_others_have_in_hand_counts() -> None:
+    async def scenario(desk: _Desk) -> None:
+        desk.upstreams.add_others("u0", SLOTS)
+        waiting = await desk.wait()
+        assert not waiting.done()
+        desk.upstreams.add_others("u0", -1)
+        desk.admission.grant()
+        assert isinstance(await waiting, Upstream)
+
+    _run(scenario)
+
+
+def test_a_load_that_nobody_knows_of_counts_for_a_while() -> None:
+    async def scenario(desk: _Desk) -> None:
+        (upstream,) = desk.upstreams
+        upstream.note_told(SLOTS, desk.now_s)
+        assert desk.upstreams.choose("desk", (), desk.now_s) is None
+        desk.now_s += 2.5
+        assert desk.upstreams.choose("desk", (), desk.now_s) is upstream
+
+    _run(scenario)
+
+
+def test_urgent_requests_and_returned_callers_go_first() -> None:
+    async def scenario(desk: _Desk) -> None:
+        places = [await desk.take() for _ in range(SLOTS)]
+        usual = await desk.wait(priority=9)
+        urgent = await desk.wait(priority=0)
+        returned = await desk.wait(priority=9, left_s=4.0)
+        order = []
+        for task, name in ((usual, "usual"), (urgent, "urgent"), (returned, "returned")):
+            task.add_done_callback(lambda _, name=name: order.append(name))  # type: ignore[misc]
+        place = places[0]
+        assert isinstance(place, Upstream)
+        for _ in range(3):
+            desk.admission.give_back(place)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        assert order == ["returned", "urgent", "usual"]
+
+    _run(scenario)
+
+
+def test_a_caller_that_leaves_while_it_waits_frees_its_turn() -> None:
+    async def scenario(desk: _Desk) -> None:
+        places = [await desk.take() for _ in range(SLOTS)]
+        waiting = await desk.wait()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert desk.admission.waiting == []
+        assert isinstance(places[0], Upstream)
+        desk.admission.give_back(places[0])
+        assert sum(u.in_hand for u in desk.upstreams) == SLOTS - 1
+
+    _run(scenario)
+
+
+def test_a_wait_that_would_be_too_long_is_refused_at_once() -> None:
+    async def scenario(desk: _Desk) -> None:
+        for _ in range(SLOTS):
+            await desk.take()
+        refused = await desk.take(objective_s=0.001)
+        assert isinstance(refused, NoPlace)
+        assert 0 < refused.retry_after_s <= 8.0 / 3
+
+    _run(scenario)
+
+
+def test_times_to_come_back_are_spread() -> None:
+    async def scenario(desk: _Desk) -> None:
+        for _ in range(SLOTS):
+            await desk.take()
+        times = [await desk.take(objective_s=0.001) for _ in range(5)]
+        afters = [t.retry_after_s for t in times if isinstance(t, NoPlace)]
+        assert len(set(afters)) == 5
+
+    _run(scenario)
+
+
+def test_a_broken_group_is_probed_and_refuses_the_rest() -> None:
+    async def scenario(desk: _Desk) -> None:
+        desk.health.note_refused("desk", desk.now_s)
+        probe, refused = await desk.take(), await desk.take()
+        assert isinstance(probe, Upstream)
+        assert isinstance(refused, NoPlace)
+        assert refused.reason == "group_broken"
+        assert refused.retry_after_s == pytest.approx(8.0 * admission_module.LEFT_SHARE)
+        desk.health.note_served("desk", desk.now_s + 0.1)
+        assert isinstance(await desk.take(), Upstream)
+
+    _run(scenario)
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,211 @@
+"""Check the small parts of a gateway: settings, tables, events, repeats, rhythm."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from dalehollow.errors import SettingsError
+from dalehollow.gateway.events import EventSplitter
+from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.settings import list_unknown, parse_gateway_settings
+from dalehollow.gateway.table import RequestKind
+from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.platform.operator import decode_config
+from dalehollow.platform.servers import decode_upstream
+from tests.gateway_bench import HOST, make_config
+
+SETTINGS = {
+    "name": "gw",
+    "hall": "h",
+    "http": "127.0.0.1:1",
+    "ready": "127.0.0.1:2",
+    "store": "127.0.0.1:3",
+    "peer": "127.0.0.1:4",
+}
+
+
+def test_settings_take_comments_and_pass_over_what_is_new() -> None:
+    text = "// a comment\n" + json.dumps({**SETTINGS, "from_a_later_release": 1})
+    assert parse_gateway_settings(text).name == "gw"
+    assert list_unknown(text) == ["from_a_later_release"]
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        ({"http": "nowhere"}, "'http' is 'nowhere', must be like 127.0.0.1:80"),
+        ({"http": None}, "'http' is None"),
+        ({"retry_share": -1}, "'retry_share' is -1"),
+        ({"stop_grace_ms": 1.5}, "'stop_grace_ms' is 1.5"),
+        ({"log_level": "loud"}, "choices: debug, info"),
+    ],
+)
+def test_bad_settings_are_named(change: dict[str, object], message: str) -> None:
+    with pytest.raises(SettingsError, match=message):
+        parse_gateway_settings(json.dumps({**SETTINGS, **change}))
+
+
+def test_a_missing_setting_is_named() -> None:
+    with pytest.raises(SettingsError, match="'store' is missing"):
+        parse_gateway_settings(json.dumps({k: v for k, v in SETTINGS.items() if k != "store"}))
+
+
+def test_the_template_gives_settings_once_its_gaps_are_filled() -> None:
+    text = Path("deploy/gateway.json5").read_text()
+    fills = {
+        "{{nodeName|json}}": '"gw"',
+        "{{zone|json}}": '"h"',
+        "{{listen.front|json}}": '"10.0.0.1:1"',
+        "{{listen.ready|json}}": '"10.0.0.1:2"',
+        "{{ip}}": "10.0.0.1",
+        "{{internalPorts.0}}": "7000",
+        "{{platform.address|json}}": '"10.0.0.9:3"',
+        "{{bounds.graceS|json}}": "8",
+        "{{bounds.budgetWindowS|json}}": "10",
+        "{{bounds.retryBudgetRatio|json}}": "0.2",
+        "{{bounds.budgetExtra|json}}": "90",
+    }
+    for gap, value in fills.items():
+        text = text.replace(gap, value)
+    settings = parse_gateway_settings(text)
+    assert settings.peer == "10.0.0.1:7000"
+    assert settings.stop_grace_ms == 8_000
+    assert list_unknown(text) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/read/x", "read"),
+        ("/read/deep/x", "deep"),
+        ("/read/deeper/x", "read"),
+        ("/read", None),
+        ("/readx/", None),
+    ],
+)
+def test_the_longest_prefix_wins(path: str, name: str | None) -> None:
+    config = make_config()
+    routes = list(config["routes"])  # type: ignore[call-overload]
+    routes.append({**routes[0], "name": "deep", "pathPrefix": "/read/deep/"})
+    table = decode_config(msgspec.json.encode({**config, "routes": routes}))
+    route = table.find_route(HOST.upper(), path)
+    assert (route.name if route is not None else None) == name
+    assert table.find_route("other.example", path) is None
+
+
+def test_a_configuration_is_decoded_into_our_own_terms() -> None:
+    config = make_config()
+    routes = list(config["routes"])  # type: ignore[call-overload]
+    split = [{"service": "desk", "weight": 90}, {"service": "desk2", "weight": 10}]
+    routes[2] = {k: v for k, v in routes[2].items() if k != "service"} | {"trafficSplit": split}
+    table = decode_config(msgspec.json.encode({**config, "routes": routes}))
+    talk = table.routes[2]
+    assert talk.kind is RequestKind.STREAM and talk.is_repeatable
+    assert [t.service for t in talk.targets] == ["desk", "desk2"]
+    assert not table.routes[1].is_repeatable
+    assert table.requires_key
+
+
+def test_a_configuration_with_an_unknown_kind_is_refused_whole() -> None:
+    config = make_config()
+    routes = list(config["routes"])  # type: ignore[call-overload]
+    routes[0] = {**routes[0], "kind": "sideways"}
+    with pytest.raises(ValueError, match="'sideways'"):
+        decode_config(msgspec.json.encode({**config, "routes": routes}))
+
+
+def test_an_entry_of_a_rank_is_decoded() -> None:
+    group = {"name": "g0", "epoch": 3, "rank": 7, "state": "broken"}
+    entry = {
+        "service": "desk",
+        "address": "10.0.0.1:1",
+        "zone": "h",
+        "slots": 6,
+        "state": "draining",
+        "group": group,
+        "size": 16,
+    }
+    listed = decode_upstream("servers/i-1", msgspec.json.encode(entry))
+    assert listed.incarnation == "i-1" and listed.is_leaving
+    assert (listed.group_rank, listed.group_size, listed.group_epoch) == (7, 16, 3)
+    assert not listed.group_is_open
+
+
+EVENTS = [
+    b"version: 2\nid: 1\ndata: a\n\n",
+    b"id: 2\r\ndata: b\r\n\r\n",
+    b"id: 3\ndata: c\n\n",
+]
+STREAM = b"".join(EVENTS)
+WHOLE = [b"".join(EVENTS[:count]) for count in range(len(EVENTS) + 1)]
+
+
+@pytest.mark.parametrize("size", range(1, 12))
+def test_events_pass_whole_however_they_come(size: int) -> None:
+    splitter = EventSplitter()
+    passed = b""
+    for start in range(0, len(STREAM), size):
+        passed += splitter.feed(STREAM[start : start + size])
+        assert passed in WHOLE
+    assert passed == STREAM
+    assert splitter.last_id == b"3"
+    assert splitter.take_rest() == b""
+
+
+def test_a_part_of_an_event_is_dropped_with_its_source() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\n\nid: 2\ndata") == b"id: 1\n\n"
+    splitter.drop_rest()
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+def test_repeats_stay_within_their_share_of_a_sliding_window() -> None:
+    window = RetryWindow(window_s=10.0, share=0.2, extra=2.0)
+    for number in range(10):
+        window.note_first(float(number))
+    taken = sum(window.take_repeat(9.5) for _ in range(10))
+    assert taken == 4
+    # At 12.5 s the first tries of the first seconds have left the window: fewer may follow.
+    assert not window.take_repeat(12.5)
+    assert window.take_repeat(20.0)
+
+
+def test_passes_that_grow_longer_for_their_batch_are_noticed() -> None:
+    now_s, batch, noticed = 100.0, 2.0, []
+    rhythm = Rhythm(lambda: now_s, lambda: batch, lambda b: 20.0 * b)
+    rhythm.on_slower = lambda: noticed.append(now_s)
+    for _ in range(20):
+        now_s += 0.05
+        rhythm.note_pause(0.040)
+    batch = 4.0
+    for _ in range(20):
+        now_s += 0.05
+        rhythm.note_pause(0.080)
+    assert noticed == []
+    for _ in range(20):
+        now_s += 0.05
+        rhythm.note_pause(0.160)
+    assert noticed
+    rhythm.settle()
+    noticed.clear()
+    for _ in range(40):
+        now_s += 0.05
+        rhythm.note_pause(0.160)
+    assert noticed == []
+
+
+def test_ejection_never_takes_most_of_a_service() -> None:
+    upstreams = UpstreamSet(random.Random(1))
+    for number in range(6):
+        entry = {"service": "d", "address": "a", "zone": "h", "slots": 2, "state": "ready"}
+        upstreams.put(decode_upstream(f"servers/u{number}", msgspec.json.encode(entry)))
+    for upstream in upstreams:
+        for _ in range(10):
+            upstreams.note_failure(upstream, 50.0, is_unreachable=False)
+    assert sum(u.ejected_until_s > 50.0 for u in upstreams) == 2
--- /dev/null
+++ b/tests/test_place.py
@@ -0,0 +1,53 @@
+"""Check that layers of experts are improved within their bounds."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dalehollow.groups.place import Bounds, deal_in_turn, improve_layer, layer_loads
+
+_DEMANDS = st.lists(st.floats(0.0, 1000.0), min_size=24, max_size=24)
+
+
+@given(demand=_DEMANDS, places=st.integers(4, 6), spare=st.integers(0, 3))
+@settings(max_examples=200, derandomize=True, deadline=None)
+def test_bounds_hold_for_any_demand(demand: list[float], places: int, spare: int) -> None:
+    layer = deal_in_turn(6, 24)
+    bounds = Bounds(places=places, spare=spare, price=0.01, max_copies=8)
+    improved = improve_layer(layer, demand, bounds)
+    assert {e for held in improved.layer for e in held} == set(range(24))
+    assert all(len(set(held)) == len(held) <= places for held in improved.layer)
+    copied = [len(set(new) - set(old)) for old, new in zip(layer, improved.layer, strict=True)]
+    assert max(copied) <= spare
+    assert sum(copied) == improved.copies
+    assert improved.longest_after <= improved.longest_before + 1e-9
+
+
+def test_a_hot_expert_is_shared_out() -> None:
+    demand = [100.0] + [1.0] * 23
+    improved = improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, 0.01, 12))
+    assert improved.longest_after < improved.longest_before / 3
+    assert sum(0 in held for held in improved.layer) > 2
+
+
+def test_even_demand_moves_nothing() -> None:
+    layer = deal_in_turn(6, 24)
+    improved = improve_layer(layer, [5.0] * 24, Bounds(5, 2, 0.01, 12))
+    assert improved.copies == 0
+    assert improved.layer == layer
+
+
+def test_a_dearer_copy_moves_less() -> None:
+    demand = [float(1 + (e * 7) % 13) ** 2 for e in range(24)]
+    copies = [
+        improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, price, 12)).copies
+        for price in (0.0, 0.05, 0.5)
+    ]
+    assert copies == sorted(copies, reverse=True)
+    assert copies[-1] == 0
+
+
+def test_loads_are_over_the_mean() -> None:
+    loads = layer_loads(((0,), (1, 2), (1,)), [3.0, 4.0, 2.0])
+    assert loads == [1.0, 4 / 3, 2 / 3]
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,216 @@
+"""Follow the store, keep leases and hold duties through its outages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+
+from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.table import RoutingTable
+from dalehollow.platform import follow, session
+from dalehollow.platform.follow import Follower, Listener
+from dalehollow.platform.session import Session
+from standins.metadata import MetadataStandIn
+from tests.gateway_bench import TIMEOUT_S, listen, make_config
+
+
+@dataclass
+class _Heard:
+    tables: list[RoutingTable] = field(default_factory=list)
+    upstreams: dict[str, ListedUpstream] = field(default_factory=dict)
+    members: dict[str, str] = field(default_factory=dict)
+    holders: dict[str, str] = field(default_factory=dict)
+
+    def listener(self) -> Listener:
+        return Listener(
+            on_table=self.tables.append,
+            on_upstream=lambda u: self.upstreams.__setitem__(u.incarnation, u),
+            on_gone=lambda incarnation: self.upstreams.pop(incarnation, None),
+            on_member=lambda name, address: _set(self.members, name, address),
+            on_duty=lambda duty, holder: _set(self.holders, duty, holder),
+            on_demand=lambda service, demand: None,
+        )
+
+
+def _set(table: dict[str, str], key: str, value: str | None) -> None:
+    if value is None:
+        table.pop(key, None)
+    else:
+        table[key] = value
+
+
+def _entry(**changes: object) -> bytes:
+    entry = {"service": "desk", "address": "127.0.0.1:9", "zone": "h", "slots": 2, "state": "ready"}
+    return msgspec.json.encode({**entry, **changes})
+
+
+async def _until(is_so: Callable[[], bool]) -> None:
+    while not is_so():
+        await asyncio.sleep(0.001)
+
+
+def _run(scenario: Callable[[MetadataStandIn, str, _Heard], Awaitable[None]]) -> None:
+    async def run() -> None:
+        store = MetadataStandIn()
+        address = await listen(store.handle)
+        heard = _Heard()
+        follower = Follower(address, "", heard.listener())
+        task = asyncio.ensure_future(follower.run())
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await scenario(store, address, heard)
+        finally:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+@pytest.fixture(autouse=True)
+def _short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follow, "RETRY_PAUSE_S", 0.005)
+    monkeypatch.setattr(follow, "WATCH_WAIT_S", 0.05)
+
+
+def test_what_was_there_and_what_changes_is_told() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("op/config", msgspec.json.encode(make_config(3)))
+        store.put("servers/a", _entry())
+        await _until(lambda: "a" in heard.upstreams)
+        assert heard.tables[-1].version == 3
+        store.put("servers/a", _entry(state="draining"))
+        await _until(lambda: heard.upstreams["a"].is_leaving)
+        store.delete("servers/a")
+        await _until(lambda: not heard.upstreams)
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("fault", ["busy", "lost"])
+def test_an_outage_is_lived_through(fault: str) -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("servers/a", _entry())
+        await _until(lambda: "a" in heard.upstreams)
+        store.fault = fault
+        calls = len(store.calls)
+        await _until(lambda: len(store.calls) > calls + 3)
+        assert "a" in heard.upstreams
+        store.put("servers/b", _entry())
+        store.fault = "none"
+        await _until(lambda: set(heard.upstreams) == {"a", "b"})
+
+    _run(scenario)
+
+
+def test_history_that_is_gone_is_read_anew() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("servers/a", _entry())
+        await _until(lambda: "a" in heard.upstreams)
+        store.fault = "busy"
+        store.delete("servers/a")
+        store.put("servers/b", _entry())
+        store.forget_history()
+        store.fault = "none"
+        await _until(lambda: set(heard.upstreams) == {"b"})
+
+    _run(scenario)
+
+
+def test_entries_that_lapse_in_an_outage_may_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("servers/a", _entry())
+        store.put("servers/b", _entry())
+        await _until(lambda: len(heard.upstreams) == 2)
+        store.fault = "busy"
+        calls = len(store.calls)
+        await _until(lambda: len(store.calls) > calls + 1)
+        store.delete("servers/a")
+        store.delete("servers/b")
+        store.fault = "none"
+        calls = len(store.calls)
+        await _until(lambda: len(store.calls) > calls + 1)
+        assert len(heard.upstreams) == 2
+        store.put("servers/a", _entry())
+        await _until(lambda: set(heard.upstreams) == {"a"})
+
+    monkeypatch.setattr(follow, "LAPSE_GRACE_S", 0.3)
+    _run(scenario)
+
+
+def test_an_item_that_cannot_be_read_changes_nothing() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("op/config", msgspec.json.encode(make_config(3)))
+        await _until(lambda: bool(heard.tables))
+        store.put("op/config", b"{}")
+        store.put("servers/a", b"no json")
+        store.put("servers/b", _entry())
+        await _until(lambda: "b" in heard.upstreams)
+        assert [t.version for t in heard.tables] == [3]
+        assert set(heard.upstreams) == {"b"}
+
+    _run(scenario)
+
+
+def test_one_holder_at_a_time_with_a_rising_fence() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        first, second = (Session(address, name, b"127.0.0.1:1") for name in ("a", "b"))
+        assert await first.take_duty("desk")
+        assert not await second.take_duty("desk")
+        fence = first.fence("desk")
+        assert fence is not None and second.fence("desk") is None
+        await _until(lambda: heard.holders == {"desk": "a"})
+        await first.drop_duty("desk", "test")
+        assert first.fence("desk") is None
+        await _until(lambda: not heard.holders)
+        assert await second.take_duty("desk")
+        later = second.fence("desk")
+        assert later is not None and later > fence
+        await second.end()
+
+    _run(scenario)
+
+
+def test_a_holder_that_was_paused_knows_that_its_time_is_over() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        now_s = 100.0
+        holder = Session(address, "a", b"127.0.0.1:1", clock=lambda: now_s)
+        assert await holder.take_duty("desk")
+        assert holder.fence("desk") is not None
+        now_s += session.DUTY_TIMES.ttl_s
+        assert holder.fence("desk") is None
+
+    _run(scenario)
+
+
+def test_a_duty_whose_lease_ran_out_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    times = session.LeaseTimes(ttl_s=5.0, renew_s=0.01, margin_s=0.1)
+    monkeypatch.setattr(session, "DUTY_TIMES", times)
+
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        holder = Session(address, "a", b"127.0.0.1:1")
+        assert await holder.take_duty("desk")
+        store.end_all_leases()
+        await _until(lambda: holder.fence("desk") is None)
+
+    _run(scenario)
+
+
+def test_a_process_is_listed_again_after_its_lease_ran_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    times = session.LeaseTimes(ttl_s=5.0, renew_s=0.01, margin_s=0.1)
+    monkeypatch.setattr(session, "MEMBER_TIMES", times)
+
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        member = Session(address, "a", b"127.0.0.1:1")
+        task = asyncio.ensure_future(member.run())
+        await _until(lambda: heard.members == {"a": "127.0.0.1:1"})
+        store.end_all_leases()
+        await _until(lambda: not heard.members)
+        await _until(lambda: heard.members == {"a": "127.0.0.1:1"})
+        task.cancel()
+
+    _run(scenario)
