Settle a paused planner's switch under a hold of its own; spare slow ranks

A rank that is slow for its own reasons set its group's pace and went on getting requests; long answers were begun that could not end in their time at that pace.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -41,13 +41,17 @@
 
 @dataclass(frozen=True)
 class Turn:
-    """Hold what decides a request's turn; times are seconds on the monotonic clock."""
+    """Hold what decides a request's turn.
+
+    `run_s` is how long its answer is expected to take at the present pace, 0 if unknown.
+    """
 
     route: str
     priority: int
     objective_s: float
     left_s: float
     caller_left_s: float
+    run_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -86,6 +90,9 @@
         is_return = self._note_left(turn)
         if not self.upstreams.of_service(self.service):
             return NoPlace("no_upstream", self._retry_after_s(turn))
+        if turn.run_s > turn.left_s:
+            # It would take a place from one that can be served in its time.
+            return NoPlace("too_long_now", self._longest_retry_after_s(turn))
         is_broken = self.health.is_broken(self.service)
         if is_broken and not self._may_probe():
             # When it opens cannot be told before it does: a wait would mostly be for nothing.
--- a/dalehollow/gateway/admit.py
+++ b/dalehollow/gateway/admit.py
@@ -36,6 +36,7 @@
     give_up_at_s: float
     caller_left_s: float
     table_version: int
+    expected_tokens: int
 
 
 @dataclass(frozen=True)
@@ -83,6 +84,7 @@
         give_up_at_s=request.began_at_s + allowed_ms / _MS_PER_S,
         caller_left_s=time_left_ms / _MS_PER_S,
         table_version=table.version,
+        expected_tokens=_read_expected_tokens(request, names),
     )
 
 
@@ -101,6 +103,14 @@
     return int(value) if value.isdigit() else None
 
 
+def _read_expected_tokens(request: CallerRequest, names: HeaderNames) -> int:
+    """Return how many tokens the caller guesses, no more than it allows; 0 if it does not say."""
+    hint = request.get(names.length_hint) or b""
+    allowed = (request.get(names.token_counts) or b"").rpartition(b",")[2].strip()
+    figures = [int(value) for value in (hint, allowed) if value.isdigit()]
+    return min(figures, default=0) if hint.isdigit() else 0
+
+
 def _combine_priority(holder: KeyHolder | None, route: Route) -> int:
     """Order by the account first and the route second, within the range that engines take."""
     account = holder.priority if holder is not None else _DEFAULT_PRIORITY
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -84,6 +84,7 @@
             objective_s=job.route.objective_ms / _MS_PER_S,
             left_s=job.give_up_at_s - self._clock(),
             caller_left_s=job.caller_left_s,
+            run_s=self._state.expected_run_s(job.service, job.expected_tokens),
         )
 
     async def _try_one(self, upstream: Upstream) -> bool:
--- a/dalehollow/gateway/headers.py
+++ b/dalehollow/gateway/headers.py
@@ -19,6 +19,7 @@
     load: bytes
     seal: bytes
     token_counts: bytes
+    length_hint: bytes
     last_event_id: bytes
     retry_after_s: bytes
     faulty_upstream: bytes
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -13,7 +13,7 @@
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.place import Bounds, Improved, deal_in_turn, improve_layer
-from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankPort
+from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
 from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
 from dalehollow.telemetry.logs import log_event
 
@@ -45,6 +45,10 @@
 MIN_LOAD = 0.3
 """A copy must bring more the fewer requests gain by it; below this load no more than that."""
 
+SLOW_PACE = 1.5
+"""A rank that takes so many times longer than usual gets no requests while others have slots."""
+MAX_SLOW_SHARE = 0.25
+
 Demand = tuple[tuple[int, ...], ...]
 
 _LOG = logging.getLogger(__name__)
@@ -77,8 +81,8 @@
     async def drop_duty(self, duty: str, why: str) -> None:
         """Give a duty up."""
 
-    async def keep_demand(self, duty: str, demand: Demand) -> None:
-        """Keep the demand that a plan was made for, for planners to come."""
+    async def keep_plan(self, duty: str, plan: KeptPlan) -> None:
+        """Keep what a plan was made for."""
 
 
 @dataclass
@@ -134,7 +138,11 @@
 
 
 def plan_layers(
-    current: GroupMap, demand: list[list[float]], figures: ExpertFigures, copy_price: float
+    current: GroupMap,
+    demand: list[list[float]],
+    figures: ExpertFigures,
+    copy_price: float,
+    paces: list[float],
 ) -> list[Improved]:
     """Plan each layer by itself."""
     bounds = Bounds(
@@ -144,7 +152,8 @@
         max_copies=figures.spare * len(current[0]),
     )
     return [
-        improve_layer(layer, wanted, bounds) for layer, wanted in zip(current, demand, strict=True)
+        improve_layer(layer, wanted, bounds, paces)
+        for layer, wanted in zip(current, demand, strict=True)
     ]
 
 
@@ -178,6 +187,8 @@
     _is_slower: bool = False
     _read_at_s: float = float("-inf")
     _lost_orders: bool = False
+    _paces: list[float] = field(default_factory=list)
+    _slow: tuple[int, ...] = ()
 
     def __post_init__(self) -> None:
         """Begin without demand."""
@@ -247,6 +258,8 @@
         if is_begun and not await self._begin_epoch(epoch, fence):
             self._next_pause_s = WINDOW_S
             return
+        if self._is_slower or self._slow:
+            await self._read_paces()
         window_s = self._window_s()
         known = self._window.demand or self._kept
         if is_begun and known:
@@ -330,7 +343,7 @@
         improved = []
         copy_price = self.policy.copy_price / max(MIN_LOAD, min(1.0, self.load()))
         for layer, wanted in zip(self.current, demand, strict=True):
-            improved += plan_layers((layer,), [wanted], self.figures, copy_price)
+            improved += plan_layers((layer,), [wanted], self.figures, copy_price, self._paces)
             # A layer takes some ms to plan: streams are relayed in between.
             await asyncio.sleep(0)
         before = sum(i.longest_before for i in improved) / len(improved)
@@ -356,10 +369,32 @@
             self._is_slower = False
             self.changes += 1
             self.copies += copies
-            await self.duties.keep_demand(self.duty, _scale_demand(demand))
+            await self._keep_plan(demand)
         elif outcome is SwitchOutcome.UNRESOLVED:
             await self.duties.drop_duty(self.duty, "a switch is unresolved")
 
+    async def _keep_plan(self, demand: list[list[float]]) -> None:
+        self._slow = self._list_slow()
+        await self.duties.keep_plan(self.duty, KeptPlan(_scale_demand(demand), self._slow))
+
+    def _list_slow(self) -> tuple[int, ...]:
+        slow = tuple(rank for rank, pace in enumerate(self._paces) if pace >= SLOW_PACE)
+        # Where most are slow there is nowhere to go.
+        return slow if len(slow) <= MAX_SLOW_SHARE * len(self._paces) else ()
+
+    async def _read_paces(self) -> None:
+        """Learn which ranks are slow for their own reasons, whatever they hold."""
+        ranks = sorted(self.ranks())
+        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
+        paces = [r.pace if r is not None else 1.0 for r in reports]
+        usual = self._paces or [1.0] * len(paces)
+        if [p >= SLOW_PACE for p in paces] != [p >= SLOW_PACE for p in usual]:
+            log_event(_LOG, "paces_changed", duty=self.duty, paces=",".join(map(str, paces)))
+        self._paces = paces
+        if self._slow != self._list_slow():
+            # Told at once, without waiting for a plan: requests are the larger part of its work.
+            await self._keep_plan(self._window.demand or self._kept)
+
     async def _carry_out(self, planned: GroupMap, fence: int) -> SwitchOutcome:
         assert self.current is not None
         ranks = sorted(self.ranks())
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -22,6 +22,7 @@
 from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
 from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.follow import Follower, Listener
 from dalehollow.platform.names import ALL_KEYS, HEADERS
 from dalehollow.platform.ranks import RankClient
@@ -127,7 +128,7 @@
             state.upstreams.remove,
             self._note_member,
             self._note_holder,
-            self._note_demand,
+            self._note_plan,
         )
         self._follower = Follower(self._settings.store, ALL_KEYS, listener)
         loop = asyncio.get_running_loop()
@@ -197,10 +198,10 @@
         self.state.note_gateways(len(self._members))
         log_event(_LOG, "members", count=len(self._members), name=name, address=address)
 
-    def _note_demand(self, service: str, demand: tuple[tuple[int, ...], ...]) -> None:
-        planner = self._planners.get(service)
-        if planner is not None:
-            planner.note_kept_demand(demand)
+    def _note_plan(self, service: str, plan: KeptPlan) -> None:
+        self.state.upstreams.note_slow_ranks(service, plan.slow_ranks)
+        if service in self._planners:
+            self._planners[service].note_kept_demand(plan.demand)
 
     def _note_holder(self, duty: str, holder: str | None) -> None:
         if holder is None:
--- a/dalehollow/gateway/rhythm.py
+++ b/dalehollow/gateway/rhythm.py
@@ -11,6 +11,8 @@
 MIN_PIECES = 6
 SLOWER = 1.3
 """Passes that last so much longer than after the last switch, batch for batch, call for a look."""
+STALE_S = 1.5
+"""Pieces that are older tell nothing of the present pace."""
 USUAL_WEIGHT = 0.05
 _MS_PER_S = 1000
 SETTLE_S = 0.8
@@ -52,6 +54,8 @@
 
     def pass_s(self) -> float | None:
         """Return how long passes last at present, if pieces tell."""
+        while self._pieces and self._pieces[0].at_s < self.clock() - STALE_S:
+            self._pieces.popleft()
         if len(self._pieces) < MIN_PIECES:
             return None
         return sum(piece.pause_s for piece in self._pieces) / len(self._pieces)
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -13,7 +13,7 @@
 from dalehollow.gateway.peers import GroupHealth
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
-from dalehollow.gateway.table import RoutingTable
+from dalehollow.gateway.table import EngineFigures, RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.telemetry.logs import log_event
 from dalehollow.telemetry.metrics import Metrics
@@ -114,6 +114,15 @@
             self.rhythms[service] = rhythm
         return rhythm
 
+    def expected_run_s(self, service: str, tokens: int) -> float:
+        """Return how long so many tokens take at the present pace, 0 where that is unknown."""
+        rhythm = self.rhythms.get(service)
+        engine = self._find_engine(service)
+        pass_s = rhythm.pass_s() if rhythm is not None else None
+        if engine is None or pass_s is None:
+            return 0.0
+        return tokens / max(1, engine.steps_per_pass) * pass_s
+
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change that may have made some."""
         for admission in self.admissions.values():
@@ -124,6 +133,9 @@
         return self.retry_limits.extra * SAFETY_SHARE / gateways
 
     def _pass_ms(self, service: str, batch: float) -> float:
-        known = self.table.services.get(service) if self.table is not None else None
-        engine = known.engine if known is not None else None
+        engine = self._find_engine(service)
         return engine.pass_ms(batch) if engine is not None else 1.0
+
+    def _find_engine(self, service: str) -> EngineFigures | None:
+        known = self.table.services.get(service) if self.table is not None else None
+        return known.engine if known is not None else None
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -84,6 +84,7 @@
     rng: random.Random
     _known: dict[str, Upstream] = field(default_factory=dict)
     _by_service: dict[str, dict[str, Upstream]] = field(default_factory=dict)
+    _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
 
     def __iter__(self) -> Iterator[Upstream]:
         """Go through all upstreams."""
@@ -137,6 +138,12 @@
         if known is not None:
             known.note_unknown(unknown, at_s)
 
+    def note_slow_ranks(self, service: str, ranks: Collection[int]) -> None:
+        """Take which ranks of a service's group are slow for their own reasons."""
+        if frozenset(ranks) != self._slow_ranks.get(service, frozenset()):
+            log_event(_LOG, "slow_ranks", service=service, ranks=",".join(map(str, ranks)))
+        self._slow_ranks[service] = frozenset(ranks)
+
     def add_others(self, incarnation: str, change: int) -> None:
         """Change how many requests other gateways have at an upstream."""
         known = self._known.get(incarnation)
@@ -163,6 +170,10 @@
         staying = [u for u in self.of_service(service) if u.listed.incarnation not in tried]
         sound = [u for u in staying if u.ejected_until_s <= now_s]
         free = [u for u in sound or staying if u.load(now_s) < 1.0]
+        slow = self._slow_ranks.get(service)
+        if slow:
+            # A slow rank holds its whole group up by each request that it gets.
+            free = [u for u in free if u.listed.group_rank not in slow] or free
         if not free:
             return None
         return min(free, key=lambda u: (u.load(now_s), self.rng.random()))
--- a/dalehollow/groups/place.py
+++ b/dalehollow/groups/place.py
@@ -44,17 +44,28 @@
     longest_after: float
 
 
-def layer_loads(layer: LayerMap, demand: Sequence[float]) -> list[float]:
-    """Return each rank's load over the mean load; an expert's tokens are shared by its holders."""
+def layer_loads(
+    layer: LayerMap, demand: Sequence[float], paces: Sequence[float] | None = None
+) -> list[float]:
+    """Return each rank's time over the mean load; an expert's tokens are shared by its holders.
+
+    `paces` holds how many times longer than usual each rank takes.
+    """
     holders = _count_holders(layer, len(demand))
     total = sum(demand) or 1.0
     scale = len(layer) / total
-    return [sum(demand[e] / holders[e] for e in experts) * scale for experts in layer]
+    loads = [sum(demand[e] / holders[e] for e in experts) * scale for experts in layer]
+    return loads if paces is None else [a * b for a, b in zip(loads, paces, strict=True)]
 
 
-def improve_layer(layer: LayerMap, demand: Sequence[float], bounds: Bounds) -> Improved:
+def improve_layer(
+    layer: LayerMap,
+    demand: Sequence[float],
+    bounds: Bounds,
+    paces: Sequence[float] | None = None,
+) -> Improved:
     """Take changes while they pay; keep the ones up to where they paid most."""
-    work = _Work(layer, demand, bounds)
+    work = _Work(layer, demand, bounds, paces or [1.0] * len(layer))
     before = max(work.loads)
     best = Improved(layer, 0, before, before)
     best_gain = 0.0
@@ -96,14 +107,17 @@
 class _Work:
     """Hold a layer while it is changed."""
 
-    def __init__(self, layer: LayerMap, demand: Sequence[float], bounds: Bounds) -> None:
+    def __init__(
+        self, layer: LayerMap, demand: Sequence[float], bounds: Bounds, paces: Sequence[float]
+    ) -> None:
         self._bounds = bounds
+        self._paces = paces
         total = sum(demand) or 1.0
         self._demand = [d * len(layer) / total for d in demand]
         self._origin = [frozenset(held) for held in layer]
         self._held = [set(held) for held in layer]
         self._holders = _count_holders(layer, len(demand))
-        self.loads = layer_loads(layer, demand)
+        self.loads = layer_loads(layer, demand, paces)
         self.copies = 0
 
     def as_layer(self) -> LayerMap:
@@ -186,7 +200,7 @@
         score = 0.0
         for rank, delta in changed.items():
             load = self.loads[rank]
-            score += (load + delta) ** _POWER - load**_POWER
+            score += (load + delta * self._paces[rank]) ** _POWER - load**_POWER
         copies = (expert not in self._origin[target]) + (
             returns is not None and returns not in self._origin[source]
         )
@@ -204,7 +218,7 @@
             self._held[change.source].add(change.returns)
         layer = self.as_layer()
         self._holders = _count_holders(layer, len(self._demand))
-        self.loads = layer_loads(layer, self._demand)
+        self.loads = layer_loads(layer, self._demand, self._paces)
         self.copies = sum(
             len(held - origin) for held, origin in zip(self._held, self._origin, strict=True)
         )
--- a/dalehollow/groups/ranks.py
+++ b/dalehollow/groups/ranks.py
@@ -31,6 +31,19 @@
     armed_version: int = 0
     armed_step: int = 0
     held_step: int = 0
+    # How many times longer than usual the rank takes.
+    pace: float = 1.0
+
+
+@dataclass(frozen=True)
+class KeptPlan:
+    """Hold what planners and gateways need of the last plan.
+
+    `demand` is in thousandths of a layer's total; `slow_ranks` get no requests while others can.
+    """
+
+    demand: tuple[tuple[int, ...], ...]
+    slow_ranks: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -23,6 +23,9 @@
 """Pause before an order is repeated: a rank that is still copying is asked again after it."""
 
 
+REFUSALS_MEAN_BEGUN = 2
+
+
 class SwitchOutcome(enum.StrEnum):
     """Name what a switch came to; after UNRESOLVED the group is still held."""
 
@@ -56,7 +59,11 @@
 
 
 async def switch_map(port: RankPort, ranks: Sequence[int], proposal: Proposal) -> SwitchOutcome:
-    """Switch all ranks to a map that they have been told to prepare."""
+    """Switch all ranks to a map that they have been told to prepare.
+
+    Nothing here asks whether the duty is still held: a planner whose time is over in the middle
+    can do no harm, since its successor holds the group by itself (`settle_switch`).
+    """
     holders, is_held, is_begun = await _hold(port, ranks, proposal)
     if not is_held:
         await _release(port, holders, proposal)
@@ -75,10 +82,11 @@
 async def settle_switch(
     port: RankPort, reports: dict[int, RankReport], current: GroupMap, next_version: int
 ) -> bool:
-    """Bring to an end what another planner left behind; return whether nothing is left open.
+    """Take back what another planner left behind; return whether nothing is left open.
 
-    Ranks are only ever armed while the group is held, so a version armed at some ranks is armed
-    at the others too if they take it, and is taken back everywhere if one does not.
+    That planner may only be paused and may go on at any moment. So the group is first held at a
+    rank of its own choice, which the other's release does not end; then no arm is left anywhere
+    and none can be given any more.
     """
     armed = [r for r in reports.values() if r.armed_version]
     holders = [rank for rank, r in reports.items() if r.held_step]
@@ -86,15 +94,16 @@
         return True
     epoch = max(r.epoch for r in reports.values())
     step = max([r.armed_step for r in armed] + [reports[rank].held_step for rank in holders])
-    version = max((r.armed_version for r in armed), default=0)
+    version = max((r.armed_version for r in armed), default=next_version - 1)
     proposal = Proposal(version, step, epoch, current)
-    ranks = sorted(reports)
-    if version:
-        replies = await asyncio.gather(*(_arm(port, rank, proposal) for rank in ranks))
-        is_split = any(reply is not OrderReply.TAKEN for reply in replies)
-        if is_split and not await _take_back(port, ranks, proposal, next_version):
-            return False
-    return await _release(port, holders, proposal)
+    # The other planner holds at the first rank that takes its order: begin from the last.
+    free = [rank for rank in sorted(reports, reverse=True) if rank not in holders]
+    own_holders, is_held, is_begun = await _hold(port, free, proposal)
+    if not is_held and not is_begun:
+        return False
+    if is_held and not await _take_back(port, sorted(reports), proposal, next_version):
+        return False
+    return await _release(port, [*own_holders, *holders], proposal)
 
 
 async def _hold(
@@ -102,10 +111,15 @@
 ) -> tuple[list[int], bool, bool]:
     """Hold the group at some rank; return the ranks that may hold it, and how it went."""
     holders: list[int] = []
+    refused = 0
     for rank in ranks:
         reply = await port.hold(rank, proposal.step, proposal.epoch)
         if reply is OrderReply.REFUSED:
-            return holders, False, True
+            # The step has begun, unless this one rank is held for another planner.
+            refused += 1
+            if refused == REFUSALS_MEAN_BEGUN:
+                return holders, False, True
+            continue
         holders.append(rank)
         if reply is OrderReply.TAKEN:
             return holders, True, False
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -13,11 +13,12 @@
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.table import RoutingTable
+from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.names import (
     CONFIG_KEY,
-    DEMAND_PREFIX,
     DUTY_PREFIX,
     MEMBER_PREFIX,
+    PLAN_PREFIX,
     UPSTREAM_PREFIX,
 )
 from dalehollow.platform.operator import decode_config
@@ -48,8 +49,8 @@
     on_member: Callable[[str, str | None], None]
     # A duty and the name of the gateway that holds it, or None once nobody does.
     on_duty: Callable[[str, str | None], None]
-    # A service and the demand for experts, layer by layer, that its group was last planned for.
-    on_demand: Callable[[str, tuple[tuple[int, ...], ...]], None]
+    # A service and what the map of its group was last planned for.
+    on_plan: Callable[[str, KeptPlan], None]
 
 
 class Follower:
@@ -123,9 +124,9 @@
                 self._known.add(key)
                 self._lapsing_until_s.pop(key, None)
                 self._listener.on_upstream(decode_upstream(key, value))
-            elif key.startswith(DEMAND_PREFIX):
-                demand = msgspec.json.decode(value, type=tuple[tuple[int, ...], ...])
-                self._listener.on_demand(key.removeprefix(DEMAND_PREFIX), demand)
+            elif key.startswith(PLAN_PREFIX):
+                plan = msgspec.json.decode(value, type=KeptPlan)
+                self._listener.on_plan(key.removeprefix(PLAN_PREFIX), plan)
             elif self._tell_gateway_key(key, value.decode()):
                 self._known.add(key)
         except ValueError as exc:
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -26,6 +26,8 @@
     seal=b"x-response-seal",
     # Despite its name two counts: tokens of the prompt, and the most that may be generated.
     token_counts=b"x-token-counts",
+    # The caller's guess of the tokens that will be generated.
+    length_hint=b"x-length-hint",
     last_event_id=b"last-event-id",
     retry_after_s=b"retry-after",
     # The upstream that a refusal is about, which need not be the one that sends it.
@@ -33,4 +35,4 @@
 )
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
-DEMAND_PREFIX = "dalehollow/demand/"
+PLAN_PREFIX = "dalehollow/plans/"
--- a/dalehollow/platform/ranks.py
+++ b/dalehollow/platform/ranks.py
@@ -40,6 +40,7 @@
     armed: _Armed | None = None
     # The pass that is not to begin.
     held: int | None = None
+    pace: float = 1.0
 
 
 class _Counts(msgspec.Struct):
@@ -108,6 +109,7 @@
             armed_version=armed.version,
             armed_step=armed.step,
             held_step=report.held or 0,
+            pace=report.pace,
         )
 
     async def read_counts(self, rank: int) -> RankCounts | None:
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from dalehollow.errors import PlatformError
-from dalehollow.platform.names import DEMAND_PREFIX, DUTY_PREFIX, MEMBER_PREFIX
+from dalehollow.groups.ranks import KeptPlan
+from dalehollow.platform.names import DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store
 from dalehollow.telemetry.logs import log_event
 
@@ -157,13 +158,13 @@
         log_event(_LOG, "duty_dropped", duty=duty, fence=lease.revision, why=why)
         await lease.end()
 
-    async def keep_demand(self, duty: str, demand: tuple[tuple[int, ...], ...]) -> None:
-        """Keep the demand that a plan was made for, for planners to come."""
+    async def keep_plan(self, duty: str, plan: KeptPlan) -> None:
+        """Keep what a plan was made for, for planners to come and for the other gateways."""
         store = Store(self.address)
         try:
-            await store.put(DEMAND_PREFIX + duty, msgspec.json.encode(demand), CALL_TIMEOUT_S)
+            await store.put(PLAN_PREFIX + duty, msgspec.json.encode(plan), CALL_TIMEOUT_S)
         except PlatformError as exc:
-            log_event(_LOG, "demand_not_kept", duty=duty, error=exc)
+            log_event(_LOG, "plan_not_kept", duty=duty, error=exc)
         finally:
             store.close()
 
--- a/dalehollow/telemetry/story.py
+++ b/dalehollow/telemetry/story.py
@@ -17,6 +17,7 @@
     "no_upstream": "no upstream of the service was listed as staying",
     "no_place": "every slot was taken and none became free while it waited",
     "no_place_in_time": "every slot was taken and the expected wait was too long",
+    "too_long_now": "at the pace of that moment its answer would not have ended in its time",
     "no_try_left": "the tries that the route and the retry budget allow were used up",
     "timeout": "the route's time or the caller's was over while an upstream had it",
     "timeout_not_run": "the route's time or the caller's was over before an upstream had it",
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -32,7 +32,7 @@
             on_gone=lambda incarnation: self.upstreams.pop(incarnation, None),
             on_member=lambda name, address: _set(self.members, name, address),
             on_duty=lambda duty, holder: _set(self.holders, duty, holder),
-            on_demand=lambda service, demand: None,
+            on_plan=lambda service, plan: None,
         )
 
 
--- a/tests/test_switch_map.py
+++ b/tests/test_switch_map.py
@@ -91,6 +91,92 @@
             _play(seed, kill_at=kill_at)
 
 
+def _play_two(seed: int) -> None:
+    """Play a planner that is paused at a random order while its successor settles, then goes on."""
+    rng = random.Random(seed)
+    weights = {"taken": rng.choice([2, 6]), "lost": 1, "late": 1, "deaf": 1}
+    group = FakeGroup(
+        RANKS, lambda name, rank: rng.choices(list(weights), list(weights.values()))[0]
+    )
+    pause_at, resume_after = rng.randint(1, 14), rng.randint(1, 30)
+    resumed = asyncio.Event()
+    given = {"first": 0, "second": 0}
+
+    class First:
+        """Pass the first planner's orders on, with one long pause."""
+
+        def __getattr__(self, name: str) -> object:
+            async def order(*args: object) -> OrderReply:
+                given["first"] += 1
+                if given["first"] == pause_at:
+                    await resumed.wait()
+                await asyncio.sleep(0)
+                return await getattr(group, name)(*args)  # type: ignore[no-any-return]
+
+            return order
+
+    class Second:
+        """Pass the second planner's orders on; the first wakes in their midst."""
+
+        def __getattr__(self, name: str) -> object:
+            async def order(*args: object) -> OrderReply:
+                given["second"] += 1
+                if given["second"] >= resume_after:
+                    resumed.set()
+                for _ in range(rng.randint(0, 3)):
+                    await asyncio.sleep(0)
+                if rng.random() < 0.3:
+                    group.run_pass()
+                if rng.random() < 0.2:
+                    group.carry_out_late(rng)
+                return await getattr(group, name)(*args)  # type: ignore[no-any-return]
+
+            return order
+
+    async def run() -> None:
+        version = 1_000_001
+        for rank in range(RANKS):
+            for _ in range(30):
+                if await group.prepare(rank, version, CURRENT, 1) is OrderReply.TAKEN:
+                    break
+        proposal = Proposal(version, group.step + rng.randint(1, 5), 1, CURRENT)
+        first = asyncio.ensure_future(switch_map(First(), range(RANKS), proposal))  # type: ignore[arg-type]
+        while given["first"] < pause_at and not first.done():
+            await asyncio.sleep(0)
+        reports = {r: await group.read_report(r) for r in range(RANKS)}
+        await settle_switch(Second(), reports, CURRENT, 2_000_000)  # type: ignore[arg-type]
+        resumed.set()
+        await first
+        while group.late:
+            group.run_pass()
+            group.carry_out_late(rng)
+        for _ in range(20):
+            group.run_pass()
+
+    asyncio.run(run())
+
+
+def test_a_paused_planner_that_wakes_beside_its_successor_never_splits_the_group() -> None:
+    for seed in range(WORLDS):
+        _play_two(seed)
+
+
+def test_without_a_hold_of_its_own_the_successor_splits_the_group(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    real_hold = switch._hold
+
+    async def pretend(port, ranks, proposal):  # type: ignore[no-untyped-def]
+        if type(port).__name__ == "Second":
+            return [], True, False
+        return await real_hold(port, ranks, proposal)
+
+    monkeypatch.setattr(switch, "_hold", pretend)
+    with pytest.raises(MapsDifferError):
+        for seed in range(WORLDS * 4):
+            _play_two(seed)
+
+
 def test_without_the_hold_the_group_is_split(monkeypatch: pytest.MonkeyPatch) -> None:
     """Show that the proof would see a fault: arms alone are taken by some ranks only."""
 
