Offer the gateway's commands: run, check-settings, dump over HTTP, explain from log files

Cause: the users' engineers have logs and metrics only; explain knew one entry's memory. Change: explain joins the lines of several processes and says the cause; a gateway's settings carry its role; standins/platform.py runs gateways as processes before the stand-ins, also in make run. Tests start the real program: metrics, dump, explanation, reload, planned stop, bad settings.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 run: .venv/installed
 	$(PY) -m standins.hall run
+	$(PY) -m standins.platform run
 
 serve: .venv/installed
 	$(PY) -m standins.hall serve
--- a/dalehollow/cli.py
+++ b/dalehollow/cli.py
@@ -10,7 +10,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, NoReturn, Protocol
 
@@ -23,14 +23,19 @@
 from dalehollow.config.spread import Spreader
 from dalehollow.config.store import ApplyError, list_history, part_key
 from dalehollow.errors import PlatformError, SettingsError
+from dalehollow.gateway.settings import GATEWAY_ROLE, read_gateway_settings
+from dalehollow.jsonc import JsoncError, parse_jsonc
 from dalehollow.platform.keyvalue import HttpKeyValue
 from dalehollow.protocol import Dump, DumpText, PeerLink
 from dalehollow.settings import ROLES, Settings, read_settings
 from dalehollow.telemetry.logs import setup_logs
+from dalehollow.telemetry.story import collect_story, explain_end
+from dalehollow.web import HttpClient
 
 EXIT_FAILED = 1
 EXIT_BAD_USE = 2
 _DUMP_TIMEOUT_MS = 2_000
+_HTTP = "http://"
 _STACK_BYTES = 256 * 1024
 # With 200 streams the default of 5 ms adds up to gaps between tokens (python -m benchmarks relay).
 SWITCH_INTERVAL_S = 0.001
@@ -44,6 +49,11 @@
 
 def run(settings: str) -> None:
     """Run the process that a settings file describes, until SIGTERM or SIGINT."""
+    if _is_gateway(settings):
+        from dalehollow.gateway.__main__ import run_gateway
+
+        run_gateway(settings)
+        return
     cfg = _load_settings(settings)
     setup_logs(cfg.name, cfg.log_level)
     threading.stack_size(_STACK_BYTES)
@@ -136,7 +146,13 @@
 
 
 def dump(address: str, section: str = "") -> None:
-    """Print the state of the process at a control address; --section recent adds decisions."""
+    """Print the state of the process at a control address; --section recent adds decisions.
+
+    A gateway tells its state on its metrics address: give it as http://ADDRESS.
+    """
+    if address.startswith(_HTTP):
+        print(_fetch_over_http(address.removeprefix(_HTTP), "/dump"))
+        return
     print(json_codec.dumps(_fetch_dump(address, section), indent=2))
 
 
@@ -159,8 +175,16 @@
         sys.exit(EXIT_FAILED)
 
 
-def explain(request_id: str, address: str) -> None:
-    """Print an entry's recent decision on one request."""
+def explain(request_id: str, *sources: str, address: str = "") -> None:
+    """Tell how a request ended: from log files of several processes, or an entry's memory.
+
+    Log files are given as arguments; --address asks the entry at a control address.
+    """
+    if sources:
+        _explain_from_logs(request_id, sources)
+        return
+    if not address:
+        raise SettingsError("explain needs log files, or --address of an entry")
     state = _fetch_dump(address, "recent")
     found = [d for d in state["recent"] if d["request_id"] == request_id]
     if not found:
@@ -169,9 +193,20 @@
         print(" ".join(f"{k}={v}" for k, v in decision.items()))
 
 
+def _explain_from_logs(request_id: str, files: Sequence[str]) -> None:
+    lines = [line for file in files for line in _read_file(file).splitlines()]
+    story = collect_story(str(request_id), lines)
+    for line in story:
+        print(line.text)
+    print(explain_end(story))
+    if not story:
+        sys.exit(EXIT_FAILED)
+
+
 def check_settings(settings: str) -> None:
     """Check a settings file and print every value that is in force."""
-    print(json_codec.dumps(dataclasses.asdict(_load_settings(settings)), indent=2))
+    loaded = read_gateway_settings(settings) if _is_gateway(settings) else _load_settings(settings)
+    print(json_codec.dumps(dataclasses.asdict(loaded), indent=2))
 
 
 COMMANDS: dict[str, Callable[..., Any]] = {
@@ -208,6 +243,23 @@
     return Sidecar(cfg)
 
 
+def _is_gateway(path: str) -> bool:
+    """Return whether a settings file is a gateway's; a file that cannot be read is judged later."""
+    try:
+        raw, _ = parse_jsonc(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, JsoncError):
+        return False
+    return isinstance(raw, dict) and raw.get("role") == GATEWAY_ROLE
+
+
+def _fetch_over_http(address: str, path: str) -> str:
+    client = HttpClient(connect_timeout_s=_DUMP_TIMEOUT_MS / 1000, max_connections=1)
+    answered = client.call("GET", address, path, timeout_s=_DUMP_TIMEOUT_MS / 1000)
+    if isinstance(answered, Err):
+        _fail(f"process at {address!r} did not answer: {answered.err_value.message}")
+    return answered.ok_value.read().decode()
+
+
 def _load_settings(path: str) -> Settings:
     return read_settings(path)
 
--- a/dalehollow/gateway/__main__.py
+++ b/dalehollow/gateway/__main__.py
@@ -24,10 +24,15 @@
     """Run the gateway that the settings file describes: the argument, or the variable's path."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = read_gateway_settings(path)
+        run_gateway(path)
     except SettingsError as exc:
         print(f"dalehollow: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_USE)
+
+
+def run_gateway(path: str) -> None:
+    """Run the gateway of a settings file; raise SettingsError if the file cannot be used."""
+    settings = read_gateway_settings(path)
     writer = setup_logs(settings.name, settings.log_level, settings.log_lines_per_s)
     asyncio.run(_run(settings, path, writer))
 
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -89,7 +89,15 @@
         status = await self._listen_status()
         self.http, self.ready = _read_address(server), _read_address(ready)
         self.listening.set()
-        log_event(_LOG, "started", name=self._settings.name, hall=self._settings.hall)
+        log_event(
+            _LOG,
+            "started",
+            name=self._settings.name,
+            hall=self._settings.hall,
+            http=self.http,
+            ready=self.ready,
+            metrics=self.metrics,
+        )
         await stopping.wait()
         await self._stop(server)
         ready.close()
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -14,6 +14,7 @@
 from dalehollow.errors import SettingsError
 from dalehollow.telemetry.logs import LEVELS
 
+GATEWAY_ROLE = "gateway"
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 _ADDRESS_FIELDS = ("http", "ready", "metrics", "store", "peer")
 
@@ -22,6 +23,7 @@
 class GatewaySettings:
     """Hold one gateway's settings; addresses are an IP number and a port."""
 
+    role: str
     name: str
     hall: str
     http: str
@@ -93,6 +95,8 @@
 
 
 def _check_value(name: str, value: Any, kind: str) -> list[str]:
+    if name == "role":
+        return [] if value == GATEWAY_ROLE else [f"'role' is {value!r}, must be {GATEWAY_ROLE!r}"]
     if name == "log_level":
         return [] if value in LEVELS else [f"{name!r} is {value!r}, choices: {', '.join(LEVELS)}"]
     if name in _ADDRESS_FIELDS:
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,193 @@
+"""Run gateways as processes on loopback, before a store and servers that stand in for the users'.
+
+python -m standins.platform run      serves some requests of every kind, prints them, and stops
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+import msgspec
+
+from dalehollow.aio import CallerConnection, Handler, Limits, connect
+from standins.metadata import MetadataStandIn
+from standins.server import ServerStandIn
+
+HOST = "floor.example"
+KEY = "key-of-ana"
+_TIMEOUT_S = 20.0
+_LIMITS = Limits(65_536, 65_536, 10.0, 60.0)
+
+
+@dataclass
+class GatewayProcess:
+    """Hold one started gateway and what it printed of its addresses."""
+
+    process: asyncio.subprocess.Process
+    settings_path: Path
+    log_path: Path
+    http: str
+    ready: str
+    metrics: str
+
+    async def stop(self) -> int:
+        """Stop it as planned and return its exit code."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        return await self.process.wait()
+
+
+async def listen(handler: Handler, connections: set[CallerConnection] | None = None) -> str:
+    """Serve on a free port of loopback and return the address."""
+    kept: set[CallerConnection] = connections if connections is not None else set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: CallerConnection(handler, lambda: _LIMITS, kept), "127.0.0.1", 0
+    )
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def make_configuration(version: int = 1) -> bytes:
+    """Return a configuration with a repeatable, a payment and a stream route."""
+    route = {"host": HOST, "service": "desk", "timeoutMs": 5000, "targetLatencyMs": 400}
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [
+                {**route, "name": "status", "pathPrefix": "/status/", "kind": "safe"},
+                {**route, "name": "pay", "pathPrefix": "/pay/", "kind": "unsafe"},
+                {
+                    **route,
+                    "name": "talk",
+                    "pathPrefix": "/stream/",
+                    "kind": "streaming",
+                    "resumable": True,
+                },
+            ],
+            "services": [{"name": "desk", "maxConnections": 50}],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 65536,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": "ana", "apiKeys": [KEY], "priority": 1}],
+        }
+    )
+
+
+async def list_servers(store: MetadataStandIn, incarnations: Sequence[str]) -> list[ServerStandIn]:
+    """Start servers and write their entries."""
+    servers = []
+    for incarnation in incarnations:
+        server = ServerStandIn(incarnation)
+        entry = {
+            "service": "desk",
+            "address": await listen(server.handle),
+            "zone": "hall",
+            "slots": 4,
+            "state": "ready",
+        }
+        store.put(f"servers/{incarnation}", msgspec.json.encode(entry))
+        servers.append(server)
+    return servers
+
+
+@asynccontextmanager
+async def start_gateway(
+    store_address: str, name: str, directory: Path, **changes: object
+) -> AsyncIterator[GatewayProcess]:
+    """Start a gateway and wait until it listens; it is ended with the context."""
+    settings = {
+        "role": "gateway",
+        "name": name,
+        "hall": "hall",
+        "http": "127.0.0.1:0",
+        "ready": "127.0.0.1:0",
+        "peer": "127.0.0.1:0",
+        "store": store_address,
+        **changes,
+    }
+    path, log_path = directory / f"{name}.json", directory / f"{name}.log"
+    path.write_text(json.dumps(settings))
+    with log_path.open("wb") as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "dalehollow", "run", str(path), stdout=log, stderr=log
+        )
+    try:
+        started = await _await_line(log_path, "event=started", process)
+        pairs = dict(word.split("=", 1) for word in started.split() if "=" in word)
+        yield GatewayProcess(
+            process, path, log_path, pairs["http"], pairs["ready"], pairs["metrics"]
+        )
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def _await_line(path: Path, mark: str, process: asyncio.subprocess.Process) -> str:
+    while True:
+        for line in path.read_text().splitlines():
+            if mark in line:
+                return line
+        if process.returncode is not None:
+            raise RuntimeError(f"the process ended: {path.read_text()}")
+        await asyncio.sleep(0.01)
+
+
+async def ask(address: str, path: str, request_id: str, method: str = "POST") -> tuple[int, bytes]:
+    """Send one request and return status and body."""
+    connection = await connect(address, _TIMEOUT_S)
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: 5000\r\nX-Key: {KEY}\r\nContent-Length: 0\r\n\r\n"
+    )
+    try:
+        connection.send([head.encode()])
+        answer = await connection.read_head()
+        return answer.status, await connection.read_body()
+    finally:
+        connection.abort()
+
+
+async def wait_ready(gateway: GatewayProcess) -> None:
+    """Wait until a gateway calls itself ready."""
+    while (await ask(gateway.ready, "/ready", "r", "GET"))[0] != 200:
+        await asyncio.sleep(0.01)
+
+
+async def _run() -> None:
+    store = MetadataStandIn()
+    store.put("op/config", make_configuration())
+    store_address = await listen(store.handle)
+    servers = await list_servers(store, ["server-1", "server-2", "server-3"])
+    with tempfile.TemporaryDirectory() as directory:
+        async with (
+            start_gateway(store_address, "gateway-1", Path(directory)) as first,
+            start_gateway(store_address, "gateway-2", Path(directory)) as second,
+        ):
+            for gateway in (first, second):
+                await wait_ready(gateway)
+            for number, path in enumerate(("/status/a", "/pay/b", "/stream/c", "/nowhere") * 2):
+                gateway = (first, second)[number % 2]
+                status, body = await ask(gateway.http, path, f"demo-{number}")
+                print(f"gateway={gateway.http} path={path} status={status} bytes={len(body)}")
+            codes = [await gateway.stop() for gateway in (first, second)]
+            print(f"runs={sum(len(s.runs) for s in servers)} exit_codes={codes}")
+
+
+def run() -> None:
+    """Serve some requests of every kind through two gateways, print them, and stop."""
+    asyncio.run(asyncio.wait_for(_run(), _TIMEOUT_S * 3))
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run})
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -10,10 +10,11 @@
 
 import msgspec
 
-from dalehollow.aio import AnswerHead, CallerConnection, ClientConnection, CutError, Limits, connect
+from dalehollow.aio import AnswerHead, ClientConnection, CutError, connect
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.settings import GatewaySettings
 from standins.metadata import MetadataStandIn
+from standins.platform import listen
 from standins.server import ServerStandIn
 
 TIMEOUT_S = 20.0
@@ -21,8 +22,6 @@
 KEY = "key-of-ana"
 HOST = "floor.example"
 
-_LIMITS = Limits(65_536, 65_536, 10.0, 60.0)
-
 
 @dataclass(frozen=True)
 class Answer:
@@ -170,22 +169,10 @@
     return Answer(head.status, head, b"".join(pieces), True)
 
 
-async def listen(
-    handler: Callable[[CallerConnection, object], Awaitable[None]], port: int = 0
-) -> str:
-    """Serve on loopback and return the address."""
-    connections: set[CallerConnection] = set()
-    server = await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(handler, lambda: _LIMITS, connections),  # type: ignore[arg-type]
-        "127.0.0.1",
-        port,
-    )
-    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
-
 async def start_gateway(store_address: str, name: str = "gw-1", **changes: object) -> Gateway:
     """Start a gateway in this event loop; the caller runs it."""
     settings = GatewaySettings(
+        role="gateway",
         name=name,
         hall="hall",
         http="127.0.0.1:0",
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -21,6 +21,7 @@
 from tests.gateway_bench import HOST, make_config
 
 SETTINGS = {
+    "role": "gateway",
     "name": "gw",
     "hall": "h",
     "http": "127.0.0.1:1",
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,105 @@
+"""Run the real program as a process: its start, commands, metrics, logs and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from standins.metadata import MetadataStandIn
+from standins.platform import (
+    GatewayProcess,
+    ask,
+    list_servers,
+    listen,
+    make_configuration,
+    start_gateway,
+    wait_ready,
+)
+from standins.server import ServerStandIn, Way, whole_stream
+
+Scenario = Callable[[GatewayProcess, MetadataStandIn, list[ServerStandIn]], Awaitable[None]]
+
+
+def _run(directory: Path, scenario: Scenario) -> None:
+    async def run() -> None:
+        store = MetadataStandIn()
+        store.put("op/config", make_configuration())
+        address = await listen(store.handle)
+        servers = await list_servers(store, ["s1", "s2"])
+        async with start_gateway(address, "gw", directory) as gateway:
+            await wait_ready(gateway)
+            await scenario(gateway, store, servers)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+async def _command(*args: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "dalehollow", *args]
+    return await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True)
+
+
+async def _await_log(gateway: GatewayProcess, text: str) -> str:
+    while text not in (log := gateway.log_path.read_text()):
+        await asyncio.sleep(0.01)
+    return next(line for line in log.splitlines() if text in line)
+
+
+def test_requests_metrics_dump_and_explanation(tmp_path: Path) -> None:
+    async def scenario(
+        gateway: GatewayProcess, store: MetadataStandIn, servers: list[ServerStandIn]
+    ) -> None:
+        assert await ask(gateway.http, "/stream/1", "r-stream") == (200, whole_stream())
+        for server in servers:
+            server.ways = [Way.CUT_UNANSWERED]
+        assert (await ask(gateway.http, "/pay/1", "r-lost"))[0] == 502
+        metrics = (await ask(gateway.metrics, "/metrics", "r", "GET"))[1].decode()
+        assert 'dalehollow_requests_total{outcome="answered",reason="200"} 1' in metrics
+        assert "dalehollow_first_piece_ms_count" in metrics
+        assert "dalehollow_config_version 1" in metrics
+        state = json.loads((await _command("dump", f"http://{gateway.metrics}")).stdout)
+        assert state["config_version"] == 1 and len(state["upstreams"]) == 2
+        await _await_log(gateway, "request=r-lost route=pay")
+        told = await _command("explain", "r-lost", str(gateway.log_path))
+        assert told.returncode == 0, told.stderr
+        assert "event=attempt_failed" in told.stdout
+        assert "status 502" in told.stdout.splitlines()[-1]
+        unknown = await _command("explain", "r-none", str(gateway.log_path))
+        assert unknown.returncode == 1
+
+    _run(tmp_path, scenario)
+
+
+def test_reload_names_what_changed_and_a_planned_stop_ends_well(tmp_path: Path) -> None:
+    async def scenario(
+        gateway: GatewayProcess, store: MetadataStandIn, servers: list[ServerStandIn]
+    ) -> None:
+        checked = await _command("check-settings", str(gateway.settings_path))
+        assert json.loads(checked.stdout)["stop_grace_ms"] == 8000
+        settings = json.loads(gateway.settings_path.read_text())
+        gateway.settings_path.write_text(json.dumps({**settings, "log_level": "debug"}))
+        gateway.process.send_signal(signal.SIGHUP)
+        assert "changed=log_level" in await _await_log(gateway, "event=reload")
+        gateway.settings_path.write_text("{")
+        gateway.process.send_signal(signal.SIGHUP)
+        await _await_log(gateway, "event=reload_failed")
+        assert (await ask(gateway.http, "/status/1", "r-after"))[0] == 200
+        assert "dalehollow/members/gw" in store.items
+        assert await gateway.stop() == 0
+        assert "dalehollow/members/gw" not in store.items
+        assert "event=stopped" in gateway.log_path.read_text()
+
+    _run(tmp_path, scenario)
+
+
+def test_unusable_settings_end_in_one_line(tmp_path: Path) -> None:
+    path = tmp_path / "bad.json"
+    path.write_text('{"role": "gateway", "name": "gw", "http": "nowhere"}')
+    done = asyncio.run(_command("run", str(path)))
+    assert done.returncode == 2
+    assert "'http' is 'nowhere'" in done.stderr and "'store' is missing" in done.stderr
+    assert "Traceback" not in done.stderr
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -15,7 +15,8 @@
 from dalehollow.platform.follow import Follower, Listener
 from dalehollow.platform.session import Session
 from standins.metadata import MetadataStandIn
-from tests.gateway_bench import TIMEOUT_S, listen, make_config
+from standins.platform import listen
+from tests.gateway_bench import TIMEOUT_S, make_config
 
 
 @dataclass
