Keep tasks running whatever they read, end late holds, give demand a module of its own

Cause: read with a newcomer's eyes: an answer of the store or a rank that could not be decoded would have ended its task for good, in silence; a handler that failed left its caller without an end; a hold that was carried out late would have held the group until someone looked. Change: tasks are supervised and logged; such a caller's connection is cut; a planner that sees no pass begin though there is work reads the reports and ends holds. Tests first: red without each.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from dalehollow.aio.sockets import tune_socket
 
 Headers = tuple[tuple[bytes, bytes], ...]
+_LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -247,6 +249,10 @@
             self.is_busy, self._head_sent = True, False
             try:
                 await self._handler(self, request)
+            except Exception as exc:
+                # The caller must not take silence, or half an answer, for more than it is.
+                _LOG.error("event=handler_failed", exc_info=exc)
+                self.cut()
             finally:
                 self.is_busy = False
             if not self.keeps_alive:
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from dalehollow.gateway.demand import Demand, DemandWindow, scale_demand
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.place import Bounds, Improved, deal_in_turn, improve_layer
@@ -29,15 +30,10 @@
 SWITCH_TRIES = 3
 COPY_MARGIN = 1.2
 MIN_SAMPLED_RANKS = 2
-MIN_COUNTS = 400
-"""Counts of one layer below which a window says nothing: a few requests' worth."""
 FALLBACK_STEP_S = 0.1
 TAKE_SPREAD_S = 0.1
 """Gateways that see a duty become vacant try for it spread over this, so that most need not."""
 PREPARE_TRIES = 4
-
-KEPT_SCALE = 1_000
-"""A kept demand is scaled to whole thousandths of a layer's total: finer than any plan needs."""
 WINDOW_S = 0.3
 """Two readings so far apart make a window: some passes, with several requests at each rank."""
 LONGEST_WINDOW_S = 0.6
@@ -50,8 +46,6 @@
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
 
-Demand = tuple[tuple[int, ...], ...]
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -86,58 +80,6 @@
         """Keep what a plan was made for."""
 
 
-@dataclass
-class DemandWindow:
-    """Hold the demand seen at the sampled ranks, the newest counting most."""
-
-    memory: float
-    demand: list[list[float]] = field(default_factory=list)
-    _last: dict[int, RankCounts] = field(default_factory=dict)
-
-    def begin(self, read: Mapping[int, RankCounts]) -> None:
-        """Begin a window and forget what was counted before."""
-        self._last.update(read)
-
-    def add(self, read: Mapping[int, RankCounts], *, forget: bool) -> bool:
-        """Add what was chosen since the last reading; return whether it says something.
-
-        With `forget`, demand that was seen before counts no more.
-        """
-        window: list[list[float]] = []
-        for rank, counts in read.items():
-            last = self._last.get(rank)
-            self._last[rank] = counts
-            if last is None or last.epoch != counts.epoch or last.step > counts.step:
-                continue
-            change: list[list[float]] = [
-                [now - before for now, before in zip(a, b, strict=True)]
-                for a, b in zip(counts.counts, last.counts, strict=True)
-            ]
-            window = _add_layers(window, change, 1.0) if window else change
-        if not window or sum(window[0]) < MIN_COUNTS:
-            return False
-        is_first = forget or not self.demand
-        self.demand = window if is_first else _add_layers(window, self.demand, self.memory)
-        return True
-
-
-def _add_layers(
-    first: list[list[float]], second: list[list[float]], weight: float
-) -> list[list[float]]:
-    return [
-        [a + weight * b for a, b in zip(x, y, strict=True)]
-        for x, y in zip(first, second, strict=True)
-    ]
-
-
-def _scale_demand(demand: list[list[float]]) -> Demand:
-    totals = [sum(layer) or 1.0 for layer in demand]
-    return tuple(
-        tuple(round(value * KEPT_SCALE / total) for value in layer)
-        for layer, total in zip(demand, totals, strict=True)
-    )
-
-
 def plan_layers(
     current: GroupMap,
     demand: list[list[float]],
@@ -181,6 +123,7 @@
     _sample: list[int] = field(default_factory=list)
     _step_s: float = FALLBACK_STEP_S
     _last_step: tuple[float, int] | None = None
+    _has_stepped: bool = True
     _kept: list[list[float]] = field(default_factory=list)
     _is_stopping: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -255,6 +198,8 @@
         if not read:
             return
         epoch = max(counts.epoch for counts in read.values())
+        if epoch == self._epoch and self._is_standing_still():
+            await self._end_holds(fence)
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
             self._next_pause_s = WINDOW_S
@@ -281,6 +226,22 @@
         if not self._window.demand:
             self._next_pause_s = WINDOW_S
 
+    def _is_standing_still(self) -> bool:
+        """Return whether no pass began since the last look, though there is work."""
+        return self._last_step is not None and not self._has_stepped and self.load() > 0
+
+    async def _end_holds(self, fence: int) -> None:
+        """End a hold whose order was carried out late, when nobody waited for it any more."""
+        assert self.current is not None
+        ranks = sorted(self.ranks())
+        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
+        known = {rank: r for rank, r in zip(ranks, reports, strict=True) if r is not None}
+        if not any(r.held_step for r in known.values()):
+            return
+        log_event(_LOG, "group_held", logging.WARNING, duty=self.duty, epoch=self._epoch)
+        if not await settle_switch(self.port, known, self.current, self._next_version(fence)):
+            await self.duties.drop_duty(self.duty, "a hold is unresolved")
+
     def _window_s(self) -> float:
         """Return how long the window is that a reading now closes."""
         now_s = asyncio.get_running_loop().time()
@@ -300,6 +261,7 @@
 
     def _note_step(self, step: int) -> None:
         now_s = asyncio.get_running_loop().time()
+        self._has_stepped = self._last_step is None or step != self._last_step[1]
         if self._last_step is not None and step > self._last_step[1]:
             self._step_s = (now_s - self._last_step[0]) / (step - self._last_step[1])
         self._last_step = (now_s, step)
@@ -377,7 +339,7 @@
 
     async def _keep_plan(self, demand: list[list[float]]) -> None:
         self._slow = self._list_slow()
-        await self.duties.keep_plan(self.duty, KeptPlan(_scale_demand(demand), self._slow))
+        await self.duties.keep_plan(self.duty, KeptPlan(scale_demand(demand), self._slow))
 
     def _list_slow(self) -> tuple[int, ...]:
         slow = tuple(rank for rank, pace in enumerate(self._paces) if pace >= SLOW_PACE)
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -21,6 +21,7 @@
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
 from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
+from dalehollow.gateway.tasks import keep_running
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.follow import Follower, Listener
@@ -145,14 +146,16 @@
             self._note_plan,
         )
         self._follower = Follower(self._settings.store, ALL_KEYS, listener)
-        loop = asyncio.get_running_loop()
-        return [loop.create_task(self._follower.run()), loop.create_task(self._session.run())]
+        return [
+            keep_running("follower", self._follower.run),
+            keep_running("session", self._session.run),
+        ]
 
     async def _open_peers(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self._settings.peer.rpartition(":")
         await loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
-        self._tasks.append(loop.create_task(self._words.run()))
+        self._tasks.append(keep_running("words", self._words.run))
 
     def _take_table(self, table: RoutingTable) -> None:
         self.state.take_table(table)
@@ -162,9 +165,9 @@
             engine = service.engine
             if engine is None or engine.experts is None or service.name in self._planners:
                 continue
-            self._planners[service.name] = self._make_planner(service.name, engine.experts)
-            task = asyncio.get_running_loop().create_task(self._planners[service.name].run())
-            self._tasks.append(task)
+            planner = self._make_planner(service.name, engine.experts)
+            self._planners[service.name] = planner
+            self._tasks.append(keep_running(f"planner-{service.name}", planner.run))
 
     def _take_upstream(self, listed: ListedUpstream) -> None:
         before = self.state.upstreams.find(listed.incarnation)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -269,3 +269,20 @@
         assert (await bench.ask("/read/1")).status == 200
 
     run_bench(scenario)
+
+
+def test_a_handler_that_fails_cuts_its_connection_and_no_other() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _with_servers(bench)
+        real = bench.gateway.state.admission
+
+        def failing(service: str) -> object:
+            bench.gateway.state.admission = real  # type: ignore[method-assign]
+            raise KeyError("unexpected")
+
+        bench.gateway.state.admission = failing  # type: ignore[method-assign, assignment]
+        with pytest.raises(ConnectionError):
+            await bench.ask("/read/1")
+        assert (await bench.ask("/read/1")).status == 200
+
+    run_bench(scenario)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,173 @@
+"""Let a planner look at a fake group, and check when and what it changes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from dalehollow.gateway import tasks
+from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
+from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.table import ExpertFigures
+from dalehollow.groups.ranks import KeptPlan, RankCounts, RankReport
+from tests.fake_ranks import FakeGroup
+
+RANKS, EXPERTS = 4, 16
+FIGURES = ExpertFigures(1, EXPERTS, places=5, spare=4, expert_mb=0.0, link_mbps=1000.0)
+POLICY = PlanPolicy(interval_s=0.005, sampled_share=0.5, copy_price=0.01, begin_gain=0.1, memory=0)
+
+
+@dataclass
+class _Duties:
+    held: int | None = 1
+    kept: list[KeptPlan] = field(default_factory=list)
+
+    def fence(self, duty: str) -> int | None:
+        return self.held
+
+    async def take_duty(self, duty: str) -> bool:
+        self.held = (self.held or 0) + 1
+        return True
+
+    async def drop_duty(self, duty: str, why: str) -> None:
+        self.held = None
+
+    async def keep_plan(self, duty: str, plan: KeptPlan) -> None:
+        self.kept.append(plan)
+
+
+class _CountingGroup(FakeGroup):
+    """Count what requests choose: `hot` most of all; passes run while the planner waits."""
+
+    hot = 0
+    paces = (1.0,) * RANKS
+    seen = 0
+
+    async def read_counts(self, rank: int) -> RankCounts | None:
+        self.run_pass()
+        self.seen += 1000
+        counts = tuple(self.seen * (20 if e == self.hot else 1) for e in range(EXPERTS))
+        return RankCounts(self.epoch, self.step, (counts,))
+
+    async def read_report(self, rank: int) -> RankReport | None:
+        report = await super().read_report(rank)
+        assert report is not None
+        return RankReport(**{**report.__dict__, "pace": self.paces[rank]})
+
+
+def _run(
+    scenario: Callable[[GroupPlanner, _CountingGroup, _Duties], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        group, duties = _CountingGroup(RANKS), _Duties()
+        rhythm = Rhythm(asyncio.get_running_loop().time, lambda: 1.0, lambda batch: 10.0)
+        planner = GroupPlanner(
+            duty="desk",
+            duties=duties,
+            holder=lambda: None,
+            port=group,
+            ranks=lambda: {rank: f"rank-{rank}" for rank in range(RANKS)},
+            figures=FIGURES,
+            policy=POLICY,
+            rng=random.Random(3),
+            rhythm=rhythm,
+            load=lambda: 0.9,
+        )
+        task = asyncio.ensure_future(planner.run())
+        try:
+            async with asyncio.timeout(20):
+                await scenario(planner, group, duties)
+        finally:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+async def _until(is_so: Callable[[], bool]) -> None:
+    while not is_so():
+        await asyncio.sleep(0.001)
+
+
+def test_a_hot_expert_is_spread_and_the_demand_is_kept() -> None:
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        await _until(lambda: planner.changes >= 1)
+        assert planner.current is not None
+        assert sum(0 in held for held in planner.current[0]) > 1
+        await _until(lambda: bool(duties.kept))
+        assert duties.kept[-1].demand[0][0] == max(duties.kept[-1].demand[0])
+        assert len({rank.version for rank in group.ranks} | {rank.prepared for rank in group.ranks})
+
+    _run(scenario)
+
+
+def test_a_group_that_opens_anew_is_planned_from_the_demand_known() -> None:
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        await _until(lambda: planner.changes >= 1)
+        changes = planner.changes
+        group.epoch += 1
+        group.ranks = [type(group.ranks[0])() for _ in range(RANKS)]
+        planner.note_epoch(group.epoch)
+        await _until(lambda: planner.changes > changes)
+
+    _run(scenario)
+
+
+def test_a_slow_rank_is_told_of() -> None:
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        await _until(lambda: planner.changes >= 1)
+        group.paces = (1.0, 1.0, 4.0, 1.0)
+        planner._note_slower()
+        await _until(lambda: bool(duties.kept) and duties.kept[-1].slow_ranks == (2,))
+        group.paces = (1.0,) * RANKS
+        await _until(lambda: duties.kept[-1].slow_ranks == ())
+
+    _run(scenario)
+
+
+def test_a_hold_that_came_late_is_ended() -> None:
+    """An unanswered hold may be carried out when its planner waits for it no more."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        await _until(lambda: planner.changes >= 1)
+        group.ranks[1].held = group.step + 1
+        await _until(lambda: group.ranks[1].held is None)
+        step = group.step
+        await _until(lambda: group.step > step)
+
+    _run(scenario)
+
+
+def test_without_the_duty_nothing_is_ordered() -> None:
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        duties.held = None
+        planner.holder = lambda: "another"
+        orders = len(group.orders)
+        for _ in range(20):
+            planner.note_vacancy()
+            await asyncio.sleep(0)
+        assert len(group.orders) == orders
+
+    _run(scenario)
+
+
+def test_a_task_that_fails_is_logged_and_begun_anew(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(tasks, "RESTART_PAUSE_S", 0)
+    runs = []
+
+    async def run() -> None:
+        runs.append(1)
+        if len(runs) < 3:
+            raise KeyError("unexpected")
+
+    async def scenario() -> None:
+        await tasks.keep_running("test", run)
+
+    asyncio.run(scenario())
+    assert len(runs) == 3
+    assert caplog.text.count("event=task_failed task=test") == 2
