Plan a layer with kept holders, and hold one LayerMap

Cause: each rated change scanned all ranks for an expert's holders, and each taken change counted all anew; LayerMap and the loads of ranks stood in three modules.

--- a/dalehollow/groups/place.py
+++ b/dalehollow/groups/place.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-LayerMap = tuple[tuple[int, ...], ...]
+from dalehollow.groups.expert_map import LayerMap, rank_loads
 
 _POWER = 6
 """Ranks weigh by this power of their load: high enough that the longest decide, low enough that
@@ -51,10 +51,8 @@
 
     `paces` holds how many times longer than usual each rank takes.
     """
-    holders = _count_holders(layer, len(demand))
-    total = sum(demand) or 1.0
-    scale = len(layer) / total
-    loads = [sum(demand[e] / holders[e] for e in experts) * scale for experts in layer]
+    scale = len(layer) / (sum(demand) or 1.0)
+    loads = [load * scale for load in rank_loads(layer, demand)]
     return loads if paces is None else [a * b for a, b in zip(loads, paces, strict=True)]
 
 
@@ -82,20 +80,15 @@
     return best
 
 
-def _count_holders(layer: LayerMap, experts: int) -> list[int]:
-    holders = [0] * experts
-    for held in layer:
-        for expert in held:
-            holders[expert] += 1
-    return holders
-
-
 @dataclass(frozen=True)
 class _Change:
-    """Add `expert` to the rank `target`; drop what gives way there and perhaps at the source."""
+    """Add `expert` to the rank `target`; drop what gives way there and perhaps at the source.
+
+    `load_changes` holds what it adds to the load of each rank, before its pace.
+    """
 
     score: float
-    copies: int
+    load_changes: dict[int, float]
     target: int
     expert: int
     dropped: int | None
@@ -116,7 +109,10 @@
         self._demand = [d * len(layer) / total for d in demand]
         self._origin = [frozenset(held) for held in layer]
         self._held = [set(held) for held in layer]
-        self._holders = _count_holders(layer, len(demand))
+        self._holders: list[set[int]] = [set() for _ in demand]
+        for rank, held in enumerate(layer):
+            for expert in held:
+                self._holders[expert].add(rank)
         self.loads = layer_loads(layer, demand, paces)
         self.copies = 0
 
@@ -148,7 +144,7 @@
             changes.append(self._rate(source, target, expert, None, False, None))
             changes.append(self._rate(source, target, expert, None, True, None))
         for other in self._held[target]:
-            if self._holders[other] > 1:
+            if len(self._holders[other]) > 1:
                 changes.append(self._rate(source, target, expert, other, False, None))
             elif other not in self._held[source] and self._may_copy(source, other):
                 changes.append(self._rate(source, target, expert, other, True, other))
@@ -169,59 +165,73 @@
         returns: int | None,
     ) -> _Change:
         """Rate a change by the sum of the changed ranks' loads to a power, lower being better."""
-        changed: dict[int, float] = {}
-        demand, holders = self._demand, self._holders
+        changes: dict[int, float] = {}
 
         def add(rank: int, load: float) -> None:
-            changed[rank] = changed.get(rank, 0.0) + load
+            changes[rank] = changes.get(rank, 0.0) + load
 
         if leaves_source:
-            share = demand[expert] / holders[expert]
+            share = self._share_of(expert)
             add(source, -share)
             add(target, share)
         else:
-            share = demand[expert] / (holders[expert] + 1)
-            lost = demand[expert] / holders[expert] - share
-            for rank, held in enumerate(self._held):
-                if expert in held:
-                    add(rank, -lost)
+            share = self._share_of(expert, more=1)
+            lost = self._share_of(expert) - share
+            for rank in self._holders[expert]:
+                add(rank, -lost)
             add(target, share)
         if returns is not None:
-            share = demand[returns] / holders[returns]
+            share = self._share_of(returns)
             add(target, -share)
             add(source, share)
         elif dropped is not None:
-            left = holders[dropped] - 1
-            gained = demand[dropped] / left - demand[dropped] / holders[dropped]
-            for rank, held in enumerate(self._held):
-                if dropped in held and rank != target:
-                    add(rank, gained)
-            add(target, -demand[dropped] / holders[dropped])
+            share = self._share_of(dropped)
+            gained = self._share_of(dropped, more=-1) - share
+            for rank in self._holders[dropped]:
+                add(rank, gained)
+            add(target, -share - gained)
         score = 0.0
-        for rank, delta in changed.items():
+        for rank, change in changes.items():
             load = self.loads[rank]
-            score += (load + delta * self._paces[rank]) ** _POWER - load**_POWER
+            score += (load + change * self._paces[rank]) ** _POWER - load**_POWER
         copies = (expert not in self._origin[target]) + (
             returns is not None and returns not in self._origin[source]
         )
         return _Change(
-            score / max(1, copies), copies, target, expert, dropped, source, leaves_source, returns
+            score / max(1, copies),
+            changes,
+            target,
+            expert,
+            dropped,
+            source,
+            leaves_source,
+            returns,
         )
 
+    def _share_of(self, expert: int, *, more: int = 0) -> float:
+        """Return the load that an expert is at each holder, with so many holders more."""
+        return self._demand[expert] / (len(self._holders[expert]) + more)
+
     def _apply(self, change: _Change) -> None:
-        self._held[change.target].add(change.expert)
+        self._place(change.expert, change.target)
         if change.dropped is not None:
-            self._held[change.target].discard(change.dropped)
+            self._remove(change.dropped, change.target)
         if change.leaves_source:
-            self._held[change.source].discard(change.expert)
+            self._remove(change.expert, change.source)
         if change.returns is not None:
-            self._held[change.source].add(change.returns)
-        layer = self.as_layer()
-        self._holders = _count_holders(layer, len(self._demand))
-        self.loads = layer_loads(layer, self._demand, self._paces)
-        self.copies = sum(
-            len(held - origin) for held, origin in zip(self._held, self._origin, strict=True)
-        )
+            self._place(change.returns, change.source)
+        for rank, load in change.load_changes.items():
+            self.loads[rank] += load * self._paces[rank]
+
+    def _place(self, expert: int, rank: int) -> None:
+        self._held[rank].add(expert)
+        self._holders[expert].add(rank)
+        self.copies += expert not in self._origin[rank]
+
+    def _remove(self, expert: int, rank: int) -> None:
+        self._held[rank].discard(expert)
+        self._holders[expert].discard(rank)
+        self.copies -= expert not in self._origin[rank]
 
 
 def deal_in_turn(ranks: int, experts: int) -> LayerMap:
--- a/dalehollow/groups/ranks.py
+++ b/dalehollow/groups/ranks.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-LayerMap = tuple[tuple[int, ...], ...]
+from dalehollow.groups.expert_map import LayerMap
+
 GroupMap = tuple[LayerMap, ...]
 """For each layer and rank, the experts that stand there."""
 
