Plan eagerly while passes press on the pauses that callers take well; say why an answer was late

Change: two sets of terms; the eager one holds while a pass lasts over half of the routes' pause objective. Answers that missed an objective have a log line with first piece, longest pause, load and distance of the upstream.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -13,6 +13,7 @@
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
+from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstreams import Upstream
@@ -64,7 +65,7 @@
             self._progress.waited_s += self._clock() - began_s
             if isinstance(place, NoPlace):
                 return self._give_up(place.reason, place.retry_after_s)
-            self._progress.tried.append(place.listed.incarnation)
+            self._note_place(place)
             self._state.on_change()
             try:
                 is_done = await self._try_one(place)
@@ -76,6 +77,12 @@
             if not self._may_repeat():
                 return self._give_up("no_try_left", admission.suggest_return_s(self._make_turn()))
 
+    def _note_place(self, upstream: Upstream) -> None:
+        progress = self._progress
+        progress.tried.append(upstream.listed.incarnation)
+        progress.load = upstream.load(self._clock())
+        progress.is_far = upstream.listed.hall != self._state.upstreams.hall
+
     def _make_turn(self) -> Turn:
         job = self._job
         return Turn(
@@ -176,7 +183,7 @@
             if events:
                 now_s = self._clock()
                 if last_s is not None:
-                    rhythm.note_pause(now_s - last_s)
+                    self._note_pause(rhythm, now_s - last_s)
                 elif not self._progress.first_piece_at_s:
                     outcome.note_first_piece(self._state, self._job, self._progress)
                 last_s = now_s
@@ -184,6 +191,10 @@
         await self._caller.send_piece(splitter.take_rest())
         self._caller.end_stream()
 
+    def _note_pause(self, rhythm: Rhythm, pause_s: float) -> None:
+        rhythm.note_pause(pause_s)
+        self._progress.longest_pause_s = max(self._progress.longest_pause_s, pause_s)
+
     def _may_repeat(self, *, is_answered: bool = False) -> bool:
         """Return whether another try is allowed, and take it from the budget."""
         job, progress = self._job, self._progress
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -31,7 +31,11 @@
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
     waited_s: float = 0.0
+    # Of the last upstream tried: its load when it was chosen, and whether it is of another hall.
+    load: float = 0.0
+    is_far: bool = False
     first_piece_at_s: float = 0.0
+    longest_pause_s: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
 
@@ -110,11 +114,23 @@
     now_s = asyncio.get_running_loop().time()
     state.metrics.count("requests", outcome="answered", reason=str(status))
     state.metrics.record_ms("answer", (now_s - job.began_at_s) * _MS_PER_S, service=job.service)
-    is_unusual = len(progress.tried) > 1 or status >= HTTPStatus.BAD_REQUEST
+    is_late = _is_late(job, progress, now_s)
+    if is_late:
+        state.metrics.count("answers_late", service=job.service)
+    is_unusual = is_late or len(progress.tried) > 1 or status >= HTTPStatus.BAD_REQUEST
     if is_unusual or state.rng.random() < SAMPLED_SHARE:
         _log_end("request_done", job, progress, status=status, total_ms=_ms_since(job, now_s))
 
 
+def _is_late(job: Job, progress: Progress, now_s: float) -> bool:
+    """Return whether an answer missed its route's objective, or one of its pauses did."""
+    route = job.route
+    begun_at_s = progress.first_piece_at_s or now_s
+    is_first_late = _ms_since(job, begun_at_s) > route.objective_ms > 0
+    longest_ms = progress.longest_pause_s * _MS_PER_S
+    return is_first_late or longest_ms > route.pause_objective_ms > 0
+
+
 def note_left(state: GatewayState, job: Job, progress: Progress) -> None:
     """Record a caller that left before its answer was whole."""
     now_s = asyncio.get_running_loop().time()
@@ -157,8 +173,11 @@
         account=job.account,
         priority=job.priority,
         tried=",".join(progress.tried),
+        load=round(progress.load, 2),
+        is_far=progress.is_far,
         waited_ms=round(progress.waited_s * _MS_PER_S),
         first_ms=first_ms,
+        longest_pause_ms=round(progress.longest_pause_s * _MS_PER_S),
         config_version=job.table_version,
         **pairs,
     )
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -11,9 +11,10 @@
 from typing import Protocol
 
 from dalehollow.gateway.demand import Demand, DemandWindow, scale_demand
+from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms, plan_layer
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
-from dalehollow.groups.place import Bounds, Improved, deal_in_turn, improve_layer
+from dalehollow.groups.place import deal_in_turn
 from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
 from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
 from dalehollow.telemetry.logs import log_event
@@ -39,9 +40,6 @@
 LONGEST_WINDOW_S = 0.6
 """A window that is longer has seen the time before the passes grew longer."""
 
-MIN_LOAD = 0.3
-"""A copy must bring more the fewer requests gain by it; below this load no more than that."""
-
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
@@ -49,21 +47,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class PlanPolicy:
-    """Hold how often to look and what a change must bring.
-
-    `copy_price` is the share of the mean load that a copied weight must take off the longest
-    rank; `begin_gain` the share that all of a change must.
-    """
-
-    interval_s: float
-    sampled_share: float
-    copy_price: float
-    begin_gain: float
-    memory: float
-
-
 class Duties(Protocol):
     """Name what a planner needs of the keeper of duties."""
 
@@ -80,26 +63,6 @@
         """Keep what a plan was made for."""
 
 
-def plan_layers(
-    current: GroupMap,
-    demand: list[list[float]],
-    figures: ExpertFigures,
-    copy_price: float,
-    paces: list[float],
-) -> list[Improved]:
-    """Plan each layer by itself."""
-    bounds = Bounds(
-        places=figures.places,
-        spare=figures.spare,
-        price=copy_price,
-        max_copies=figures.spare * len(current[0]),
-    )
-    return [
-        improve_layer(layer, wanted, bounds, paces)
-        for layer, wanted in zip(current, demand, strict=True)
-    ]
-
-
 @dataclass
 class GroupPlanner:
     """Hold the planner of one group; `ranks` gives the addresses by rank, all of them or none."""
@@ -114,6 +77,8 @@
     rng: random.Random
     rhythm: Rhythm
     load: Callable[[], float]
+    # The longest pause between pieces that callers take well, 0 where none is known.
+    pause_objective_s: Callable[[], float]
     current: GroupMap | None = None
     changes: int = 0
     copies: int = 0
@@ -127,7 +92,7 @@
     _kept: list[list[float]] = field(default_factory=list)
     _is_stopping: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
-    _next_pause_s: float = 0.0
+    _next_pause_s: float | None = 0.0
     _is_slower: bool = False
     _read_at_s: float = float("-inf")
     _lost_orders: bool = False
@@ -163,13 +128,24 @@
         await self.duties.drop_duty(self.duty, "planned stop")
 
     async def _pause(self) -> None:
-        try:
-            async with asyncio.timeout(self._next_pause_s):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        """Wait until the next look is due by the terms as they change, or is called for."""
+        clock = asyncio.get_running_loop().time
+        began_s = clock()
+        while (left_s := began_s + self._pause_s() - clock()) > 0:
+            try:
+                async with asyncio.timeout(min(left_s, self.policy.pressed.interval_s)):
+                    await self._wake.wait()
+                break
+            except TimeoutError:
+                pass
         self._wake.clear()
-        self._next_pause_s = self.policy.interval_s
+        self._next_pause_s = None
+
+    def _pause_s(self) -> float:
+        return self._terms().interval_s if self._next_pause_s is None else self._next_pause_s
+
+    def _terms(self) -> PlanTerms:
+        return self.policy.choose_terms(self.rhythm.pass_s(), self.pause_objective_s())
 
     def note_epoch(self, epoch: int) -> None:
         """Look at once: the group has opened anew, with its first map."""
@@ -304,16 +280,18 @@
 
     async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
+        terms = self._terms()
         improved = []
-        copy_price = self.policy.copy_price / max(MIN_LOAD, min(1.0, self.load()))
         for layer, wanted in zip(self.current, demand, strict=True):
-            improved += plan_layers((layer,), [wanted], self.figures, copy_price, self._paces)
+            improved.append(
+                plan_layer(layer, wanted, self.figures, terms, self.load(), self._paces)
+            )
             # A layer takes some ms to plan: streams are relayed in between.
             await asyncio.sleep(0)
         before = sum(i.longest_before for i in improved) / len(improved)
         after = sum(i.longest_after for i in improved) / len(improved)
         copies = sum(i.copies for i in improved)
-        if not copies or before - after < self.policy.begin_gain * before:
+        if not copies or before - after < terms.begin_gain * before:
             return
         log_event(
             _LOG,
@@ -322,6 +300,7 @@
             longest_before=round(before, 3),
             longest_after=round(after, 3),
             copies=copies,
+            pressed=terms is self.policy.pressed,
             step_ms=round(self._step_s * 1000, 1),
         )
         planned = tuple(i.layer for i in improved)
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -16,7 +16,8 @@
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.outcome import refuse
 from dalehollow.gateway.peers import PeerWords
-from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
+from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
+from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.settings import GatewaySettings
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
@@ -194,16 +195,11 @@
             port=RankClient(figures.layers, ranks, settings.link_mbps),
             ranks=ranks.read,
             figures=figures,
-            policy=PlanPolicy(
-                interval_s=settings.plan_interval_ms / _MS_PER_S,
-                sampled_share=settings.plan_sampled_share,
-                copy_price=settings.plan_copy_price,
-                begin_gain=settings.plan_begin_gain,
-                memory=settings.plan_memory,
-            ),
+            policy=_make_plan_policy(settings),
             rng=self.state.rng,
             rhythm=self.state.rhythm(service),
             load=lambda: self.state.upstreams.load_of(service),
+            pause_objective_s=lambda: self.state.pause_objective_s(service),
         )
 
     def _note_member(self, name: str, member: Member | None) -> None:
@@ -296,6 +292,24 @@
         return sum(1 for caller in self._callers if caller.is_busy)
 
 
+def _make_plan_policy(settings: GatewaySettings) -> PlanPolicy:
+    return PlanPolicy(
+        calm=PlanTerms(
+            settings.plan_interval_ms / _MS_PER_S,
+            settings.plan_copy_price,
+            settings.plan_begin_gain,
+        ),
+        pressed=PlanTerms(
+            settings.plan_pressed_interval_ms / _MS_PER_S,
+            settings.plan_pressed_copy_price,
+            settings.plan_pressed_begin_gain,
+        ),
+        pressed_share=settings.plan_pressed_share,
+        sampled_share=settings.plan_sampled_share,
+        memory=settings.plan_memory,
+    )
+
+
 def _read_address(server: asyncio.Server) -> str:
     host, port = server.sockets[0].getsockname()[:2]
     return f"{host}:{port}"
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -54,6 +54,11 @@
     plan_copy_price: float = 0.03
     plan_begin_gain: float = 0.3
     plan_memory: float = 0.5
+    # The same while passes last longer than this share of the pauses that callers take well.
+    plan_pressed_share: float = 0.5
+    plan_pressed_interval_ms: int = 1_000
+    plan_pressed_copy_price: float = 0.005
+    plan_pressed_begin_gain: float = 0.1
 
 
 def read_gateway_settings(path: str) -> GatewaySettings:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -22,6 +22,8 @@
 """Of the repeats that all gateways together may send, this share is dealt out: their numbers
 differ for a moment when one comes or goes."""
 
+_MS_PER_S = 1000
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -123,6 +125,16 @@
             return 0.0
         return tokens / max(1, engine.steps_per_pass) * pass_s
 
+    def pause_objective_s(self, service: str) -> float:
+        """Return the shortest pause objective of the streams that a service serves, 0 for none."""
+        routes = self.table.routes if self.table is not None else ()
+        objectives_ms = [
+            route.pause_objective_ms
+            for route in routes
+            if route.pause_objective_ms and any(t.service == service for t in route.targets)
+        ]
+        return min(objectives_ms, default=0) / _MS_PER_S
+
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change that may have made some."""
         for admission in self.admissions.values():
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -10,7 +10,8 @@
 import pytest
 
 from dalehollow.gateway import tasks
-from dalehollow.gateway.planner import GroupPlanner, PlanPolicy
+from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
+from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.ranks import KeptPlan, RankCounts, RankReport
@@ -18,7 +19,8 @@
 
 RANKS, EXPERTS = 4, 16
 FIGURES = ExpertFigures(1, EXPERTS, places=5, spare=4, expert_mb=0.0, link_mbps=1000.0)
-POLICY = PlanPolicy(interval_s=0.005, sampled_share=0.5, copy_price=0.01, begin_gain=0.1, memory=0)
+TERMS = PlanTerms(interval_s=0.005, copy_price=0.01, begin_gain=0.1)
+POLICY = PlanPolicy(calm=TERMS, pressed=TERMS, pressed_share=0.5, sampled_share=0.5, memory=0)
 
 
 @dataclass
@@ -76,6 +78,7 @@
             rng=random.Random(3),
             rhythm=rhythm,
             load=lambda: 0.9,
+            pause_objective_s=lambda: 0.0,
         )
         task = asyncio.ensure_future(planner.run())
         try:
