--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -24,7 +24,8 @@
 from dalehollow.groups.expert_map import make_layer
 from dalehollow.limits import RetryBudget, TokenBucket
 from dalehollow.once import NEVER_MS, KeptAnswer, KeyTable, KeyTableLimits
-from dalehollow.protocol import Beat, BeatReply, ControlServer, PeerLink
+from dalehollow.protocol import Beat, BeatReply
+from dalehollow.protocol.link import ControlServer, PeerLink
 from dalehollow.protocol.messages import encode
 
 _BEATS_PER_LINK = 10
--- a/dalehollow/cli.py
+++ b/dalehollow/cli.py
@@ -26,7 +26,8 @@
 from dalehollow.gateway.settings import GATEWAY_ROLE, read_gateway_settings
 from dalehollow.jsonc import JsoncError, parse_jsonc
 from dalehollow.platform.keyvalue import HttpKeyValue
-from dalehollow.protocol import Dump, DumpText, PeerLink
+from dalehollow.protocol import Dump, DumpText
+from dalehollow.protocol.link import PeerLink
 from dalehollow.settings import ROLES, Settings, read_settings
 from dalehollow.telemetry.logs import setup_logs
 from dalehollow.telemetry.story import collect_story, explain_end
--- a/dalehollow/config/spread.py
+++ b/dalehollow/config/spread.py
@@ -21,7 +21,8 @@
 from dalehollow.config.parts import count_bytes
 from dalehollow.config.store import Manifest, load_manifest, part_key, read_head
 from dalehollow.platform.keyvalue import KeyValue
-from dalehollow.protocol import FetchManifest, FetchParts, ManifestJson, Parts, PeerLink
+from dalehollow.protocol import FetchManifest, FetchParts, ManifestJson, Parts
+from dalehollow.protocol.link import PeerLink
 from dalehollow.telemetry.logs import log_event
 
 _POLL_BACKOFF_MAX_MS = 10_000
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -28,18 +28,17 @@
     AskShares,
     Beat,
     BeatReply,
-    ControlServer,
     Dump,
     DumpText,
     FetchManifest,
     FetchParts,
-    PeerLink,
     Refused,
     Reply,
     Request,
     Shares,
 )
 from dalehollow.protocol import headers as hdr
+from dalehollow.protocol.link import ControlServer, PeerLink
 from dalehollow.settings import Settings, split_address
 from dalehollow.telemetry.logs import log_event
 from dalehollow.telemetry.metrics import Metrics
--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from dalehollow.gateway.peers import GroupHealth
+from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 
 PATIENCE_SHARE = 0.22
--- /dev/null
+++ b/dalehollow/gateway/feed.py
@@ -0,0 +1,189 @@
+"""Have one gateway of a hall follow the store, and the others hear of changes from it.
+
+Each watch is a call that the store counts, so the calls must not grow with the gateways. One
+gateway of a hall, the relay, keeps a watch open and passes changes on in datagrams. The others
+rely on it only while they know from it that they miss nothing that is older than `STALE_S`; else,
+and after a gap, each asks the store itself. Whoever asked the store successfully and hears of no
+relay becomes the relay; of two, the one whose name comes first stays.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby
+
+from dalehollow.protocol.reports import (
+    Change,
+    RelayState,
+    StoreChanges,
+    pack_changes,
+    unpack_changes,
+)
+from dalehollow.telemetry.logs import log_event
+
+STALE_S = 1.4
+"""Knowledge of the store that is older is not relied on: with the time to ask oneself it leaves a
+third of the two seconds within which a configuration must be in force."""
+RELAY_SILENT_S = 0.6
+"""A relay reports four times a second or more: two lost reports are no silence."""
+SILENCE_SPREAD_S = 0.2
+"""Gateways notice a silent relay spread over this, so that most hear of the next one first."""
+CATCH_UP_S = 0.1
+"""Who lacks a change that the relay has taken in waits so long for the datagram, then asks."""
+CHUNK_BYTES = 4_000
+"""Changes of several revisions share a message up to this size before they are compressed."""
+MAX_PACKED_BYTES = 8_000
+"""A datagram of this size goes in six frames; a larger one would often lose one of them."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class HallFeed:
+    """Hold how far this gateway has taken the store's changes in, and who relays them."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: Callable[[], float],
+        rng: random.Random,
+        send: Callable[[StoreChanges], None],
+    ) -> None:
+        """Prepare; `send` takes changes to the other gateways of the hall."""
+        self._name = name
+        self._clock = clock
+        self._rng = rng
+        self._send = send
+        self.on_changes: Callable[[tuple[Change, ...]], None] = lambda changes: None
+        self.revision = 0
+        self._fresh_at_s = float("-inf")
+        self._read_at_s = float("-inf")
+        self._is_relay = False
+        self._relay = ""
+        self._relay_heard_until_s = float("-inf")
+        # A gateway that has just started listens first: most likely its hall has a relay.
+        self._relays_from_s = clock() + RELAY_SILENT_S
+        self._behind_since_s: float | None = None
+
+    def is_passive(self) -> bool:
+        """Return whether the relay's word is enough, so that the store need not be asked."""
+        now_s = self._clock()
+        if not self.revision or self._is_relay or now_s > self._relay_heard_until_s:
+            return False
+        is_behind = self._behind_since_s is not None and now_s - self._behind_since_s >= CATCH_UP_S
+        return not is_behind and now_s - self._fresh_at_s < STALE_S
+
+    def age_s(self) -> float:
+        """Return how old the knowledge of the store is; infinite if there never was any."""
+        return self._clock() - self._fresh_at_s
+
+    def relay_state(self) -> RelayState | None:
+        """Return what the relay tells of itself, or None for any other gateway."""
+        age_s = self._clock() - self._read_at_s
+        if not self._is_relay or age_s >= STALE_S:
+            return None
+        return RelayState(self.revision, round(age_s, 3))
+
+    def note_read(self, after: int, changes: tuple[Change, ...], revision: int) -> None:
+        """Take in that the store answered with all changes after one revision up to another."""
+        now_s = self._clock()
+        self._read_at_s = self._fresh_at_s = now_s
+        self.revision = max(self.revision, revision)
+        self._behind_since_s = None
+        if not self._is_relay and now_s > max(self._relays_from_s, self._relay_heard_until_s):
+            self._is_relay = True
+            log_event(_LOG, "relay_begun", revision=self.revision)
+        if self._is_relay and after:
+            for message in _split_changes(after, changes, revision):
+                self._send(message)
+
+    def note_unreachable(self) -> None:
+        """Leave the relaying to a gateway that reaches the store."""
+        self._end_relaying("store_lost")
+
+    def reset(self) -> None:
+        """Begin anew: the store has forgotten what changed since the last reading."""
+        self.revision = 0
+
+    def note_relay(self, sender: str, state: RelayState) -> None:
+        """Take in what another gateway tells as the relay."""
+        if self._is_relay and self.relay_state() is not None:
+            if sender > self._name:
+                return
+            self._end_relaying(f"relay is {sender}")
+        now_s = self._clock()
+        if sender != self._relay:
+            log_event(_LOG, "relay_heard", relay=sender, revision=state.revision)
+        self._relay = sender
+        silence_s = RELAY_SILENT_S + self._rng.uniform(0, SILENCE_SPREAD_S)
+        self._relay_heard_until_s = now_s + silence_s
+        if state.revision <= self.revision:
+            self._fresh_at_s = max(self._fresh_at_s, now_s - state.age_s)
+            self._behind_since_s = None
+        elif self._behind_since_s is None:
+            self._behind_since_s = now_s
+
+    def take_changes(self, message: StoreChanges) -> None:
+        """Take in changes that a relay passed on, unless some before them are missing."""
+        if not self.revision or message.revision <= self.revision:
+            return
+        if message.after > self.revision:
+            if self._behind_since_s is None:
+                self._behind_since_s = self._clock()
+            return
+        try:
+            fresh = self.select_fresh(unpack_changes(message.packed))
+        except ValueError as exc:
+            log_event(_LOG, "changes_unreadable", logging.WARNING, error=exc)
+            return
+        self.revision = message.revision
+        self.on_changes(fresh)
+
+    def select_fresh(self, changes: Iterable[Change]) -> tuple[Change, ...]:
+        """Return the changes that have not been taken in on another way."""
+        return tuple(change for change in changes if change.revision > self.revision)
+
+    def _end_relaying(self, why: str) -> None:
+        if self._is_relay:
+            self._is_relay = False
+            log_event(_LOG, "relay_ended", why=why, revision=self.revision)
+
+
+def _split_changes(
+    after: int, changes: tuple[Change, ...], revision: int
+) -> Iterator[StoreChanges]:
+    """Split changes into messages between revisions.
+
+    From the first revision on that does not fit a datagram nothing is sent: the others see by the
+    relay's revision that they are behind and ask the store.
+    """
+    for chunk in _list_chunks(changes):
+        last = chunk[-1].revision
+        packed = pack_changes(tuple(chunk))
+        if len(packed) > MAX_PACKED_BYTES:
+            return
+        yield StoreChanges(after, last, packed)
+        after = last
+    if revision > after:
+        yield StoreChanges(after, revision, pack_changes(()))
+
+
+def _list_chunks(changes: tuple[Change, ...]) -> Iterator[list[Change]]:
+    """Put the changes of whole revisions together up to the size of a message."""
+    chunk: list[Change] = []
+    size = 0
+    for _, group in groupby(sorted(changes, key=_read_revision), key=_read_revision):
+        same = list(group)
+        same_size = sum(len(c.key) + len(c.value or b"") for c in same)
+        if chunk and size + same_size > CHUNK_BYTES:
+            yield chunk
+            chunk, size = [], 0
+        chunk += same
+        size += same_size
+    if chunk:
+        yield chunk
+
+
+def _read_revision(change: Change) -> int:
+    return change.revision
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -12,12 +12,13 @@
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.exchange import serve_request
+from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.groups import GroupRanks
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.outcome import refuse
-from dalehollow.gateway.peers import PeerWords
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
 from dalehollow.gateway.planner import GroupPlanner
+from dalehollow.gateway.reports import PeerReports
 from dalehollow.gateway.settings import GatewaySettings
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
@@ -78,15 +79,17 @@
         self._planners: dict[str, GroupPlanner] = {}
         member = Member(settings.peer, settings.hall)
         self._session = Session(settings.store, settings.name, member)
-        self._words = PeerWords(
+        self._reports = PeerReports(
             settings.name,
             settings.hall,
             self.state.upstreams,
             self.state.health,
             self.state.grant_all,
-            settings.word_bytes_per_s,
+            settings.report_bytes_per_s,
         )
-        self.state.on_change = self._words.note_change
+        self._feed = HallFeed(settings.name, time.monotonic, rng, self._reports.send_near)
+        self._reports.feed = self._feed
+        self.state.on_change = self._reports.note_change
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until told to stop, then finish what is in hand."""
@@ -122,7 +125,7 @@
             members=self._members,
             holders=self._holders,
             is_ready=self.is_ready,
-            store_age_s=self._follower.heard_age_s,
+            store_age_s=self._feed.age_s,
             store_calls=lambda: self._follower.calls,
             lines_left_out=self.lines_left_out,
         )
@@ -146,7 +149,7 @@
             self._note_holder,
             self._note_plan,
         )
-        self._follower = Follower(self._settings.store, ALL_KEYS, listener)
+        self._follower = Follower(self._settings.store, ALL_KEYS, listener, self._feed)
         return [
             keep_running("follower", self._follower.run),
             keep_running("session", self._session.run),
@@ -155,8 +158,8 @@
     async def _open_peers(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self._settings.peer.rpartition(":")
-        await loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
-        self._tasks.append(keep_running("words", self._words.run))
+        await loop.create_datagram_endpoint(lambda: self._reports, local_addr=(host, int(port)))
+        self._tasks.append(keep_running("reports", self._reports.run))
 
     def _take_table(self, table: RoutingTable) -> None:
         self.state.take_table(table)
@@ -207,7 +210,9 @@
             self._members.pop(name, None)
         else:
             self._members[name] = member.address
-        self._words.note_member(name, member)
+        self._reports.note_member(name, member)
+        if name == self._settings.name and member is None:
+            self._session.note_unlisted()
         self.state.note_gateways(len(self._members))
         log_event(
             _LOG,
--- /dev/null
+++ b/dalehollow/gateway/reports.py
@@ -0,0 +1,266 @@
+"""Tell the other gateways what this one has in hand, and keep what they tell.
+
+Within a hall a load report goes to each gateway when something has changed, and a few times a
+second without a change. To every other hall the relay of a hall sends one report of all that its
+gateways have in hand; the gateway that gets it passes it on within its own. It is soft state: a
+lost datagram is made up for by the next, and who falls silent is forgotten.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import cast
+
+import msgspec
+
+from dalehollow.gateway.feed import HallFeed
+from dalehollow.gateway.health import GroupHealth
+from dalehollow.gateway.listed import Member
+from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
+from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
+from dalehollow.telemetry.logs import log_event
+
+REPORT_INTERVAL_S = 0.05
+"""Less than half of a pass of an engine: what changes within a pass is told before the next."""
+IDLE_INTERVAL_S = 0.25
+"""Less than half of the time after which a relay counts as silent."""
+DATAGRAM_HEAD_BYTES = 28
+SILENT_AFTER_S = 1.5
+"""Six idle intervals: the load of a gateway that is gone must not bind others for long."""
+HALL_SILENT_AFTER_S = 3.0
+"""Reports of halls are kept within a budget of bytes, so they come more seldom."""
+SPEAKER_SILENT_S = 1.0
+"""A gateway of another hall that was not heard for so long is no more the one to send to."""
+
+_LOG = logging.getLogger(__name__)
+
+_Address = tuple[str, int]
+
+
+@dataclass
+class _Reported:
+    in_hand: Mapping[str, int]
+    heard_at_s: float
+    silent_after_s: float
+
+
+@dataclass
+class _FarHall:
+    """Hold the gateways of another hall by name, and the one that was heard last."""
+
+    members: dict[str, _Address]
+    speaker: _Address | None = None
+    heard_at_s: float = float("-inf")
+    _turn: int = 0
+
+    def choose_address(self, now_s: float) -> _Address:
+        """Return where to send: to the one that speaks for its hall, else to each in turn."""
+        if self.speaker is not None and now_s - self.heard_at_s < SPEAKER_SILENT_S:
+            return self.speaker
+        self._turn += 1
+        names = sorted(self.members)
+        return self.members[names[self._turn % len(names)]]
+
+
+class PeerReports(asyncio.DatagramProtocol):
+    """Hold the socket and what the peers told last."""
+
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        upstreams: UpstreamSet,
+        health: GroupHealth,
+        on_change: Callable[[], None],
+        far_bytes_per_s: float,
+    ) -> None:
+        """Prepare; `on_change` is called after each report that was taken in.
+
+        Reports to other halls stay within `far_bytes_per_s`.
+        """
+        self._name = name
+        self._hall = hall
+        self._far_bytes_per_s = far_bytes_per_s
+        self._far_from_s = 0.0
+        self._upstreams = upstreams
+        self._health = health
+        self._on_change = on_change
+        self.feed: HallFeed | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._near: dict[str, _Address] = {}
+        self._far: dict[str, _FarHall] = {}
+        self._near_reports: dict[str, _Reported] = {}
+        self._hall_reports: dict[str, _Reported] = {}
+        self._changed = asyncio.Event()
+        self.sent = 0
+        self.received = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        # The event loop's own class does not derive from the abstract one: nothing to check.
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, addr: _Address) -> None:
+        """Take a peer's message in."""
+        try:
+            message = msgspec.msgpack.decode(data, type=PeerMessage)
+        except msgspec.MsgspecError as exc:
+            log_event(_LOG, "report_unreadable", logging.WARNING, sender=addr[0], error=exc)
+            return
+        self.received += 1
+        if isinstance(message, LoadReport):
+            self._take_load(message)
+        elif isinstance(message, HallReport):
+            self._take_hall(message, addr)
+        elif self.feed is not None:
+            self.feed.take_changes(message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note a datagram that could not be delivered; the peer's silence tells the rest."""
+        log_event(_LOG, "report_undelivered", logging.DEBUG, error=exc)
+
+    def note_member(self, name: str, member: Member | None) -> None:
+        """Add or forget a gateway of the store's list."""
+        self._near.pop(name, None)
+        for hall in self._far.values():
+            hall.members.pop(name, None)
+        self._far = {name: hall for name, hall in self._far.items() if hall.members}
+        if member is None:
+            self._forget(self._near_reports, name)
+        elif name != self._name:
+            host, _, port = member.address.rpartition(":")
+            address = (host, int(port))
+            if member.hall == self._hall:
+                self._near[name] = address
+            else:
+                self._far.setdefault(member.hall, _FarHall({})).members[name] = address
+        self._changed.set()
+
+    def note_change(self) -> None:
+        """Ask for a report to go out soon."""
+        self._changed.set()
+
+    def send_near(self, message: PeerMessage) -> None:
+        """Send a message to each other gateway of the hall."""
+        data = msgspec.msgpack.encode(message)
+        for address in self._near.values():
+            self._send(data, address)
+
+    async def run(self) -> None:
+        """Report, for ever."""
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_INTERVAL_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            self._forget_silent(self._near_reports)
+            self._forget_silent(self._hall_reports)
+            self._report()
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _take_load(self, report: LoadReport) -> None:
+        if report.sender == self._name:
+            return
+        self._replace(self._near_reports, report.sender, report.in_hand, SILENT_AFTER_S)
+        self._take_health(report.served_age_s, report.refused_age_s)
+        now_s = asyncio.get_running_loop().time()
+        for incarnation, (unknown, age_s) in report.unknown.items():
+            self._upstreams.note_unknown(incarnation, unknown, now_s - age_s)
+        if self.feed is not None:
+            if report.relay is not None:
+                self.feed.note_relay(report.sender, report.relay)
+            if self.feed.relay_state() is not None:
+                # What this relay tells other halls has changed too.
+                self._changed.set()
+        self._on_change()
+
+    def _take_hall(self, report: HallReport, addr: _Address) -> None:
+        if report.hall == self._hall:
+            return
+        self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
+        self._take_health(report.served_age_s, report.refused_age_s)
+        if not report.is_passed_on:
+            hall = self._far.get(report.hall)
+            if hall is not None:
+                hall.speaker, hall.heard_at_s = addr[:2], asyncio.get_running_loop().time()
+            self.send_near(msgspec.structs.replace(report, is_passed_on=True))
+        self._on_change()
+
+    def _take_health(
+        self, served_age_s: Mapping[str, float], refused_age_s: Mapping[str, float]
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for service, age_s in served_age_s.items():
+            self._health.note_served(service, now_s - age_s)
+        for service, age_s in refused_age_s.items():
+            self._health.note_refused(service, now_s - age_s)
+
+    def _report(self) -> None:
+        if self._transport is None or not (self._near or self._far):
+            return
+        now_s = asyncio.get_running_loop().time()
+        in_hand = {u.listed.incarnation: u.in_hand for u in self._upstreams if u.in_hand}
+        served = _list_ages(self._health.served_at_s, now_s)
+        refused = _list_ages(self._health.refused_at_s, now_s)
+        relay = self.feed.relay_state() if self.feed is not None else None
+        unknown = {
+            u.listed.incarnation: (u.unknown, round(now_s - u.unknown_at_s, 3))
+            for u in self._upstreams
+            if now_s - u.unknown_at_s < TOLD_LIFE_S
+        }
+        self.send_near(LoadReport(self._name, in_hand, served, refused, unknown, relay))
+        if relay is not None and now_s >= self._far_from_s:
+            total = Counter(in_hand)
+            for reported in self._near_reports.values():
+                total.update(reported.in_hand)
+            self._send_halls(HallReport(self._hall, dict(total), served, refused), now_s)
+
+    def _send_halls(self, report: HallReport, now_s: float) -> None:
+        data = msgspec.msgpack.encode(report)
+        for hall in self._far.values():
+            self._send(data, hall.choose_address(now_s))
+        size = (len(data) + DATAGRAM_HEAD_BYTES) * len(self._far)
+        self._far_from_s = now_s + size / self._far_bytes_per_s
+
+    def _send(self, data: bytes, address: _Address) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, address)
+            self.sent += 1
+
+    def _replace(
+        self,
+        reports: dict[str, _Reported],
+        name: str,
+        in_hand: Mapping[str, int],
+        silent_after_s: float,
+    ) -> None:
+        before = reports.get(name)
+        now_s = asyncio.get_running_loop().time()
+        reports[name] = _Reported(in_hand, now_s, silent_after_s)
+        for incarnation in {*in_hand, *(before.in_hand if before else ())}:
+            change = in_hand.get(incarnation, 0)
+            if before is not None:
+                change -= before.in_hand.get(incarnation, 0)
+            self._upstreams.add_others(incarnation, change)
+
+    def _forget(self, reports: dict[str, _Reported], name: str) -> None:
+        if name in reports:
+            self._replace(reports, name, {}, 0.0)
+            del reports[name]
+
+    def _forget_silent(self, reports: dict[str, _Reported]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for name, reported in list(reports.items()):
+            if now_s - reported.heard_at_s > reported.silent_after_s:
+                self._forget(reports, name)
+                log_event(_LOG, "peer_silent", name=name)
+
+
+def _list_ages(times: Mapping[str, float], now_s: float) -> dict[str, float]:
+    return {service: round(now_s - at_s, 3) for service, at_s in times.items()}
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -43,9 +43,9 @@
     # Gateways that share the extra repeats where their real number is not known.
     gateways_expected: int = 12
     connect_timeout_ms: int = 150
-    # What this VM's link carries, and what of it words to gateways of other halls may take.
+    # What this VM's link carries, and what of it reports to other halls may take.
     link_mbps: float = 1000.0
-    word_bytes_per_s: int = 16_000
+    report_bytes_per_s: int = 16_000
     # The planner of expert maps: how often it looks, at which share of the ranks (two at least),
     # what a copied weight and a whole change must take off the longest rank, and how much of the
     # last demand it remembers.
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -10,7 +10,7 @@
 
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.headers import HeaderNames
-from dalehollow.gateway.peers import GroupHealth
+from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import EngineFigures, RoutingTable
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections import Counter
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
@@ -20,7 +21,9 @@
 """An upstream is ejected when half of its last few answers failed; plain services fail up to a
 seventh of their requests in ordinary operation, which stays far below."""
 MAX_EJECTED_SHARE = 0.34
-FAR_SLOTS = 1.0
+FAR_SLOTS = 2.0
+"""An upstream of another hall must have so many more slots free: what is known of its load is older
+than that of the own hall, and of every four requests sent there one found no slot."""
 TOLD_LIFE_S = 2.0
 """A load told with an answer counts so long: about the time that a stream runs."""
 _LOG = logging.getLogger(__name__)
@@ -87,6 +90,8 @@
     _known: dict[str, Upstream] = field(default_factory=dict)
     _by_service: dict[str, dict[str, Upstream]] = field(default_factory=dict)
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
+    # Kept also of upstreams that are not known yet: reports and lists come on different ways.
+    _others_in_hand: Counter[str] = field(default_factory=Counter)
 
     def __iter__(self) -> Iterator[Upstream]:
         """Go through all upstreams."""
@@ -96,7 +101,7 @@
         """Add an upstream, or take what is newly said of it."""
         known = self._known.get(listed.incarnation)
         if known is None:
-            known = Upstream(listed)
+            known = Upstream(listed, others_in_hand=self._others_in_hand[listed.incarnation])
             self._known[listed.incarnation] = known
             log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
         elif listed.is_leaving and not known.listed.is_leaving:
@@ -148,6 +153,9 @@
 
     def add_others(self, incarnation: str, change: int) -> None:
         """Change how many requests other gateways have at an upstream."""
+        self._others_in_hand[incarnation] += change
+        if not self._others_in_hand[incarnation]:
+            del self._others_in_hand[incarnation]
         known = self._known.get(incarnation)
         if known is not None:
             known.others_in_hand += change
@@ -181,10 +189,7 @@
         return min(free, key=lambda u: (self._rank_by_load(u, now_s), self.rng.random()))
 
     def _rank_by_load(self, upstream: Upstream, now_s: float) -> float:
-        """Return the load, with a slot's worth on top for another hall.
-
-        Words of the own hall are newer, and its way is shorter.
-        """
+        """Return the load, with `FAR_SLOTS` on top for another hall."""
         distance = 0.0 if upstream.listed.hall == self.hall else FAR_SLOTS
         return upstream.load(now_s) + distance / max(1, upstream.listed.slots)
 
--- a/dalehollow/membership/peers.py
+++ b/dalehollow/membership/peers.py
@@ -8,7 +8,8 @@
 
 from result import Ok, Result
 
-from dalehollow.protocol import Beat, PeerLink, Reply
+from dalehollow.protocol import Beat, Reply
+from dalehollow.protocol.link import PeerLink
 
 EXCHANGE_BYTES = 275
 """Of one beat and its reply with all headers: measured by `python -m benchmarks slopes`."""
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dalehollow.errors import PlatformError
+from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.groups.ranks import KeptPlan
@@ -23,14 +24,16 @@
 )
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream, read_incarnation
-from dalehollow.platform.store import Change, HistoryGoneError, Reading, Store
+from dalehollow.platform.store import HistoryGoneError, Reading, Store
+from dalehollow.protocol.reports import Change
 from dalehollow.telemetry.logs import log_event
 
-WATCH_WAIT_S = 2.0
-WATCH_MARGIN_S = 0.4
+WATCH_WAIT_S = 1.0
+WATCH_MARGIN_S = 0.3
 """A watch is taken as unheard this long after it should have ended. Wait and margin together stay
-below the three seconds after which a store or a path that went silent and came back counts as
-stable: a change made meanwhile must be known by then."""
+below `feed.STALE_S`: what a relay knows is confirmed before the others rely on it no more."""
+PASSIVE_INTERVAL_S = 0.1
+"""While the hall's relay is heard, it is looked so often whether that still holds."""
 RECOVERY_WAIT_S = 0.1
 """Wait of the watches after a failure, until one is answered: a long one that is sent into a
 silence would not be heard for its whole length."""
@@ -64,8 +67,10 @@
 class Follower:
     """Keep one watch open on one prefix and tell of what changes."""
 
-    def __init__(self, address: str, prefix: str, listener: Listener) -> None:
-        """Prepare; nothing is read before `run`."""
+    def __init__(self, address: str, prefix: str, listener: Listener, feed: HallFeed) -> None:
+        """Prepare; nothing is read before `run`, which leaves the store alone while `feed` can."""
+        self._feed = feed
+        feed.on_changes = self._take_changes
         self._store = Store(address)
         self._prefix = prefix
         self._listener = listener
@@ -73,54 +78,54 @@
         self._lapsing_until_s: dict[str, float] = {}
         self._is_reachable = True
         self._failed_at_s = float("-inf")
-        self.heard_at_s = float("-inf")
 
     @property
     def calls(self) -> int:
         """Return how many calls were made to the store."""
         return self._store.calls
 
-    def heard_age_s(self) -> float:
-        """Return how long ago the store last answered; infinite if it never did."""
-        return time.monotonic() - self.heard_at_s
-
     async def run(self) -> None:
         """Read everything, then watch, for ever; the store's failures are lived through."""
-        revision = 0
         while True:
+            if self._feed.is_passive():
+                await asyncio.sleep(PASSIVE_INTERVAL_S)
+                self._drop_lapsed()
+                continue
             try:
-                if not revision:
-                    revision = self._take_all(
-                        await self._store.read_range(self._prefix, READ_TIMEOUT_S)
-                    )
+                if self._feed.revision:
+                    await self._watch()
                 else:
-                    wait_s = WATCH_WAIT_S if self._is_reachable else RECOVERY_WAIT_S
-                    reading = await self._store.watch(
-                        self._prefix, revision, wait_s, wait_s + WATCH_MARGIN_S
-                    )
-                    self._take_changes(reading.changes)
-                    revision = max(revision, reading.revision)
-                    if reading.changes:
-                        await asyncio.sleep(BATCH_PAUSE_S)
+                    reading = await self._store.read_range(self._prefix, READ_TIMEOUT_S)
+                    self._take_all(reading)
+                    self._feed.note_read(0, reading.changes, reading.revision)
                 self._note_reachable()
             except HistoryGoneError:
-                log_event(_LOG, "store_history_gone", prefix=self._prefix, revision=revision)
-                revision = 0
+                log_event(_LOG, "store_history_gone", revision=self._feed.revision)
+                self._feed.reset()
             except PlatformError as exc:
                 self._note_failure(exc)
                 await asyncio.sleep(RETRY_PAUSE_S)
             self._drop_lapsed()
 
+    async def _watch(self) -> None:
+        after = self._feed.revision
+        wait_s = WATCH_WAIT_S if self._is_reachable else RECOVERY_WAIT_S
+        timeout_s = wait_s + WATCH_MARGIN_S
+        reading = await self._store.watch(self._prefix, after, wait_s, timeout_s)
+        self._take_changes(self._feed.select_fresh(reading.changes))
+        self._feed.note_read(after, reading.changes, reading.revision)
+        if reading.changes:
+            await asyncio.sleep(BATCH_PAUSE_S)
+
     def close(self) -> None:
         """Drop the connection."""
         self._store.close()
 
-    def _take_all(self, reading: Reading) -> int:
+    def _take_all(self, reading: Reading) -> None:
         self._take_changes(reading.changes)
         present = {change.key for change in reading.changes}
         for key in self._known - present:
             self._note_missing(key)
-        return reading.revision
 
     def _take_changes(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
@@ -181,13 +186,13 @@
         self._listener.on_gone(read_incarnation(key))
 
     def _note_reachable(self) -> None:
-        self.heard_at_s = time.monotonic()
         if not self._is_reachable:
             self._is_reachable = True
             log_event(_LOG, "store_regained", prefix=self._prefix)
 
     def _note_failure(self, exc: PlatformError) -> None:
         self._failed_at_s = time.monotonic()
+        self._feed.note_unreachable()
         if self._is_reachable:
             self._is_reachable = False
             log_event(_LOG, "store_lost", logging.WARNING, prefix=self._prefix, error=exc)
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -36,8 +36,10 @@
     margin_s: float
 
 
-MEMBER_TIMES = LeaseTimes(ttl_s=3.0, renew_s=1.0, margin_s=0.3)
-"""Peers notice a gateway's silence by themselves: the list need not be faster."""
+MEMBER_TIMES = LeaseTimes(ttl_s=12.0, renew_s=4.0, margin_s=0.3)
+"""Peers notice a gateway's silence by themselves: the list only tells where reports go to."""
+MEMBER_RETRY_S = 1.0
+"""Pause after a failed call, until the process is listed."""
 DUTY_TIMES = LeaseTimes(ttl_s=1.0, renew_s=0.3, margin_s=0.2)
 """The shortest lease the store gives: a group may stand still until its duty is taken over."""
 
@@ -59,11 +61,17 @@
         """Return whether the lease surely holds now."""
         return bool(self._id) and self.clock() < self._valid_until_s
 
-    async def begin(self) -> None:
-        """Take a lease and create the key; raise ConflictError if the key is there."""
+    async def begin(self, *, replace: bool = False) -> None:
+        """Take a lease and create the key; raise ConflictError if the key is there.
+
+        With `replace` a key that is there is taken over.
+        """
         asked_at_s = self.clock()
         lease, ttl_s = await self.store.grant_lease(self.times.ttl_s, CALL_TIMEOUT_S)
-        self.revision = await self.store.create(self.key, self.value, lease, CALL_TIMEOUT_S)
+        if replace:
+            self.revision = await self.store.put(self.key, self.value, CALL_TIMEOUT_S, lease=lease)
+        else:
+            self.revision = await self.store.create(self.key, self.value, lease, CALL_TIMEOUT_S)
         self._id = lease
         self._valid_until_s = asked_at_s + ttl_s - self.times.margin_s
 
@@ -107,6 +115,7 @@
         store, value = Store(self.address), msgspec.json.encode(self.member)
         self._member = Lease(store, key, value, MEMBER_TIMES, self.clock)
         self._is_listed = False
+        self._wake = asyncio.Event()
 
     def fence(self, duty: str) -> int | None:
         """Return the fence of a duty that is surely held now, or None."""
@@ -116,18 +125,31 @@
     async def run(self) -> None:
         """Keep the process listed, for ever; after a lapse begin with a new lease."""
         while True:
+            pause_s = MEMBER_TIMES.renew_s
             try:
                 await self._keep_listed()
             except LeaseGoneError:
                 self._unlist("member_lapsed")
                 continue
             except PlatformError as exc:
+                pause_s = MEMBER_RETRY_S
                 if self._is_listed and not self._member.is_valid():
                     self._unlist("member_unconfirmed", str(exc))
-            except ConflictError:
-                # The entry of this process's earlier life goes with its lease.
-                log_event(_LOG, "member_still_listed", name=self.name)
-            await asyncio.sleep(MEMBER_TIMES.renew_s)
+            await self._pause(pause_s)
+
+    def note_unlisted(self) -> None:
+        """List the process anew: its entry is gone, with the lease of an earlier life perhaps."""
+        if self._is_listed:
+            self._unlist("member_removed")
+            self._wake.set()
+
+    async def _pause(self, pause_s: float) -> None:
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
 
     async def take_duty(self, duty: str) -> bool:
         """Try to take a duty that nobody holds; its fence is higher than any before."""
@@ -179,7 +201,8 @@
         if self._is_listed:
             await self._member.renew()
             return
-        await self._member.begin()
+        # An entry that is there is of this process's earlier life: its name is its own.
+        await self._member.begin(replace=True)
         self._is_listed = True
         log_event(_LOG, "member_listed", name=self.name)
 
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -11,6 +11,7 @@
 
 from dalehollow.aio import ClientConnection, ConnectError, CutError, connect
 from dalehollow.errors import PlatformError
+from dalehollow.protocol.reports import Change
 
 CONNECT_TIMEOUT_S = 1.0
 """One lost opening packet is sent again after a second; a store that is near answers in ms."""
@@ -32,15 +33,6 @@
     """Report that the store has dropped the changes a watch asked for: read everything again."""
 
 
-@dataclass(frozen=True)
-class Change:
-    """Hold an item as it was written, or None as value where it was deleted."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
 @dataclass(frozen=True)
 class Reading:
     """Hold what a call told and the store's revision it is as of."""
@@ -125,11 +117,15 @@
         answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
         return msgspec.json.decode(answer, type=_Written).revision
 
-    async def put(self, key: str, value: bytes, timeout_s: float) -> None:
-        """Write a key whatever it holds; for values of which any recent one will do."""
-        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+    async def put(self, key: str, value: bytes, timeout_s: float, *, lease: int = 0) -> int:
+        """Write a key whatever it holds, for values of which any recent one will do.
+
+        Return the revision; raise LeaseGoneError if the lease is over.
+        """
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expectedRevision": [], "setKeys": [item]}
-        await self._call("/kv-txn", timeout_s, method="POST", body=body)
+        answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
+        return msgspec.json.decode(answer, type=_Written).revision
 
     async def delete(self, key: str, revision: int, timeout_s: float) -> None:
         """Delete a key if it is still of this revision, or raise ConflictError."""
--- a/dalehollow/protocol/__init__.py
+++ b/dalehollow/protocol/__init__.py
@@ -1,8 +1,10 @@
-"""Hold the inner protocol: the messages between the system's processes and their links."""
+"""Hold the inner protocol: the messages between the system's processes.
+
+Links stand in `dalehollow.protocol.link`, which gateways run without.
+"""
 
 from __future__ import annotations
 
-from dalehollow.protocol.link import ControlServer, PeerLink
 from dalehollow.protocol.messages import (
     AskShares,
     Beat,
@@ -29,14 +31,12 @@
     "AskShares",
     "Beat",
     "BeatReply",
-    "ControlServer",
     "Dump",
     "DumpText",
     "FetchManifest",
     "FetchParts",
     "ManifestJson",
     "Parts",
-    "PeerLink",
     "Prepare",
     "PrepareReply",
     "RankQuery",
--- /dev/null
+++ b/dalehollow/protocol/reports.py
@@ -0,0 +1,82 @@
+"""Define what gateways tell each other in datagrams, encoded as MessagePack arrays."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an item of the store as it was written, or None as value where it was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class RelayState(msgspec.Struct, frozen=True, array_like=True):
+    """Tell up to which revision of the store a relay knows everything, and how long ago it did."""
+
+    revision: int
+    age_s: float
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """Tell the gateways of the own hall what the sender has in hand.
+
+    Ages say how long ago a group last served and last refused as broken. `relay` is set by the
+    gateway that follows the store for its hall.
+    """
+
+    sender: str
+    in_hand: dict[str, int]
+    served_age_s: dict[str, float]
+    refused_age_s: dict[str, float]
+    # Requests at an upstream that no gateway knows of, and how long ago that was found.
+    unknown: dict[str, tuple[int, float]]
+    relay: RelayState | None = None
+
+
+class HallReport(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """Tell another hall what all gateways of the sender's have in hand together."""
+
+    hall: str
+    in_hand: dict[str, int]
+    served_age_s: dict[str, float]
+    refused_age_s: dict[str, float]
+    # Set by whoever passes it on within a hall: it goes no further.
+    is_passed_on: bool = False
+
+
+class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """Carry all changes of the store after one revision and up to another.
+
+    `packed` holds them compressed: configurations and plans shrink to a fifth or less.
+    """
+
+    after: int
+    revision: int
+    packed: bytes
+
+
+PeerMessage = LoadReport | HallReport | StoreChanges
+
+_CHANGES = msgspec.msgpack.Decoder(tuple[Change, ...])
+MAX_UNPACKED_BYTES = 1 << 20
+"""What a value of the store may hold at most; a message that unpacks to more is not one of ours."""
+
+
+def pack_changes(changes: tuple[Change, ...]) -> bytes:
+    """Return changes as a message carries them."""
+    return zlib.compress(msgspec.msgpack.encode(changes))
+
+
+def unpack_changes(packed: bytes) -> tuple[Change, ...]:
+    """Return the changes that a message carries; raise ValueError if it carries none."""
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MAX_UNPACKED_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"changes cannot be unpacked: {exc}") from exc
+    return _CHANGES.decode(data)
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -20,7 +20,6 @@
     AskShares,
     Beat,
     BeatReply,
-    ControlServer,
     Dump,
     DumpText,
     FetchManifest,
@@ -32,6 +31,7 @@
     Request,
     VoteQuery,
 )
+from dalehollow.protocol.link import ControlServer
 from dalehollow.settings import Settings, split_address
 from dalehollow.sidecar.call import read_call
 from dalehollow.sidecar.forward import Forwarder
--- a/dalehollow/sidecar/ranks.py
+++ b/dalehollow/sidecar/ranks.py
@@ -17,7 +17,6 @@
 from dalehollow.groups.voter import RankVoter, count_outcomes
 from dalehollow.groups.votes import ProposalId, is_switching
 from dalehollow.protocol import (
-    PeerLink,
     Prepare,
     PrepareReply,
     RankQuery,
@@ -28,6 +27,7 @@
     VoteQuery,
     VoteReply,
 )
+from dalehollow.protocol.link import PeerLink
 from dalehollow.telemetry.logs import log_event
 
 ASK_TIMEOUT_MS = 500
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,8 +10,8 @@
 
 from dalehollow.gateway import admission as admission_module
 from dalehollow.gateway.admission import Admission, NoPlace, Turn
+from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream
-from dalehollow.gateway.peers import GroupHealth
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 
 SLOTS = 2
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,238 @@
+"""Check that a hall's gateways miss no change of the store, whoever relays and whatever is lost."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from dalehollow.gateway import feed as feed_module
+from dalehollow.gateway.feed import (
+    CATCH_UP_S,
+    RELAY_SILENT_S,
+    SILENCE_SPREAD_S,
+    STALE_S,
+    HallFeed,
+)
+from dalehollow.protocol.reports import Change, RelayState, StoreChanges, pack_changes
+
+LONG_SILENCE_S = RELAY_SILENT_S + SILENCE_SPREAD_S + 0.01
+
+
+@dataclass
+class _Clock:
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@dataclass
+class _Gateway:
+    """Hold a feed and what it took in; `inbox` is what the others sent."""
+
+    feed: HallFeed
+    taken: list[Change] = field(default_factory=list)
+    inbox: list[StoreChanges] = field(default_factory=list)
+
+
+def _make_hall(names: str, clock: Callable[[], float]) -> dict[str, _Gateway]:
+    hall: dict[str, _Gateway] = {}
+
+    def make(name: str) -> _Gateway:
+        def send(message: StoreChanges) -> None:
+            for other, gateway in hall.items():
+                if other != name:
+                    gateway.inbox.append(message)
+
+        feed = HallFeed(name, clock, random.Random(name), send)
+        gateway = _Gateway(feed)
+        feed.on_changes = gateway.taken.extend
+        return gateway
+
+    hall.update({name: make(name) for name in names})
+    return hall
+
+
+def _change(revision: int, value: bytes | None = b"v") -> Change:
+    return Change(f"key-{revision}", value, revision)
+
+
+def _hear(gateway: _Gateway, sender: str, revision: int, age_s: float = 0.0) -> None:
+    gateway.feed.note_relay(sender, RelayState(revision, age_s))
+
+
+def _make_fed(clock: _Clock, revision: int = 10) -> _Gateway:
+    """Return a gateway that has read everything and hears of the relay `a`."""
+    gateway = _make_hall("b", clock)["b"]
+    gateway.feed.note_read(0, (), revision)
+    _hear(gateway, "a", revision)
+    return gateway
+
+
+def test_a_gateway_that_has_just_started_listens_before_it_relays() -> None:
+    clock = _Clock()
+    gateway = _make_hall("b", clock)["b"]
+    gateway.feed.note_read(0, (), 10)
+    assert gateway.feed.relay_state() is None
+    assert not gateway.feed.is_passive()
+    clock.now_s += LONG_SILENCE_S
+    gateway.feed.note_read(10, (), 10)
+    assert gateway.feed.relay_state() == RelayState(10, 0.0)
+
+
+def test_of_two_relays_the_first_by_name_stays() -> None:
+    clock = _Clock()
+    hall = _make_hall("ab", clock)
+    clock.now_s += LONG_SILENCE_S
+    for gateway in hall.values():
+        gateway.feed.note_read(0, (), 10)
+    _hear(hall["a"], "b", 10)
+    _hear(hall["b"], "a", 10)
+    assert hall["a"].feed.relay_state() is not None
+    assert hall["b"].feed.relay_state() is None
+    assert hall["b"].feed.is_passive()
+
+
+def test_a_relay_that_lost_the_store_leaves_it_to_another() -> None:
+    clock = _Clock()
+    hall = _make_hall("ab", clock)
+    clock.now_s += LONG_SILENCE_S
+    hall["a"].feed.note_read(0, (), 10)
+    hall["a"].feed.note_unreachable()
+    assert hall["a"].feed.relay_state() is None
+    hall["b"].feed.note_read(0, (), 10)
+    _hear(hall["a"], "b", 10)
+    assert hall["a"].feed.is_passive()
+
+
+def test_changes_are_taken_in_once_and_in_order() -> None:
+    clock = _Clock()
+    gateway = _make_fed(clock)
+    first = StoreChanges(10, 12, pack_changes((_change(11), _change(12))))
+    gateway.feed.take_changes(first)
+    gateway.feed.take_changes(first)
+    gateway.feed.take_changes(StoreChanges(11, 13, pack_changes((_change(12), _change(13)))))
+    assert gateway.taken == [_change(11), _change(12), _change(13)]
+    assert gateway.feed.revision == 13
+    # What an own watch that was under way tells late is known already.
+    assert gateway.feed.select_fresh((_change(12), _change(14))) == (_change(14),)
+
+
+def test_who_misses_a_change_asks_the_store() -> None:
+    clock = _Clock()
+    gateway = _make_fed(clock)
+    gateway.feed.take_changes(StoreChanges(11, 12, pack_changes((_change(12),))))
+    assert gateway.taken == []
+    assert gateway.feed.is_passive()
+    clock.now_s += CATCH_UP_S + 0.01
+    assert not gateway.feed.is_passive()
+    gateway.feed.note_read(10, (_change(11), _change(12)), 12)
+    assert gateway.feed.is_passive()
+
+
+def test_who_hears_that_the_relay_knows_more_asks_the_store() -> None:
+    clock = _Clock()
+    gateway = _make_fed(clock)
+    _hear(gateway, "a", 11)
+    clock.now_s += CATCH_UP_S + 0.01
+    _hear(gateway, "a", 11)
+    assert not gateway.feed.is_passive()
+
+
+@pytest.mark.parametrize(
+    ("report_age_s", "pause_s", "is_passive"),
+    [
+        (0.0, 0.5, True),
+        # Nothing is heard any more.
+        (0.0, LONG_SILENCE_S, False),
+        # The relay is heard, but has not heard of the store itself for long.
+        (STALE_S, 0.0, False),
+        (STALE_S - 0.2, 0.3, False),
+    ],
+)
+def test_a_relay_is_relied_on_no_longer_than_it_is_fresh(
+    report_age_s: float, pause_s: float, is_passive: bool
+) -> None:
+    clock = _Clock()
+    gateway = _make_hall("b", clock)["b"]
+    gateway.feed.note_read(0, (), 10)
+    clock.now_s += 10.0
+    _hear(gateway, "a", 10, report_age_s)
+    clock.now_s += pause_s
+    assert gateway.feed.is_passive() is is_passive
+
+
+def test_after_the_history_is_gone_nothing_is_taken_until_all_is_read() -> None:
+    clock = _Clock()
+    gateway = _make_fed(clock)
+    gateway.feed.reset()
+    assert not gateway.feed.is_passive()
+    gateway.feed.take_changes(StoreChanges(10, 11, pack_changes((_change(11),))))
+    assert gateway.taken == []
+
+
+def test_what_fits_no_datagram_is_left_to_the_store() -> None:
+    clock = _Clock()
+    hall = _make_hall("ab", clock)
+    clock.now_s += LONG_SILENCE_S
+    hall["a"].feed.note_read(0, (), 10)
+    large = random.Random(1).randbytes(feed_module.MAX_PACKED_BYTES + 1)
+    hall["a"].feed.note_read(10, (_change(11), _change(12, large), _change(13)), 13)
+    assert [(m.after, m.revision) for m in hall["b"].inbox] == [(10, 11)]
+
+
+@pytest.mark.parametrize("packed", [b"", b"no zlib", pack_changes(())[:-3] + b"abc"])
+def test_a_message_that_cannot_be_unpacked_changes_nothing(packed: bytes) -> None:
+    gateway = _make_fed(_Clock())
+    gateway.feed.take_changes(StoreChanges(10, 11, packed))
+    assert gateway.feed.revision == 10
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_whatever_is_lost_every_gateway_ends_with_the_store(seed: int) -> None:
+    """Play random changes, lost messages, silent relays and outages against a plain log."""
+    rng = random.Random(seed)
+    clock = _Clock()
+    hall = _make_hall("abc", clock)
+    log: list[Change] = []
+    known: dict[str, dict[str, bytes | None]] = {name: {} for name in hall}
+    for name, gateway in hall.items():
+        gateway.feed.on_changes = lambda changes, name=name: known[name].update(
+            (c.key, c.value) for c in changes
+        )
+
+    def read(name: str) -> None:
+        feed = hall[name].feed
+        after = feed.revision
+        fresh = feed.select_fresh(tuple(log))
+        known[name].update((c.key, c.value) for c in fresh)
+        feed.note_read(after, fresh, log[-1].revision)
+
+    for step in range(300):
+        if rng.random() < 0.3:
+            log.append(Change(f"key-{rng.randrange(5)}", b"%d" % step, len(log) + 1))
+        clock.now_s += rng.choice([0.02, 0.1, 0.4])
+        for name, gateway in hall.items():
+            for message in gateway.inbox:
+                if rng.random() < 0.8:
+                    gateway.feed.take_changes(message)
+            gateway.inbox.clear()
+            state = gateway.feed.relay_state()
+            for other in hall:
+                if state is not None and other != name and rng.random() < 0.8:
+                    hall[other].feed.note_relay(name, state)
+            if log and not gateway.feed.is_passive():
+                if rng.random() < 0.8:
+                    read(name)
+                else:
+                    gateway.feed.note_unreachable()
+    truth = {c.key: c.value for c in log}
+    for name, gateway in hall.items():
+        # Whoever relies on a relay lacks nothing that is older than it may be.
+        behind = [c for c in log if c.revision > gateway.feed.revision]
+        assert known[name] | {c.key: c.value for c in behind} == truth
+        read(name)
+        assert known[name] == truth
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -9,7 +9,8 @@
 
 from dalehollow.config import apply_text
 from dalehollow.platform.keyvalue import HttpKeyValue
-from dalehollow.protocol import Dump, DumpText, PeerLink
+from dalehollow.protocol import Dump, DumpText
+from dalehollow.protocol.link import PeerLink
 from dalehollow.web import HttpClient
 from standins.hall import digest_key
 from standins.processes import Launcher, Running
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -174,3 +174,15 @@
     asyncio.run(scenario())
     assert len(runs) == 3
     assert caplog.text.count("event=task_failed task=test") == 2
+
+
+@pytest.mark.parametrize(
+    ("pass_s", "objective_s", "is_pressed"),
+    [(None, 0.12, False), (0.05, 0.12, False), (0.06, 0.12, True), (0.2, 0.0, False)],
+)
+def test_plans_are_eager_while_passes_press_on_the_pauses_that_callers_take(
+    pass_s: float | None, objective_s: float, is_pressed: bool
+) -> None:
+    pressed = PlanTerms(interval_s=1.0, copy_price=0.005, begin_gain=0.1)
+    policy = PlanPolicy(TERMS, pressed, pressed_share=0.5, sampled_share=0.1, memory=0.5)
+    assert (policy.choose_terms(pass_s, objective_s) is pressed) == is_pressed
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,176 @@
+"""Check what gateways tell each other of their load, within a hall and between halls."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from dalehollow.gateway import reports
+from dalehollow.gateway.feed import HallFeed
+from dalehollow.gateway.health import GroupHealth
+from dalehollow.gateway.listed import ListedUpstream, Member
+from dalehollow.gateway.reports import PeerReports
+from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
+from tests.gateway_bench import replaced
+
+NEAR, NEAR_2, FAR, FAR_2 = (("127.0.0.1", port) for port in (1, 2, 3, 4))
+
+
+@dataclass
+class _Sent:
+    """Stand in for the socket and keep what was sent."""
+
+    sent: list[tuple[PeerMessage, tuple[str, int]]] = field(default_factory=list)
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.sent.append((msgspec.msgpack.decode(data, type=PeerMessage), address))
+
+
+@dataclass
+class _Clock:
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@dataclass
+class _Bench:
+    reports: PeerReports
+    upstreams: UpstreamSet
+    feed: HallFeed
+    socket: _Sent
+    clock: _Clock
+
+    def receive(self, message: PeerMessage, address: tuple[str, int] = NEAR) -> None:
+        self.reports.datagram_received(msgspec.msgpack.encode(message), address)
+
+    def become_relay(self) -> None:
+        self.clock.now_s += 1.0
+        self.feed.note_read(0, (), 5)
+
+
+def _make_upstream(incarnation: str) -> ListedUpstream:
+    return ListedUpstream(incarnation, "desk", "127.0.0.1:9", "hall-1", 4, False)
+
+
+def _load(sender: str, **in_hand: int) -> LoadReport:
+    return LoadReport(sender, in_hand, {}, {}, {})
+
+
+def _run(scenario: Callable[[_Bench], Awaitable[None]]) -> None:
+    async def run() -> None:
+        upstreams = UpstreamSet(random.Random(1), "hall-1")
+        peer_reports = PeerReports(
+            "gw", "hall-1", upstreams, GroupHealth(), lambda: None, far_bytes_per_s=1e9
+        )
+        socket = _Sent()
+        peer_reports._transport = socket  # type: ignore[assignment]
+        clock = _Clock()
+        feed = HallFeed("gw", clock, random.Random(1), peer_reports.send_near)
+        bench = _Bench(peer_reports, upstreams, feed, socket, clock)
+        peer_reports.feed = feed
+        for name, address, hall in (
+            ("near", NEAR, "hall-1"),
+            ("near-2", NEAR_2, "hall-1"),
+            ("far", FAR, "hall-2"),
+            ("far-2", FAR_2, "hall-2"),
+        ):
+            peer_reports.note_member(name, Member(f"{address[0]}:{address[1]}", hall))
+        await scenario(bench)
+
+    asyncio.run(run())
+
+
+def test_a_report_that_comes_before_its_upstream_is_listed_counts_once_it_is() -> None:
+    """It was dropped, and the next one then took away what had never been added."""
+
+    async def scenario(bench: _Bench) -> None:
+        bench.receive(_load("near", s1=2))
+        bench.upstreams.put(_make_upstream("s1"))
+        (upstream,) = bench.upstreams
+        assert upstream.known_in_hand() == 2
+        bench.receive(_load("near", s1=1))
+        assert upstream.known_in_hand() == 1
+        bench.receive(_load("near"))
+        bench.receive(_load("near-2", s1=3))
+        assert upstream.known_in_hand() == 3
+
+    _run(scenario)
+
+
+def test_only_the_relay_tells_other_halls_and_tells_the_sum() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.upstreams.put(_make_upstream("s1"))
+        bench.receive(_load("near", s1=2))
+        bench.receive(_load("near-2", s1=1))
+        bench.reports._report()
+        assert {address for _, address in bench.socket.sent} == {NEAR, NEAR_2}
+        bench.become_relay()
+        bench.socket.sent.clear()
+        bench.reports._report()
+        told = [m for m, address in bench.socket.sent if address in (FAR, FAR_2)]
+        assert told == [HallReport("hall-1", {"s1": 3}, {}, {})]
+
+    _run(scenario)
+
+
+def test_a_report_of_another_hall_is_counted_once_and_passed_on_once() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.upstreams.put(_make_upstream("s1"))
+        report = HallReport("hall-2", {"s1": 2}, {}, {})
+        bench.receive(report, FAR)
+        passed_on = msgspec.structs.replace(report, is_passed_on=True)
+        assert bench.socket.sent == [(passed_on, NEAR), (passed_on, NEAR_2)]
+        bench.receive(passed_on, NEAR)
+        assert len(bench.socket.sent) == 2
+        (upstream,) = bench.upstreams
+        assert upstream.known_in_hand() == 2
+
+    _run(scenario)
+
+
+def test_reports_go_to_who_speaks_for_a_hall_and_else_to_each_in_turn() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.become_relay()
+        for _ in range(2):
+            bench.reports._far_from_s = 0.0
+            bench.reports._report()
+        far = [address for m, address in bench.socket.sent if isinstance(m, HallReport)]
+        assert sorted(far) == [FAR, FAR_2]
+        bench.receive(HallReport("hall-2", {}, {}, {}), FAR_2)
+        bench.socket.sent.clear()
+        for _ in range(3):
+            bench.reports._far_from_s = 0.0
+            bench.reports._report()
+        far = [address for m, address in bench.socket.sent if isinstance(m, HallReport)]
+        assert far[-3:] == [FAR_2] * 3
+
+    _run(scenario)
+
+
+def test_who_falls_silent_is_forgotten() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.upstreams.put(_make_upstream("s1"))
+        bench.receive(_load("near", s1=2))
+        bench.receive(HallReport("hall-2", {"s1": 1}, {}, {}), FAR)
+        (upstream,) = bench.upstreams
+        assert upstream.known_in_hand() == 3
+        with replaced(reports.asyncio, "get_running_loop", lambda: _Later()):
+            bench.reports._forget_silent(bench.reports._near_reports)
+            bench.reports._forget_silent(bench.reports._hall_reports)
+        assert upstream.known_in_hand() == 0
+
+    _run(scenario)
+
+
+class _Later:
+    """Tell a time at which all that was heard is old."""
+
+    def time(self) -> float:
+        return float("inf")
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,6 +12,7 @@
 import msgspec
 import pytest
 
+from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.platform import follow, session
@@ -63,7 +66,8 @@
         store = MetadataStandIn()
         address = await listen(store.handle)
         heard = _Heard()
-        follower = Follower(address, "", heard.listener())
+        feed = HallFeed("a", time.monotonic, random.Random(1), lambda changes: None)
+        follower = Follower(address, "", heard.listener(), feed)
         task = asyncio.ensure_future(follower.run())
         try:
             async with asyncio.timeout(TIMEOUT_S):
