Price copies of weights by their size, and keep the last terms while no pass is seen

Change: the price is per megabyte, times layers over ranks; eager terms from 0.6 of the pause objective, and kept while a broken group shows no passes.

--- a/dalehollow/gateway/plan_policy.py
+++ b/dalehollow/gateway/plan_policy.py
@@ -15,14 +15,9 @@
 
 @dataclass(frozen=True)
 class PlanTerms:
-    """Hold how often to look and what a change must bring.
-
-    `copy_price` is the share of the mean load that a copied weight must take off the longest
-    rank; `begin_gain` the share that all of a change must.
-    """
+    """Hold how often to look, and the share that a change must take off the longest rank."""
 
     interval_s: float
-    copy_price: float
     begin_gain: float
 
 
@@ -32,13 +27,16 @@
 
     Passes press from `pressed_share` of the longest pause between pieces that callers take well:
     then each one that is a little longer makes streams late, and a shorter one is worth its
-    copies and orders. `sampled_share` of the ranks is read; `memory` is what the last demand
-    counts beside the newest.
+    orders. `copy_price_mb` is what each copied megabyte must take off the longest rank, as a
+    share of the mean load, in a group of one layer and one rank: all ranks gain by what is taken
+    off, and it is the smaller a part of a pass the more layers there are. `sampled_share` of the
+    ranks is read; `memory` is what the last demand counts beside the newest.
     """
 
     calm: PlanTerms
     pressed: PlanTerms
     pressed_share: float
+    copy_price_mb: float
     sampled_share: float
     memory: float
 
@@ -53,15 +51,17 @@
     layer: LayerMap,
     demand: Sequence[float],
     figures: ExpertFigures,
-    terms: PlanTerms,
+    copy_price_mb: float,
     load: float,
     paces: Sequence[float],
 ) -> Improved:
     """Plan one layer of a group whose slots are taken to the share `load`."""
+    ranks = len(layer)
+    price = copy_price_mb * figures.expert_mb * figures.layers / ranks
     bounds = Bounds(
         places=figures.places,
         spare=figures.spare,
-        price=terms.copy_price / max(MIN_LOAD, min(1.0, load)),
-        max_copies=figures.spare * len(layer),
+        price=price / max(MIN_LOAD, min(1.0, load)),
+        max_copies=figures.spare * ranks,
     )
     return improve_layer(layer, demand, bounds, paces)
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -90,6 +90,7 @@
     _last_step: tuple[float, int] | None = None
     _has_stepped: bool = True
     _kept: list[list[float]] = field(default_factory=list)
+    _last_terms: PlanTerms | None = None
     _is_stopping: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _next_pause_s: float | None = 0.0
@@ -145,7 +146,11 @@
         return self._terms().interval_s if self._next_pause_s is None else self._next_pause_s
 
     def _terms(self) -> PlanTerms:
-        return self.policy.choose_terms(self.rhythm.pass_s(), self.pause_objective_s())
+        """Return the terms by the present passes, or the last ones while no pass is seen."""
+        pass_s = self.rhythm.pass_s()
+        if pass_s is not None or self._last_terms is None:
+            self._last_terms = self.policy.choose_terms(pass_s, self.pause_objective_s())
+        return self._last_terms
 
     def note_epoch(self, epoch: int) -> None:
         """Look at once: the group has opened anew, with its first map."""
@@ -280,11 +285,11 @@
 
     async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
-        terms = self._terms()
+        terms, price = self._terms(), self.policy.copy_price_mb
         improved = []
         for layer, wanted in zip(self.current, demand, strict=True):
             improved.append(
-                plan_layer(layer, wanted, self.figures, terms, self.load(), self._paces)
+                plan_layer(layer, wanted, self.figures, price, self.load(), self._paces)
             )
             # A layer takes some ms to plan: streams are relayed in between.
             await asyncio.sleep(0)
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -47,17 +47,16 @@
     link_mbps: float = 1000.0
     report_bytes_per_s: int = 16_000
     # The planner of expert maps: how often it looks, at which share of the ranks (two at least),
-    # what a copied weight and a whole change must take off the longest rank, and how much of the
-    # last demand it remembers.
+    # what each copied megabyte must take off the longest rank (`PlanPolicy`), which share a whole
+    # change must, and how much of the last demand it remembers.
     plan_interval_ms: int = 4_000
     plan_sampled_share: float = 0.08
-    plan_copy_price: float = 0.03
+    plan_copy_price_mb: float = 0.00015
     plan_begin_gain: float = 0.3
     plan_memory: float = 0.5
     # The same while passes last longer than this share of the pauses that callers take well.
-    plan_pressed_share: float = 0.5
+    plan_pressed_share: float = 0.6
     plan_pressed_interval_ms: int = 1_000
-    plan_pressed_copy_price: float = 0.005
     plan_pressed_begin_gain: float = 0.1
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -19,8 +19,8 @@
 
 RANKS, EXPERTS = 4, 16
 FIGURES = ExpertFigures(1, EXPERTS, places=5, spare=4, expert_mb=0.0, link_mbps=1000.0)
-TERMS = PlanTerms(interval_s=0.005, copy_price=0.01, begin_gain=0.1)
-POLICY = PlanPolicy(calm=TERMS, pressed=TERMS, pressed_share=0.5, sampled_share=0.5, memory=0)
+TERMS = PlanTerms(interval_s=0.005, begin_gain=0.1)
+POLICY = PlanPolicy(TERMS, TERMS, 0.5, copy_price_mb=0.0, sampled_share=0.5, memory=0)
 
 
 @dataclass
@@ -183,6 +183,6 @@
 def test_plans_are_eager_while_passes_press_on_the_pauses_that_callers_take(
     pass_s: float | None, objective_s: float, is_pressed: bool
 ) -> None:
-    pressed = PlanTerms(interval_s=1.0, copy_price=0.005, begin_gain=0.1)
-    policy = PlanPolicy(TERMS, pressed, pressed_share=0.5, sampled_share=0.1, memory=0.5)
+    pressed = PlanTerms(interval_s=1.0, begin_gain=0.1)
+    policy = PlanPolicy(TERMS, pressed, 0.5, copy_price_mb=0.0, sampled_share=0.1, memory=0.5)
     assert (policy.choose_terms(pass_s, objective_s) is pressed) == is_pressed
