Find a slow rank by the steps that counts tell, not by own streams alone

Cause: ranks' paces were read only after the planner's own streams had shown longer passes. Change: steps three times longer than published for their batch call for a look at the paces. Test: test_a_slow_rank_is_found_by_the_steps_where_no_streams_tell, failing first.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -40,10 +40,15 @@
 LONGEST_WINDOW_S = 0.6
 """A window that is longer has seen the time before the passes grew longer."""
 
+SUSPECT_LENGTH = 3.0
+"""Passes so many times longer than published for their batch call for a look at each rank: the
+first map of a group, on which one rank has 2.8 times the mean load, makes them 2.5 times longer."""
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
 
+_MS_PER_S = 1000
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -185,7 +190,7 @@
         if is_begun and not await self._begin_epoch(epoch, fence):
             self._next_pause_s = WINDOW_S
             return
-        if self._is_slower or self._slow:
+        if self._is_slower or self._slow or self._is_suspect():
             await self._read_paces()
         window_s = self._window_s()
         known = self._window.demand or self._kept
@@ -207,6 +212,16 @@
         if not self._window.demand:
             self._next_pause_s = WINDOW_S
 
+    def _is_suspect(self) -> bool:
+        """Return whether the steps counted at the ranks take too long for any map.
+
+        The pieces of this gateway's own streams may be too few to tell. With less than a request
+        a rank the group may have rested between steps.
+        """
+        batch = self.rhythm.mean_batch()
+        usual_s = self.rhythm.pass_ms(batch) / _MS_PER_S
+        return batch >= 1 and self._step_s > SUSPECT_LENGTH * usual_s
+
     def _is_standing_still(self) -> bool:
         """Return whether no pass began since the last look, though there is work."""
         return self._last_step is not None and not self._has_stepped and self.load() > 0
@@ -306,7 +321,7 @@
             longest_after=round(after, 3),
             copies=copies,
             pressed=terms is self.policy.pressed,
-            step_ms=round(self._step_s * 1000, 1),
+            step_ms=round(self._step_s * _MS_PER_S, 1),
         )
         planned = tuple(i.layer for i in improved)
         outcome = await self._carry_out(planned, fence)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -131,6 +131,18 @@
     _run(scenario)
 
 
+def test_a_slow_rank_is_found_by_the_steps_where_no_streams_tell() -> None:
+    """A planner with few streams of its own kept requests on a rank 12 times slower for 8 s."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        await _until(lambda: planner.changes >= 1)
+        group.paces = (1.0, 1.0, 12.0, 1.0)
+        planner.rhythm.pass_ms = lambda batch: 0.001
+        await _until(lambda: bool(duties.kept) and duties.kept[-1].slow_ranks == (2,))
+
+    _run(scenario)
+
+
 def test_a_hold_that_came_late_is_ended() -> None:
     """An unanswered hold may be carried out when its planner waits for it no more."""
 
