Leave an address that answers for another upstream alone, and judge a resumed stream by what is left

Unknown settings had no log line, and three pieces of the gateway's code were dead. Change: a 421 ejects as an unreachable upstream does; events that came are taken off; event=settings_unknown.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -80,7 +80,6 @@
         self._is_reading_head = False
         self._began_at_s = 0.0
         self._refused_status = 0
-        self._has_framing = False
         self._head_sent = False
         self._is_chunked = False
         self.keeps_alive = True
--- a/dalehollow/gateway/__main__.py
+++ b/dalehollow/gateway/__main__.py
@@ -11,7 +11,7 @@
 
 from dalehollow.errors import SettingsError
 from dalehollow.gateway.process import Gateway
-from dalehollow.gateway.settings import GatewaySettings, read_gateway_settings
+from dalehollow.gateway.settings import GatewaySettings, read_gateway_settings, read_unknown
 from dalehollow.telemetry.logs import LineWriter, log_event, setup_logs
 
 SETTINGS_VARIABLE = "DALEHOLLOW_BOOT"
@@ -34,6 +34,8 @@
     """Run the gateway of a settings file; raise SettingsError if the file cannot be used."""
     settings = read_gateway_settings(path)
     writer = setup_logs(settings.name, settings.log_level, settings.log_lines_per_s)
+    if unknown := read_unknown(path):
+        log_event(_LOG, "settings_unknown", logging.WARNING, fields=",".join(unknown))
     asyncio.run(_run(settings, path, writer))
 
 
--- a/dalehollow/gateway/events.py
+++ b/dalehollow/gateway/events.py
@@ -25,9 +25,10 @@
 
 @dataclass
 class EventSplitter:
-    """Hold the part of an event that has come, and the id of the last whole one."""
+    """Hold the part of an event that has come, and the number and last id of the whole ones."""
 
     last_id: bytes | None = None
+    count: int = 0
     _partial: bytes = field(default=b"")
 
     def feed(self, data: bytes) -> bytes:
@@ -38,6 +39,7 @@
             event_id = read_event_id(pending[done:end])
             if event_id is not None:
                 self.last_id = event_id
+                self.count += 1
             done = end
         self._partial = pending[done:]
         return pending[:done]
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -85,13 +85,14 @@
 
     def _make_turn(self) -> Turn:
         job = self._job
+        events = self._progress.splitter.count
         return Turn(
             route=job.route.name,
             priority=job.priority,
             objective_s=job.route.objective_ms / _MS_PER_S,
             left_s=job.give_up_at_s - self._clock(),
             caller_left_s=job.caller_left_s,
-            run_s=self._state.expected_run_s(job.service, job.expected_tokens),
+            run_s=self._state.expected_run_s(job.service, job.expected_tokens, events),
         )
 
     async def _try_one(self, upstream: Upstream) -> bool:
@@ -132,7 +133,8 @@
         if isinstance(result, MayHaveRun):
             state.upstreams.note_failure(upstream, now_s, is_unreachable=False)
             return
-        if result.is_unreachable:
+        if result.is_unreachable or result.is_other_upstream:
+            # What answers at the address of an upstream that is gone is another one.
             state.upstreams.note_failure(upstream, now_s, is_unreachable=True)
         if result.is_group_broken:
             self._note_broken()
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -15,7 +15,6 @@
     hall: str
     slots: int
     is_leaving: bool
-    cold_remaining_ms: int = 0
     group: str = ""
     group_rank: int = 0
     group_size: int = 0
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -83,6 +83,11 @@
     return GatewaySettings(**{name: raw[name] for name in _fields() if name in raw})
 
 
+def read_unknown(path: str) -> list[str]:
+    """Return the names of a settings file's fields that this release does not know."""
+    return list_unknown(Path(path).read_text(encoding="utf-8"))
+
+
 def list_unknown(text: str) -> list[str]:
     """Return the names of fields that this release does not know."""
     return sorted(set(pyjson5.decode(text)) - set(_fields()))
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -116,14 +116,17 @@
             self.rhythms[service] = rhythm
         return rhythm
 
-    def expected_run_s(self, service: str, tokens: int) -> float:
-        """Return how long so many tokens take at the present pace, 0 where that is unknown."""
+    def expected_run_s(self, service: str, tokens: int, events: int = 0) -> float:
+        """Return how long so many tokens take at the present pace, 0 where that is unknown.
+
+        `events` of them, of a pass each, have come already: a broken stream goes on after them.
+        """
         rhythm = self.rhythms.get(service)
         engine = self._find_engine(service)
         pass_s = rhythm.pass_s() if rhythm is not None else None
         if engine is None or pass_s is None:
             return 0.0
-        return tokens / max(1, engine.steps_per_pass) * pass_s
+        return max(0.0, tokens / max(1, engine.steps_per_pass) - events) * pass_s
 
     def pause_objective_s(self, service: str) -> float:
         """Return the shortest pause objective of the streams that a service serves, 0 for none."""
--- a/dalehollow/platform/servers.py
+++ b/dalehollow/platform/servers.py
@@ -24,7 +24,6 @@
     zone: str
     slots: int
     state: str
-    cold_remaining_ms: int = 0
     group: _Group | None = None
     # Ranks in the group.
     size: int = 0
@@ -46,7 +45,6 @@
         hall=entry.zone,
         slots=entry.slots,
         is_leaving=entry.state == _LEAVING,
-        cold_remaining_ms=entry.cold_remaining_ms,
         group=group.name,
         group_rank=group.rank,
         group_size=entry.size,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -286,3 +286,17 @@
         assert (await bench.ask("/read/1")).status == 200
 
     run_bench(scenario)
+
+
+def test_an_address_that_answers_for_another_upstream_is_left_alone() -> None:
+    """It stayed in the list, and every request went there first, until it was unlisted."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _with_servers(bench, *[Way.OTHER_SERVER] * 9)
+        assert (await bench.ask("/read/1")).status == 503
+        await bench.add_server("s2")
+        for number in range(4):
+            assert (await bench.ask(f"/read/{number}")).status == 200
+        assert len(bench.servers["s1"].seen) == 1
+
+    run_bench(scenario)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 from pathlib import Path
@@ -14,8 +15,10 @@
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.settings import list_unknown, parse_gateway_settings
+from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.platform.names import HEADERS
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream
 from tests.gateway_bench import HOST, make_config
@@ -211,3 +214,36 @@
         for _ in range(10):
             upstreams.note_failure(upstream, 50.0, is_unreachable=False)
     assert sum(u.ejected_until_s > 50.0 for u in upstreams) == 2
+
+
+def test_what_has_come_of_a_broken_stream_is_not_expected_again() -> None:
+    """A stream near its time was cut though what was left of its answer would fit."""
+
+    async def scenario() -> None:
+        state = GatewayState(
+            names=HEADERS,
+            rng=random.Random(1),
+            upstreams=UpstreamSet(random.Random(1)),
+            retry_limits=RetryLimits(10.0, 0.2, 90.0, 1),
+            connect_timeout_s=0.1,
+        )
+        engine = {"slots": 4, "step_ms": 10.0, "per_seq_ms": 0, "context_per_k": 0}
+        service = {"name": "desk", "maxConnections": 9}
+        service["engine"] = {**engine, "read_per_s": 1e6, "stride": 5}
+        state.take_table(decode_config(msgspec.json.encode(make_config(services=[service]))))
+        rhythm = state.rhythm("desk")
+        for _ in range(10):
+            rhythm.note_pause(0.1)
+        assert state.expected_run_s("desk", 50) == pytest.approx(1.0)
+        assert state.expected_run_s("desk", 50, events=7) == pytest.approx(0.3)
+        assert state.expected_run_s("desk", 50, events=20) == 0.0
+
+    asyncio.run(scenario())
+
+
+def test_whole_events_are_counted() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert splitter.count == 1
+    splitter.feed(b"ta: b\n\n: a comment\n\n")
+    assert splitter.count == 2
