Move requests off a rank that turned slow, inside the same answer

Change: streams and repeatable requests there are broken off by their gateway and go on at another upstream from the last whole event, while half of the retry budget's room lasts; it counts as no failure of the upstream. Ruled out: ejecting the rank (it got no new requests already). Tests: test_gateway.py, failing first.

--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -8,7 +8,7 @@
 from dalehollow.aio import AnswerHead, ClientConnection, ConnectError, CutError, connect
 from dalehollow.gateway.admit import Job
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
-from dalehollow.gateway.upstreams import Upstream
+from dalehollow.gateway.upstreams import Move, Upstream
 
 _MS_PER_S = 1000
 _MISDIRECTED_STATUS = 421
@@ -75,12 +75,17 @@
     *,
     resume_after: bytes | None,
     connect_timeout_s: float,
+    move: Move,
 ) -> AttemptResult:
-    """Send a job on a connection of its own and wait for the head of its answer."""
+    """Send a job on a connection of its own and wait for the head of its answer.
+
+    `move` gets the connection, so that the try can be broken off from outside.
+    """
     try:
         connection = await connect(upstream.listed.address, connect_timeout_s)
     except ConnectError as exc:
         return NotRun(str(exc), is_unreachable=True)
+    move.connection = connection
     loop = asyncio.get_running_loop()
     is_handed_over = False
     try:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -16,7 +16,7 @@
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
-from dalehollow.gateway.upstreams import Upstream
+from dalehollow.gateway.upstreams import Move, Upstream
 from dalehollow.telemetry.logs import log_event
 
 _FIRST_FAILED_STATUS = 500
@@ -102,27 +102,49 @@
             state.retry_window(job.service).note_first(self._clock())
         resume_after = progress.splitter.last_id if self._caller.has_begun else None
         was_unsure, progress.may_have_run = progress.may_have_run, True
-        result = await send_attempt(
-            job,
-            upstream,
-            state.names,
-            resume_after=resume_after,
-            connect_timeout_s=state.connect_timeout_s,
-        )
-        if isinstance(result, NotRun):
-            progress.may_have_run = was_unsure
-        self._note_result(upstream, result)
-        if not isinstance(result, Answered):
-            return False
+        move = Move()
+        if self._is_movable():
+            upstream.moves.add(move)
+        try:
+            result = await send_attempt(
+                job,
+                upstream,
+                state.names,
+                resume_after=resume_after,
+                connect_timeout_s=state.connect_timeout_s,
+                move=move,
+            )
+            if isinstance(result, NotRun):
+                progress.may_have_run = was_unsure
+            if move.is_asked and not isinstance(result, Answered):
+                self._note_attempt(upstream, "attempt_moved", "slow_rank")
+                return False
+            self._note_result(upstream, result)
+            if not isinstance(result, Answered):
+                return False
+            return await self._relay_or_break(upstream, result, move)
+        finally:
+            upstream.moves.discard(move)
+
+    async def _relay_or_break(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
+        """Relay an answer; return False where it broke and another try may go on."""
         try:
-            return await self._relay(upstream, result)
+            return await self._relay(upstream, answered)
         except CutError as exc:
-            state.upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
-            self._note_attempt(upstream, "answer_broken", str(exc))
-            progress.splitter.drop_rest()
+            if move.is_asked:
+                self._note_attempt(upstream, "attempt_moved", "slow_rank")
+            else:
+                self._state.upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
+                self._note_attempt(upstream, "answer_broken", str(exc))
+            self._progress.splitter.drop_rest()
             return False
         finally:
-            result.connection.abort()
+            answered.connection.abort()
+
+    def _is_movable(self) -> bool:
+        """Return whether the try in hand may be followed by another, whatever comes of it."""
+        route = self._job.route
+        return route.is_repeatable and len(self._progress.tried) < route.max_tries
 
     def _note_result(self, upstream: Upstream, result: AttemptResult) -> None:
         state, now_s = self._state, self._clock()
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -227,6 +227,7 @@
 
     def _note_plan(self, service: str, plan: KeptPlan) -> None:
         self.state.upstreams.note_slow_ranks(service, plan.slow_ranks)
+        self.state.move_from_slow_ranks(service)
         if service in self._planners:
             self._planners[service].note_kept_demand(plan.demand)
 
--- a/dalehollow/gateway/retries.py
+++ b/dalehollow/gateway/retries.py
@@ -27,12 +27,16 @@
 
     def take_repeat(self, now_s: float) -> bool:
         """Count a repeat if the window has room for one."""
-        self._forget(now_s)
-        if len(self._repeats) + 1 > self.share * len(self._firsts) + self.extra:
+        if self.count_room(now_s) < 1:
             return False
         self._repeats.append(now_s)
         return True
 
+    def count_room(self, now_s: float) -> int:
+        """Return how many more repeats the window has room for."""
+        self._forget(now_s)
+        return int(self.share * len(self._firsts) + self.extra) - len(self._repeats)
+
     def _forget(self, now_s: float) -> None:
         oldest_s = now_s - self.window_s
         for times in (self._firsts, self._repeats):
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -138,6 +138,18 @@
         ]
         return min(objectives_ms, default=0) / _MS_PER_S
 
+    def move_from_slow_ranks(self, service: str) -> None:
+        """Have requests at slow ranks go on elsewhere: each holds its whole group up.
+
+        A request whose repeat finds no room would be cut, so only half of the room is used.
+        """
+        moves = [m for m in self.upstreams.list_moves(service) if not m.is_asked]
+        room = self.retry_window(service).count_room(asyncio.get_running_loop().time()) // 2
+        if moves:
+            log_event(_LOG, "requests_moved", service=service, count=len(moves[:room]), room=room)
+        for move in moves[:room]:
+            move.ask()
+
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change that may have made some."""
         for admission in self.admissions.values():
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
+from dalehollow.aio import ClientConnection
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.telemetry.logs import log_event
 
@@ -29,6 +30,20 @@
 _LOG = logging.getLogger(__name__)
 
 
+@dataclass(eq=False)
+class Move:
+    """Hold a try that can go on at another upstream, and whether it was asked to."""
+
+    connection: ClientConnection | None = None
+    is_asked: bool = False
+
+    def ask(self) -> None:
+        """Break the try off; the request goes on elsewhere from where it is."""
+        self.is_asked = True
+        if self.connection is not None:
+            self.connection.abort()
+
+
 @dataclass
 class Upstream:
     """Hold the state of one upstream as this gateway sees it."""
@@ -39,6 +54,8 @@
     unknown: int = 0
     unknown_at_s: float = float("-inf")
     ejected_until_s: float = 0.0
+    # Tries in hand that may go on elsewhere.
+    moves: set[Move] = field(default_factory=set)
     _ejections: int = 0
     _failure_share: float = 0.0
     _samples: int = 0
@@ -151,6 +168,12 @@
             log_event(_LOG, "slow_ranks", service=service, ranks=",".join(map(str, ranks)))
         self._slow_ranks[service] = frozenset(ranks)
 
+    def list_moves(self, service: str) -> list[Move]:
+        """Return the tries in hand at slow ranks of a service's group."""
+        slow = self._slow_ranks.get(service, frozenset())
+        upstreams = self._by_service.get(service, {}).values()
+        return [m for u in upstreams if u.listed.group_rank in slow for m in u.moves]
+
     def add_others(self, incarnation: str, change: int) -> None:
         """Change how many requests other gateways have at an upstream."""
         self._others_in_hand[incarnation] += change
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,8 +7,16 @@
 import pytest
 
 from dalehollow.gateway import process
+from dalehollow.groups.ranks import KeptPlan
 from standins.server import EVENTS, Way, make_event, whole_stream
-from tests.gateway_bench import HOST, GatewayBench, make_config, replaced, run_bench
+from tests.gateway_bench import (
+    HOST,
+    TIMEOUT_S,
+    GatewayBench,
+    make_config,
+    replaced,
+    run_bench,
+)
 
 
 async def _with_servers(bench: GatewayBench, *first_ways: Way) -> None:
@@ -300,3 +308,45 @@
         assert len(bench.servers["s1"].seen) == 1
 
     run_bench(scenario)
+
+
+def test_a_stream_at_a_slow_rank_goes_on_elsewhere_in_the_same_answer() -> None:
+    """Streams that were there when a rank turned slow held their whole group up to their end."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        slow = await bench.add_server("s1")
+        group = {"name": "g", "epoch": 1, "rank": 0, "state": "open"}
+        address = bench.gateway.state.upstreams.find("s1").address  # type: ignore[union-attr]
+        bench.list_server("s1", address, group=group, size=2)
+        await bench.until(lambda: bench.gateway.state.upstreams.find("s1").group == "g")  # type: ignore[union-attr]
+        slow.pace_s = TIMEOUT_S / (EVENTS - 1)
+        asking = asyncio.ensure_future(bench.ask("/stream/1"))
+        await slow.reached.wait()
+        other = await bench.add_server("s2")
+        plan = KeptPlan(demand=(), slow_ranks=(0,))
+        other_entry = bench.gateway.state.upstreams.find("s2")
+        assert other_entry is not None
+        bench.list_server("s2", other_entry.address, group={**group, "rank": 1}, size=2)
+        await bench.until(lambda: bench.gateway.state.upstreams.find("s2").group == "g")  # type: ignore[union-attr]
+        bench.gateway._note_plan("desk", plan)
+        answer = await asking
+        assert answer.is_whole and answer.body == whole_stream()
+        assert other.runs == slow.runs
+        # It is no fault of the slow rank's: nothing is ejected.
+        assert all(u.ejected_until_s == 0 for u in bench.gateway.state.upstreams)
+
+    run_bench(scenario)
+
+
+def test_what_must_not_repeat_stays_at_a_slow_rank() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _with_servers(bench)
+        server = bench.servers["s1"]
+        server.pace_s = 0.2
+        asking = asyncio.ensure_future(bench.ask("/pay/1"))
+        await server.reached.wait()
+        assert all(not u.moves for u in bench.gateway.state.upstreams)
+        assert (await asking).status == 200
+
+    run_bench(scenario)
