Renew a duty by when the last renewal was asked for

Ruled out: a lost lease (no duty_lost line). Test: test_a_duty_is_held_through_answers_that_are_slow, failing first.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -67,7 +67,7 @@
         self._behind_since_s: float | None = None
 
     def is_passive(self) -> bool:
-        """Return whether the relay's word is enough, so that the store need not be asked."""
+        """Return whether it is enough to hear the relay, so that the store need not be asked."""
         now_s = self._clock()
         if not self.revision or self._is_relay or now_s > self._relay_heard_until_s:
             return False
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True)
 class Member:
-    """Hold what a gateway says of itself: where it takes words, and its hall."""
+    """Hold what a gateway says of itself: where it takes datagrams, and its hall."""
 
     address: str
     hall: str
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -56,7 +56,7 @@
     on_table: Callable[[RoutingTable], None]
     on_upstream: Callable[[ListedUpstream], None]
     on_gone: Callable[[str], None]
-    # Name and word of a gateway that is there, or None once it is gone.
+    # Name and entry of a gateway that is there, or None once it is gone.
     on_member: Callable[[str, Member | None], None]
     # A duty and the name of the gateway that holds it, or None once nobody does.
     on_duty: Callable[[str, str | None], None]
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -212,9 +212,14 @@
         self._is_listed = False
 
     async def _keep_duty(self, duty: str, lease: Lease) -> None:
-        """Renew a duty's lease until it is over."""
+        """Renew a duty's lease until it is over.
+
+        The pause counts from when a renewal was asked for: a slow answer must not delay the next.
+        """
+        pause_s = DUTY_TIMES.renew_s
         while True:
-            await asyncio.sleep(DUTY_TIMES.renew_s)
+            await asyncio.sleep(pause_s)
+            asked_at_s = self.clock()
             try:
                 await lease.renew()
             except LeaseGoneError:
@@ -223,6 +228,7 @@
                 if not lease.is_valid():
                     log_event(_LOG, "duty_unconfirmed", duty=duty, error=exc)
                     break
+            pause_s = max(0.0, asked_at_s + DUTY_TIMES.renew_s - self.clock())
         if self._duties.get(duty) is lease:
             del self._duties[duty]
             del self._renewing[duty]
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -17,7 +17,8 @@
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.platform import follow, session
 from dalehollow.platform.follow import Follower, Listener
-from dalehollow.platform.session import Session
+from dalehollow.platform.session import Lease, Session
+from dalehollow.platform.store import LeaseGoneError
 from standins.metadata import MetadataStandIn
 from standins.platform import listen
 from tests.gateway_bench import TIMEOUT_S, make_config
@@ -249,3 +250,35 @@
         task.cancel()
 
     _run(scenario)
+
+
+def test_a_duty_is_held_through_answers_that_are_slow(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each slow answer delayed the next renewal: the duty lapsed at its holder again and again."""
+    now_s = 100.0
+    valid_at_answers = []
+
+    class _SlowStore:
+        async def keep_lease(self, lease: int, timeout_s: float) -> None:
+            nonlocal now_s
+            now_s += 0.3
+            valid_at_answers.append(held.is_valid())
+            if len(valid_at_answers) == 10:
+                raise LeaseGoneError("enough")
+
+        def close(self) -> None:
+            pass
+
+    async def sleep(pause_s: float) -> None:
+        nonlocal now_s
+        now_s += pause_s
+
+    async def scenario() -> None:
+        holder = Session("127.0.0.1:1", "a", MEMBER, clock=lambda: now_s)
+        with monkeypatch.context() as patch:
+            patch.setattr(session.asyncio, "sleep", sleep)
+            await holder._keep_duty("desk", held)
+
+    held = Lease(_SlowStore(), "k", b"a", session.DUTY_TIMES, lambda: now_s)  # type: ignore[arg-type]
+    held._id, held._valid_until_s = 1, now_s + 0.8
+    asyncio.run(scenario())
+    assert valid_at_answers == [True] * 10
