--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,9 +12,9 @@
 
 import httptools
 
+from dalehollow.aio.headers import Headers, find_header
 from dalehollow.aio.sockets import tune_socket
 
-Headers = tuple[tuple[bytes, bytes], ...]
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -43,10 +43,7 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 Handler = Callable[["CallerConnection", CallerRequest], Coroutine[Any, Any, None]]
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from dalehollow.aio.headers import Headers, find_header
 from dalehollow.aio.sockets import tune_socket
 
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -17,8 +18,6 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Reading pauses above this: what a slow caller has not taken yet stays in the upstream."""
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
 
 class ConnectError(ConnectionError):
     """Report that no connection came up; no byte of a request was sent."""
@@ -37,10 +36,7 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class ClientConnection(asyncio.Protocol):
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -13,6 +13,7 @@
 from dalehollow.gateway.demand import Demand, DemandWindow, scale_demand
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms, plan_layer
 from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.place import deal_in_turn
 from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
@@ -22,16 +23,9 @@
 VERSIONS_PER_FENCE = 1_000_000
 """A version holds the planner's fence above its own count, so that two planners never give the
 same version to different maps, and ranks refuse the older planner's."""
-SWITCH_MARGIN_S = 0.06
-SWITCH_MARGIN_STEPS = 2
-"""The switch is set so far ahead of the step that is expected to run: the round trips of hold,
-arms and release, and passes that are shorter than expected."""
-LOST_ORDER_MARGIN_S = 0.3
-"""So much further ahead while orders go unanswered: two repeats of an order."""
 SWITCH_TRIES = 3
 COPY_MARGIN = 1.2
 MIN_SAMPLED_RANKS = 2
-FALLBACK_STEP_S = 0.1
 TAKE_SPREAD_S = 0.1
 """Gateways that see a duty become vacant try for it spread over this, so that most need not."""
 PREPARE_TRIES = 4
@@ -40,9 +34,6 @@
 LONGEST_WINDOW_S = 0.6
 """A window that is longer has seen the time before the passes grew longer."""
 
-SUSPECT_LENGTH = 3.0
-"""Passes so many times longer than published for their batch call for a look at each rank: the
-first map of a group, on which one rank has 2.8 times the mean load, makes them 2.5 times longer."""
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
@@ -91,9 +82,7 @@
     _count: int = 0
     _window: DemandWindow = field(init=False)
     _sample: list[int] = field(default_factory=list)
-    _step_s: float = FALLBACK_STEP_S
-    _last_step: tuple[float, int] | None = None
-    _has_stepped: bool = True
+    _steps: StepClock = field(init=False)
     _kept: list[list[float]] = field(default_factory=list)
     _last_terms: PlanTerms | None = None
     _is_stopping: bool = False
@@ -109,6 +98,7 @@
     def __post_init__(self) -> None:
         """Begin without demand."""
         self._window = DemandWindow(self.policy.memory)
+        self._steps = StepClock(self.rhythm)
         self.rhythm.on_slower = self._note_slower
 
     def stop(self) -> None:
@@ -190,13 +180,13 @@
         if not read:
             return
         epoch = max(counts.epoch for counts in read.values())
-        if epoch == self._epoch and self._is_standing_still():
+        if epoch == self._epoch and self._steps.is_standing_still and self.load() > 0:
             await self._end_holds(fence)
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
             self._next_pause_s = WINDOW_S
             return
-        if self._is_slower or self._slow or self._is_suspect():
+        if self._is_slower or self._slow or self._steps.is_suspect():
             await self._read_paces()
         window_s = self._window_s()
         known = self._window.demand or self._kept
@@ -218,20 +208,6 @@
         if not self._window.demand:
             self._next_pause_s = WINDOW_S
 
-    def _is_suspect(self) -> bool:
-        """Return whether the steps counted at the ranks take too long for any map.
-
-        The pieces of this gateway's own streams may be too few to tell. With less than a request
-        a rank the group may have rested between steps.
-        """
-        batch = self.rhythm.mean_batch()
-        usual_s = self.rhythm.pass_ms(batch) / _MS_PER_S
-        return batch >= 1 and self._step_s > SUSPECT_LENGTH * usual_s
-
-    def _is_standing_still(self) -> bool:
-        """Return whether no pass began since the last look, though there is work."""
-        return self._last_step is not None and not self._has_stepped and self.load() > 0
-
     async def _end_holds(self, fence: int) -> None:
         """End a hold whose order was carried out late, when nobody waited for it any more."""
         assert self.current is not None
@@ -258,16 +234,9 @@
         read = await asyncio.gather(*(self.port.read_counts(rank) for rank in self._sample))
         found = {r: c for r, c in zip(self._sample, read, strict=True) if c is not None}
         if found:
-            self._note_step(max(c.step for c in found.values()))
+            self._steps.note(max(c.step for c in found.values()))
         return found
 
-    def _note_step(self, step: int) -> None:
-        now_s = asyncio.get_running_loop().time()
-        self._has_stepped = self._last_step is None or step != self._last_step[1]
-        if self._last_step is not None and step > self._last_step[1]:
-            self._step_s = (now_s - self._last_step[0]) / (step - self._last_step[1])
-        self._last_step = (now_s, step)
-
     async def _begin_epoch(self, epoch: int, fence: int) -> bool:
         """Learn the map in force, and settle what another planner may have left open."""
         ranks = sorted(self.ranks())
@@ -327,7 +296,7 @@
             longest_after=round(after, 3),
             copies=copies,
             pressed=terms is self.policy.pressed,
-            step_ms=round(self._step_s * _MS_PER_S, 1),
+            step_ms=round(self._steps.step_s * _MS_PER_S, 1),
         )
         planned = tuple(i.layer for i in improved)
         outcome = await self._carry_out(planned, fence)
@@ -380,24 +349,17 @@
         for _ in range(SWITCH_TRIES):
             if self.duties.fence(self.duty) != fence:
                 return SwitchOutcome.ABANDONED
-            proposal = Proposal(version, self._choose_step(), self._epoch, self.current)
+            proposal = Proposal(
+                version, self._steps.choose_step(self._lost_orders), self._epoch, self.current
+            )
             outcome = await switch_map(self.port, ranks, proposal)
             if outcome is not SwitchOutcome.TOO_LATE:
                 return outcome
             counts = await self.port.read_counts(ranks[0])
             if counts is not None:
-                self._note_step(counts.step)
+                self._steps.note(counts.step)
         return outcome
 
-    def _choose_step(self) -> int:
-        """Return a step that is about to come, far enough ahead for the orders."""
-        assert self._last_step is not None
-        read_at_s, step = self._last_step
-        step_s = self.rhythm.pass_s() or self._step_s
-        margin_s = SWITCH_MARGIN_S + (LOST_ORDER_MARGIN_S if self._lost_orders else 0.0)
-        since_s = asyncio.get_running_loop().time() - read_at_s
-        return step + math.ceil((since_s + margin_s) / step_s) + SWITCH_MARGIN_STEPS
-
     async def _prepare(self, rank: int, version: int, planned: GroupMap) -> OrderReply:
         reply = OrderReply.UNANSWERED
         for _ in range(PREPARE_TRIES):
--- /dev/null
+++ b/dalehollow/gateway/steps.py
@@ -0,0 +1,58 @@
+"""Follow the steps of a group by its counters: how long they last, and which is to come."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from dataclasses import dataclass
+
+from dalehollow.gateway.rhythm import Rhythm
+
+FALLBACK_STEP_S = 0.1
+SWITCH_MARGIN_S = 0.06
+SWITCH_MARGIN_STEPS = 2
+"""A switch is set so far ahead of the step that is expected to run: the round trips of hold, arms
+and release, and passes that are shorter than expected."""
+LOST_ORDER_MARGIN_S = 0.3
+"""So much further ahead while orders go unanswered: two repeats of an order."""
+SUSPECT_LENGTH = 3.0
+"""Steps so many times longer than published for their batch call for a look at each rank: the
+first map of a group, on which one rank has 2.8 times the mean load, makes them 2.5 times longer."""
+_MS_PER_S = 1000
+
+
+@dataclass
+class StepClock:
+    """Hold the last step that was read, and how long steps took between readings."""
+
+    rhythm: Rhythm
+    step_s: float = FALLBACK_STEP_S
+    is_standing_still: bool = False
+    _last: tuple[float, int] | None = None
+
+    def note(self, step: int) -> None:
+        """Take the number of the last step that began."""
+        now_s = asyncio.get_running_loop().time()
+        self.is_standing_still = self._last is not None and step == self._last[1]
+        if self._last is not None and step > self._last[1]:
+            self.step_s = (now_s - self._last[0]) / (step - self._last[1])
+        self._last = (now_s, step)
+
+    def is_suspect(self) -> bool:
+        """Return whether steps take too long for any map.
+
+        The pieces of this gateway's own streams may be too few to tell. With less than a request
+        a rank the group may have rested between steps.
+        """
+        batch = self.rhythm.mean_batch()
+        usual_s = self.rhythm.pass_ms(batch) / _MS_PER_S
+        return batch >= 1 and self.step_s > SUSPECT_LENGTH * usual_s
+
+    def choose_step(self, lost_orders: bool) -> int:
+        """Return a step that is about to come, far enough ahead for the orders of a switch."""
+        assert self._last is not None
+        read_at_s, step = self._last
+        step_s = self.rhythm.pass_s() or self.step_s
+        margin_s = SWITCH_MARGIN_S + (LOST_ORDER_MARGIN_S if lost_orders else 0.0)
+        since_s = asyncio.get_running_loop().time() - read_at_s
+        return step + math.ceil((since_s + margin_s) / step_s) + SWITCH_MARGIN_STEPS
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -17,18 +17,11 @@
     HallFeed,
 )
 from dalehollow.protocol.reports import Change, RelayState, StoreChanges, pack_changes
+from tests.manual_clock import ManualClock
 
 LONG_SILENCE_S = RELAY_SILENT_S + SILENCE_SPREAD_S + 0.01
 
 
-@dataclass
-class _Clock:
-    now_s: float = 100.0
-
-    def __call__(self) -> float:
-        return self.now_s
-
-
 @dataclass
 class _Gateway:
     """Hold a feed and what it took in; `inbox` is what the others sent."""
@@ -64,7 +57,7 @@
     gateway.feed.note_relay(sender, RelayState(revision, age_s))
 
 
-def _make_fed(clock: _Clock, revision: int = 10) -> _Gateway:
+def _make_fed(clock: ManualClock, revision: int = 10) -> _Gateway:
     """Return a gateway that has read everything and hears of the relay `a`."""
     gateway = _make_hall("b", clock)["b"]
     gateway.feed.note_read(0, (), revision)
@@ -73,7 +66,7 @@
 
 
 def test_a_gateway_that_has_just_started_listens_before_it_relays() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_hall("b", clock)["b"]
     gateway.feed.note_read(0, (), 10)
     assert gateway.feed.relay_state() is None
@@ -84,7 +77,7 @@
 
 
 def test_of_two_relays_the_first_by_name_stays() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     hall = _make_hall("ab", clock)
     clock.now_s += LONG_SILENCE_S
     for gateway in hall.values():
@@ -97,7 +90,7 @@
 
 
 def test_a_relay_that_lost_the_store_leaves_it_to_another() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     hall = _make_hall("ab", clock)
     clock.now_s += LONG_SILENCE_S
     hall["a"].feed.note_read(0, (), 10)
@@ -109,7 +102,7 @@
 
 
 def test_changes_are_taken_in_once_and_in_order() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_fed(clock)
     first = StoreChanges(10, 12, pack_changes((_change(11), _change(12))))
     gateway.feed.take_changes(first)
@@ -122,7 +115,7 @@
 
 
 def test_who_misses_a_change_asks_the_store() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_fed(clock)
     gateway.feed.take_changes(StoreChanges(11, 12, pack_changes((_change(12),))))
     assert gateway.taken == []
@@ -134,7 +127,7 @@
 
 
 def test_who_hears_that_the_relay_knows_more_asks_the_store() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_fed(clock)
     _hear(gateway, "a", 11)
     clock.now_s += CATCH_UP_S + 0.01
@@ -156,7 +149,7 @@
 def test_a_relay_is_relied_on_no_longer_than_it_is_fresh(
     report_age_s: float, pause_s: float, is_passive: bool
 ) -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_hall("b", clock)["b"]
     gateway.feed.note_read(0, (), 10)
     clock.now_s += 10.0
@@ -166,7 +159,7 @@
 
 
 def test_after_the_history_is_gone_nothing_is_taken_until_all_is_read() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     gateway = _make_fed(clock)
     gateway.feed.reset()
     assert not gateway.feed.is_passive()
@@ -175,7 +168,7 @@
 
 
 def test_what_fits_no_datagram_is_left_to_the_store() -> None:
-    clock = _Clock()
+    clock = ManualClock()
     hall = _make_hall("ab", clock)
     clock.now_s += LONG_SILENCE_S
     hall["a"].feed.note_read(0, (), 10)
@@ -186,7 +179,7 @@
 
 @pytest.mark.parametrize("packed", [b"", b"no zlib", pack_changes(())[:-3] + b"abc"])
 def test_a_message_that_cannot_be_unpacked_changes_nothing(packed: bytes) -> None:
-    gateway = _make_fed(_Clock())
+    gateway = _make_fed(ManualClock())
     gateway.feed.take_changes(StoreChanges(10, 11, packed))
     assert gateway.feed.revision == 10
 
@@ -195,7 +188,7 @@
 def test_whatever_is_lost_every_gateway_ends_with_the_store(seed: int) -> None:
     """Play random changes, lost messages, silent relays and outages against a plain log."""
     rng = random.Random(seed)
-    clock = _Clock()
+    clock = ManualClock()
     hall = _make_hall("abc", clock)
     log: list[Change] = []
     known: dict[str, dict[str, bytes | None]] = {name: {} for name in hall}
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -17,6 +17,7 @@
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
 from tests.gateway_bench import replaced
+from tests.manual_clock import ManualClock
 
 NEAR, NEAR_2, FAR, FAR_2 = (("127.0.0.1", port) for port in (1, 2, 3, 4))
 
@@ -31,21 +32,13 @@
         self.sent.append((msgspec.msgpack.decode(data, type=PeerMessage), address))
 
 
-@dataclass
-class _Clock:
-    now_s: float = 100.0
-
-    def __call__(self) -> float:
-        return self.now_s
-
-
 @dataclass
 class _Bench:
     reports: PeerReports
     upstreams: UpstreamSet
     feed: HallFeed
     socket: _Sent
-    clock: _Clock
+    clock: ManualClock
 
     def receive(self, message: PeerMessage, address: tuple[str, int] = NEAR) -> None:
         self.reports.datagram_received(msgspec.msgpack.encode(message), address)
@@ -71,7 +64,7 @@
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
-        clock = _Clock()
+        clock = ManualClock()
         feed = HallFeed("gw", clock, random.Random(1), peer_reports.send_near)
         bench = _Bench(peer_reports, upstreams, feed, socket, clock)
         peer_reports.feed = feed
