Ask a group that has just opened again soon, and have the soak's third defect go back in time

Reports of a group that has just opened are some hundred ms old: the planner asks again after 0.1 s, not 0.3 s.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -31,6 +31,8 @@
 PREPARE_TRIES = 4
 WINDOW_S = 0.3
 """Two readings so far apart make a window: some passes, with several requests at each rank."""
+EPOCH_RETRY_S = 0.1
+"""Reports are some hundred ms old: those of a group that has just opened still show it broken."""
 LONGEST_WINDOW_S = 0.6
 """A window that is longer has seen the time before the passes grew longer."""
 
@@ -184,7 +186,7 @@
             await self._end_holds(fence)
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
-            self._next_pause_s = WINDOW_S
+            self._next_pause_s = EPOCH_RETRY_S
             return
         if self._is_slower or self._slow or self._steps.is_suspect():
             await self._read_paces()
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +14,8 @@
 from dalehollow.gateway import outcome, table
 from dalehollow.gateway.state import GatewayState
 
+GO_BACK_S = 0.5
+
 
 def _refuse_what_may_have_run() -> None:
     """Answer every failure as if the request had surely not run."""
@@ -29,24 +32,23 @@
     table.Route.is_repeatable = property(lambda route: True)  # type: ignore[assignment,method-assign]
 
 
-def _take_any_version() -> None:
-    """Put every second configuration that comes in force a second time, later."""
+def _go_back_a_version() -> None:
+    """Put the configuration before in force again, a moment after each new one."""
     take = GatewayState.take_table
-    before: list[Any] = []
 
-    def take_late(state: GatewayState, new: Any) -> None:
+    def take_and_go_back(state: GatewayState, new: Any) -> None:
+        before = state.table
         take(state, new)
-        before.append(new)
-        if len(before) % 2 == 0:
-            state.table = before[-2]
+        loop = asyncio.get_running_loop()
+        loop.call_later(GO_BACK_S, lambda: setattr(state, "table", before or new))
 
-    GatewayState.take_table = take_late  # type: ignore[method-assign]
+    GatewayState.take_table = take_and_go_back  # type: ignore[method-assign]
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
     "false_refusals": _refuse_what_may_have_run,
     "runs_twice": _repeat_everything,
-    "older_configuration": _take_any_version,
+    "older_configuration": _go_back_a_version,
 }
 
 
