Let a relay that must read everything anew vouch for nothing

Read in the code, not seen: after the store forgot its history a relay told revision 0, by which a gateway that lacked its last change took itself for fresh for up to 1.4 s. Test failing first.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -91,7 +91,7 @@
     def relay_state(self) -> RelayState | None:
         """Return what the relay tells of itself, or None for any other gateway."""
         age_s = self._clock() - self._read_at_s
-        if not self._is_relay or age_s >= STALE_S:
+        if not self._is_relay or not self.revision or age_s >= STALE_S:
             return None
         return RelayState(self.revision, round(age_s, 3))
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -240,3 +240,15 @@
     assert not feed.is_first()
     clock.now_s += RELAY_SILENT_S + 0.01
     assert feed.is_first()
+
+
+def test_a_relay_that_must_read_everything_anew_vouches_for_nothing() -> None:
+    """Its revision of 0 would tell a gateway that lacks a change that it lacks none."""
+    clock = ManualClock()
+    feed = _make_hall("a", clock)["a"].feed
+    clock.now_s += LONG_SILENCE_S
+    feed.note_read(0, (), 10)
+    feed.reset()
+    assert feed.relay_state() is None
+    feed.note_read(0, (), 12)
+    assert feed.relay_state() == RelayState(12, 0.0)
