--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -201,12 +201,12 @@
     def choose(self, service: str, tried: Collection[str], now_s: float) -> Upstream | None:
         """Choose the least busy upstream with a free slot, or None where none has one."""
         staying = [u for u in self.of_service(service) if u.listed.incarnation not in tried]
-        sound = [u for u in staying if u.ejected_until_s <= now_s]
-        free = [u for u in sound or staying if u.load(now_s) < 1.0]
         slow = self._slow_ranks.get(service)
         if slow:
-            # A slow rank holds its whole group up by each request that it gets.
-            free = [u for u in free if u.listed.group_rank not in slow] or free
+            # A slow rank holds its whole group up by each request that it gets: rather wait.
+            staying = [u for u in staying if u.listed.group_rank not in slow] or staying
+        sound = [u for u in staying if u.ejected_until_s <= now_s]
+        free = [u for u in sound or staying if u.load(now_s) < 1.0]
         if not free:
             return None
         return min(free, key=lambda u: (self._rank_by_load(u, now_s), self.rng.random()))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -12,6 +12,7 @@
 
 from dalehollow.errors import SettingsError
 from dalehollow.gateway.events import EventSplitter
+from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.settings import list_unknown, parse_gateway_settings
@@ -247,3 +248,19 @@
     assert splitter.count == 1
     splitter.feed(b"ta: b\n\n: a comment\n\n")
     assert splitter.count == 2
+
+
+def test_a_slow_rank_gets_nothing_while_other_ranks_stand() -> None:
+    """With every other slot taken it got the next request, and its group passed slowly again."""
+    upstreams = UpstreamSet(random.Random(1))
+    for rank in (0, 1):
+        listed = ListedUpstream(f"s{rank}", "desk", "127.0.0.1:9", "hall", 1, False, "g", rank, 2)
+        upstreams.put(listed)
+    upstreams.note_slow_ranks("desk", {1})
+    first = upstreams.choose("desk", (), 0.0)
+    assert first is not None and first.listed.group_rank == 0
+    first.in_hand += 1
+    assert upstreams.choose("desk", (), 0.0) is None
+    upstreams.remove("s0")
+    only = upstreams.choose("desk", (), 0.0)
+    assert only is not None and only.listed.group_rank == 1
