--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -1,7 +1,7 @@
 """Let requests of one service through to its upstreams, or have them wait or come back.
 
 An upstream takes as many requests at once as it has slots; what all gateways have in hand there
-is known from their words. Beyond that a request waits a short time at its gateway, where urgent
+is known from their reports. Beyond that a request waits a short time at its gateway, where urgent
 ones and callers that come back go first, and is then refused with the time after which a place
 is expected: waiting longer than a quarter of the objective would be late anyway.
 """
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -29,7 +29,7 @@
     http: str
     ready: str
     store: str
-    # Where other gateways send their words, by datagram.
+    # Where other gateways send their reports, by datagram.
     peer: str
     metrics: str = "127.0.0.1:0"
     log_level: str = "info"
