Give each rank group its own duty, ranks, plan, health and rhythm

Cause: all that a group has was kept by service. A broken group gets nothing while another serves, but one request a gateway each 2 to 4 s after the last refusal. A vacant duty is tried for in an order by hash, so the duties of many groups spread and most gateways need not try.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -36,6 +36,9 @@
 """Of the places that become free, this share is promised to callers told to come back."""
 PROBE_INTERVAL_S = 0.25
 """A broken group is offered one request so often from each gateway, to learn that it opened."""
+ASK_AGAIN_S = 2.0
+"""While other groups of a service serve, a broken one that nobody was refused by for so long gets
+one request from a gateway: the list tells its opening, and this makes up for a lost word."""
 RATE_WEIGHT = 0.1
 
 
@@ -81,6 +84,8 @@
     waiting: list[_Waiter] = field(default_factory=list)
     _longest_left_s: dict[str, float] = field(default_factory=dict)
     _probed_at_s: float = float("-inf")
+    # By group: when a request was last sent there though it was taken to be broken.
+    _asked_at_s: dict[str, float] = field(default_factory=dict)
     _promised_until_s: float = 0.0
     _done_interval_s: float = 0.1
     _done_at_s: float = 0.0
@@ -93,7 +98,7 @@
         if turn.run_s > turn.left_s:
             # It would take a place from one that can be served in its time.
             return NoPlace("too_long_now", self._longest_retry_after_s(turn))
-        is_broken = self.health.is_broken(self.service)
+        is_broken = self.is_broken()
         if is_broken and not self._may_probe():
             # When it opens cannot be told before it does: a wait would mostly be for nothing.
             return NoPlace("group_broken", self._longest_retry_after_s(turn))
@@ -116,15 +121,20 @@
         self._done_at_s = now_s
         self.grant()
 
+    def is_broken(self) -> bool:
+        """Return whether no group of the service serves, as far as is known."""
+        groups = self.upstreams.groups_of(self.service)
+        return bool(groups) and len(self._list_broken()) == len(groups)
+
     def suggest_return_s(self, turn: Turn) -> float:
         """Return when a refused caller should come back."""
-        if self.health.is_broken(self.service):
+        if self.is_broken():
             return self._longest_retry_after_s(turn)
         return self._retry_after_s(turn)
 
     def grant(self) -> None:
         """Give places that have become free to those whose turn it is."""
-        if self.health.is_broken(self.service):
+        if not self.waiting or self.is_broken():
             return
         while self.waiting:
             waiter = min(self.waiting, key=lambda w: w.order_s)
@@ -168,10 +178,26 @@
         return (len(self.waiting) + 1) * max(self._done_interval_s, since_done_s)
 
     def _find(self, tried: Collection[str]) -> Upstream | None:
-        return self.upstreams.choose(self.service, tried, self.clock())
+        closed = () if self.is_broken() else self._list_closed()
+        return self.upstreams.choose(self.service, tried, self.clock(), closed)
+
+    def _list_closed(self) -> list[str]:
+        """Return the broken groups that are not due to be asked again."""
+        now_s = self.clock()
+        return [g for g in self._list_broken() if now_s < self._ask_again_at_s(g)]
+
+    def _ask_again_at_s(self, group_key: str) -> float:
+        asked_at_s = self._asked_at_s.get(group_key, float("-inf"))
+        pause_s = self.rng.uniform(ASK_AGAIN_S, 2 * ASK_AGAIN_S)
+        return max(self.health.refused_at_s[group_key], asked_at_s) + pause_s
+
+    def _list_broken(self) -> list[str]:
+        return [g for g in self.upstreams.groups_of(self.service) if self.health.is_broken(g)]
 
     def _count(self, upstream: Upstream) -> Upstream:
         upstream.in_hand += 1
+        if self.health.is_broken(upstream.listed.group_key):
+            self._asked_at_s[upstream.listed.group_key] = self.clock()
         return upstream
 
     def _note_left(self, turn: Turn) -> bool:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -149,7 +149,7 @@
     def _note_result(self, upstream: Upstream, result: AttemptResult) -> None:
         state, now_s = self._state, self._clock()
         if isinstance(result, Answered):
-            state.health.note_served(self._job.service, now_s)
+            state.health.note_served(upstream.listed.group_key, now_s)
             return
         self._note_attempt(upstream, "attempt_failed", result.reason)
         if isinstance(result, MayHaveRun):
@@ -159,13 +159,13 @@
             # What answers at the address of an upstream that is gone is another one.
             state.upstreams.note_failure(upstream, now_s, is_unreachable=True)
         if result.is_group_broken:
-            self._note_broken()
+            self._note_broken(upstream.listed.group_key)
 
-    def _note_broken(self) -> None:
-        service, health = self._job.service, self._state.health
-        if not health.is_broken(service):
-            log_event(_LOG, "group_broken", service=service)
-        health.note_refused(service, self._clock())
+    def _note_broken(self, group_key: str) -> None:
+        health = self._state.health
+        if not health.is_broken(group_key):
+            log_event(_LOG, "group_broken", group=group_key)
+        health.note_refused(group_key, self._clock())
 
     async def _relay(self, upstream: Upstream, answered: Answered) -> bool:
         """Relay an answer; return False where another try would serve better."""
@@ -174,7 +174,7 @@
         if self._caller.has_begun and not is_stream:
             raise CutError(f"status {head.status} to a stream that was to go on")
         if is_stream:
-            await self._relay_stream(answered)
+            await self._relay_stream(upstream, answered)
             upstream.note_answer(failed=False)
         else:
             body = await connection.read_body()
@@ -192,7 +192,7 @@
         self._state.upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
         return True
 
-    async def _relay_stream(self, answered: Answered) -> None:
+    async def _relay_stream(self, upstream: Upstream, answered: Answered) -> None:
         head, connection = answered.head, answered.connection
         splitter = self._progress.splitter
         if not self._caller.has_begun:
@@ -200,7 +200,7 @@
             self._caller.begin_stream(
                 head.status, _end_to_end(head), length=int(length) if length else None
             )
-        rhythm = self._state.rhythm(self._job.service)
+        rhythm = self._state.rhythm(upstream.listed)
         last_s = None
         while (piece := await connection.read_piece()) is not None:
             events = splitter.feed(piece)
@@ -226,7 +226,7 @@
             return False
         if (progress.may_have_run or is_answered) and not job.route.is_repeatable:
             return False
-        if self._state.health.is_broken(job.service):
+        if self._state.admission(job.service).is_broken():
             # Another rank of a broken group refuses too; the try would be for nothing.
             return False
         return self._state.retry_window(job.service).take_repeat(self._clock())
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 
 @dataclass(frozen=True)
@@ -21,6 +22,11 @@
     group_epoch: int = 0
     group_is_open: bool = True
 
+    @cached_property
+    def group_key(self) -> str:
+        """Return what names its rank group among all; its service where it stands alone."""
+        return f"{self.service}/{self.group}" if self.group else self.service
+
 
 @dataclass(frozen=True)
 class Member:
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -26,8 +26,10 @@
 SWITCH_TRIES = 3
 COPY_MARGIN = 1.2
 MIN_SAMPLED_RANKS = 2
-TAKE_SPREAD_S = 0.1
-"""Gateways that see a duty become vacant try for it spread over this, so that most need not."""
+TAKE_STEP_S = 0.05
+MAX_TAKE_STEPS = 20
+"""Gateways that see a duty become vacant try for it in turn, in an order that differs by duty: most
+need not, and the duties of many groups fall to many gateways."""
 PREPARE_TRIES = 4
 WINDOW_S = 0.3
 """Two readings so far apart make a window: some passes, with several requests at each rank."""
@@ -68,6 +70,8 @@
     duty: str
     duties: Duties
     holder: Callable[[], str | None]
+    # How many gateways try for the duty before this one.
+    turn: Callable[[], int]
     port: RankPort
     ranks: Callable[[], Mapping[int, str]]
     figures: ExpertFigures
@@ -173,7 +177,8 @@
     async def _try_take(self) -> None:
         if self.holder() is not None or not self.ranks():
             return
-        await asyncio.sleep(self.rng.uniform(0, TAKE_SPREAD_S))
+        steps = min(MAX_TAKE_STEPS, self.turn()) + self.rng.random()
+        await asyncio.sleep(steps * TAKE_STEP_S)
         if self.holder() is None and await self.duties.take_duty(self.duty):
             self._wake.set()
 
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -30,6 +30,7 @@
 from dalehollow.platform.names import ALL_KEYS, HEADERS
 from dalehollow.platform.ranks import RankClient
 from dalehollow.platform.session import Session
+from dalehollow.rendezvous import count_before
 from dalehollow.telemetry.logs import log_event
 
 _MS_PER_S = 1000
@@ -169,43 +170,53 @@
         self.state.take_table(table)
         if self.state.table is None:
             return
-        for service in self.state.table.services.values():
-            engine = service.engine
-            if engine is None or engine.experts is None or service.name in self._planners:
-                continue
-            planner = self._make_planner(service.name, engine.experts)
-            self._planners[service.name] = planner
-            self._tasks.append(keep_running(f"planner-{service.name}", planner.run))
+        for upstream in self.state.upstreams:
+            self._plan_group_of(upstream.listed)
+
+    def _plan_group_of(self, listed: ListedUpstream) -> None:
+        """Start the planner of a rank's group, once its service's experts are known."""
+        key, table = listed.group_key, self.state.table
+        if not listed.group or table is None or key in self._planners:
+            return
+        service = table.services.get(listed.service)
+        experts = service.engine.experts if service and service.engine else None
+        if experts is None:
+            return
+        self._planners[key] = self._make_planner(listed, experts)
+        self._tasks.append(keep_running(f"planner-{key}", self._planners[key].run))
 
     def _take_upstream(self, listed: ListedUpstream) -> None:
         before = self.state.upstreams.find(listed.incarnation)
         self.state.upstreams.put(listed)
+        self._plan_group_of(listed)
         if not listed.group or before is None or before == listed:
             return
         now_s = asyncio.get_running_loop().time()
         is_new_epoch = listed.group_epoch > before.group_epoch
         if listed.group_is_open and is_new_epoch:
-            self.state.health.note_served(listed.service, now_s)
+            self.state.health.note_served(listed.group_key, now_s)
             self.state.grant_all()
-            if listed.service in self._planners:
-                self._planners[listed.service].note_epoch(listed.group_epoch)
+            if listed.group_key in self._planners:
+                self._planners[listed.group_key].note_epoch(listed.group_epoch)
         elif not listed.group_is_open and before.group_is_open:
-            self.state.health.note_refused(listed.service, now_s)
+            self.state.health.note_refused(listed.group_key, now_s)
 
-    def _make_planner(self, service: str, figures: ExpertFigures) -> GroupPlanner:
-        ranks = GroupRanks(self.state.upstreams, service)
+    def _make_planner(self, listed: ListedUpstream, figures: ExpertFigures) -> GroupPlanner:
+        key, service = listed.group_key, listed.service
+        ranks = GroupRanks(self.state.upstreams, key)
         settings = self._settings
         return GroupPlanner(
-            duty=service,
+            duty=key,
             duties=self._session,
-            holder=lambda: self._holders.get(service),
+            holder=lambda: self._holders.get(key),
+            turn=lambda: count_before(self._members, settings.name, key),
             port=RankClient(figures.layers, ranks, settings.link_mbps),
             ranks=ranks.read,
             figures=figures,
             policy=_make_plan_policy(settings),
             rng=self.state.rng,
-            rhythm=self.state.rhythm(service),
-            load=lambda: self.state.upstreams.load_of(service),
+            rhythm=self.state.rhythm(listed),
+            load=lambda: self.state.upstreams.load_of_group(key),
             pause_objective_s=lambda: self.state.pause_objective_s(service),
         )
 
@@ -225,11 +236,13 @@
             count=len(self._members),
         )
 
-    def _note_plan(self, service: str, plan: KeptPlan) -> None:
-        self.state.upstreams.note_slow_ranks(service, plan.slow_ranks)
-        self.state.move_from_slow_ranks(service)
-        if service in self._planners:
-            self._planners[service].note_kept_demand(plan.demand)
+    def _note_plan(self, duty: str, plan: KeptPlan) -> None:
+        # A duty bears the key of its group.
+        service = duty.partition("/")[0]
+        self.state.upstreams.note_slow_ranks(duty, plan.slow_ranks)
+        self.state.move_from_slow_ranks(service, duty)
+        if duty in self._planners:
+            self._planners[duty].note_kept_demand(plan.demand)
 
     def _note_holder(self, duty: str, holder: str | None) -> None:
         if holder is None:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -11,6 +11,7 @@
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.headers import HeaderNames
 from dalehollow.gateway.health import GroupHealth
+from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import EngineFigures, RoutingTable
@@ -104,16 +105,17 @@
             self.admissions[service] = admission
         return admission
 
-    def rhythm(self, service: str) -> Rhythm:
-        """Return what follows the passes of a service's group."""
-        rhythm = self.rhythms.get(service)
+    def rhythm(self, listed: ListedUpstream) -> Rhythm:
+        """Return what follows the passes of an upstream's group, or of the upstream alone."""
+        key, service = listed.group_key, listed.service
+        rhythm = self.rhythms.get(key)
         if rhythm is None:
             rhythm = Rhythm(
                 asyncio.get_running_loop().time,
-                lambda: self.upstreams.mean_batch(service),
+                lambda: self.upstreams.mean_batch(key),
                 lambda batch: self._pass_ms(service, batch),
             )
-            self.rhythms[service] = rhythm
+            self.rhythms[key] = rhythm
         return rhythm
 
     def expected_run_s(self, service: str, tokens: int, events: int = 0) -> float:
@@ -121,12 +123,13 @@
 
         `events` of them, of a pass each, have come already: a broken stream goes on after them.
         """
-        rhythm = self.rhythms.get(service)
         engine = self._find_engine(service)
-        pass_s = rhythm.pass_s() if rhythm is not None else None
-        if engine is None or pass_s is None:
+        groups = self.upstreams.groups_of(service)
+        known = [self.rhythms[g].pass_s() for g in groups if g in self.rhythms]
+        passes_s = [pass_s for pass_s in known if pass_s is not None]
+        if engine is None or not passes_s:
             return 0.0
-        return max(0.0, tokens / max(1, engine.steps_per_pass) - events) * pass_s
+        return max(0.0, tokens / max(1, engine.steps_per_pass) - events) * min(passes_s)
 
     def pause_objective_s(self, service: str) -> float:
         """Return the shortest pause objective of the streams that a service serves, 0 for none."""
@@ -138,15 +141,15 @@
         ]
         return min(objectives_ms, default=0) / _MS_PER_S
 
-    def move_from_slow_ranks(self, service: str) -> None:
+    def move_from_slow_ranks(self, service: str, group_key: str) -> None:
         """Have requests at slow ranks go on elsewhere: each holds its whole group up.
 
         A request whose repeat finds no room would be cut, so only half of the room is used.
         """
-        moves = [m for m in self.upstreams.list_moves(service) if not m.is_asked]
+        moves = [m for m in self.upstreams.list_moves(group_key) if not m.is_asked]
         room = self.retry_window(service).count_room(asyncio.get_running_loop().time()) // 2
         if moves:
-            log_event(_LOG, "requests_moved", service=service, count=len(moves[:room]), room=room)
+            log_event(_LOG, "requests_moved", group=group_key, count=len(moves[:room]), room=room)
         for move in moves[:room]:
             move.ask()
 
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -66,7 +66,7 @@
         "duties": dict(sources.holders),
         "services": {
             service: {
-                "is_group_broken": state.health.is_broken(service),
+                "is_group_broken": admission.is_broken(),
                 "waiting": len(admission.waiting),
                 "load": round(state.upstreams.load_of(service), 3),
             }
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -106,6 +106,8 @@
     hall: str = ""
     _known: dict[str, Upstream] = field(default_factory=dict)
     _by_service: dict[str, dict[str, Upstream]] = field(default_factory=dict)
+    # By the key of the rank group, or by service for upstreams that stand alone.
+    _by_group: dict[str, dict[str, Upstream]] = field(default_factory=dict)
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
     # Kept also of upstreams that are not known yet: reports and lists come on different ways.
     _others_in_hand: Counter[str] = field(default_factory=Counter)
@@ -135,10 +137,10 @@
                 epoch=listed.group_epoch,
                 is_open=listed.group_is_open,
             )
-        if known.listed.service != listed.service:
-            self._by_service.get(known.listed.service, {}).pop(listed.incarnation, None)
+        self._drop_indexes(known.listed)
         known.listed = listed
         self._by_service.setdefault(listed.service, {})[listed.incarnation] = known
+        self._by_group.setdefault(listed.group_key, {})[listed.incarnation] = known
 
     def find(self, incarnation: str) -> ListedUpstream | None:
         """Return what the list last said of an upstream."""
@@ -149,29 +151,37 @@
         """Forget an upstream that is gone."""
         known = self._known.pop(incarnation, None)
         if known is not None:
-            self._by_service[known.listed.service].pop(incarnation, None)
+            self._drop_indexes(known.listed)
             log_event(_LOG, "upstream_gone", incarnation=incarnation)
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return a service's upstreams that may get new requests."""
         return [u for u in self._by_service.get(service, {}).values() if not u.listed.is_leaving]
 
+    def of_group(self, group_key: str) -> list[Upstream]:
+        """Return a rank group's upstreams that may get new requests."""
+        return [u for u in self._by_group.get(group_key, {}).values() if not u.listed.is_leaving]
+
+    def groups_of(self, service: str) -> set[str]:
+        """Return the keys of the groups that a service's upstreams form."""
+        return {u.listed.group_key for u in self.of_service(service)}
+
     def note_unknown(self, incarnation: str, unknown: int, at_s: float) -> None:
         """Take what another gateway found that nobody has in hand at an upstream."""
         known = self._known.get(incarnation)
         if known is not None:
             known.note_unknown(unknown, at_s)
 
-    def note_slow_ranks(self, service: str, ranks: Collection[int]) -> None:
-        """Take which ranks of a service's group are slow for their own reasons."""
-        if frozenset(ranks) != self._slow_ranks.get(service, frozenset()):
-            log_event(_LOG, "slow_ranks", service=service, ranks=",".join(map(str, ranks)))
-        self._slow_ranks[service] = frozenset(ranks)
+    def note_slow_ranks(self, group_key: str, ranks: Collection[int]) -> None:
+        """Take which ranks of a group are slow for their own reasons."""
+        if frozenset(ranks) != self._slow_ranks.get(group_key, frozenset()):
+            log_event(_LOG, "slow_ranks", group=group_key, ranks=",".join(map(str, ranks)))
+        self._slow_ranks[group_key] = frozenset(ranks)
 
-    def list_moves(self, service: str) -> list[Move]:
-        """Return the tries in hand at slow ranks of a service's group."""
-        slow = self._slow_ranks.get(service, frozenset())
-        upstreams = self._by_service.get(service, {}).values()
+    def list_moves(self, group_key: str) -> list[Move]:
+        """Return the tries in hand at slow ranks of a group."""
+        slow = self._slow_ranks.get(group_key, frozenset())
+        upstreams = self._by_group.get(group_key, {}).values()
         return [m for u in upstreams if u.listed.group_rank in slow for m in u.moves]
 
     def add_others(self, incarnation: str, change: int) -> None:
@@ -185,32 +195,53 @@
 
     def load_of(self, service: str) -> float:
         """Return the share of a service's slots that is taken."""
-        upstreams = self.of_service(service)
-        slots = sum(u.listed.slots for u in upstreams)
-        return sum(u.known_in_hand() for u in upstreams) / max(1, slots)
+        return _share_taken(self.of_service(service))
+
+    def load_of_group(self, group_key: str) -> float:
+        """Return the share of a group's slots that is taken."""
+        return _share_taken(self.of_group(group_key))
 
     def highest_load(self) -> float:
         """Return the load of the service whose slots are taken most."""
         return max(map(self.load_of, self._by_service), default=0.0)
 
-    def mean_batch(self, service: str) -> float:
-        """Return the requests that a service's upstreams have in hand on average."""
-        upstreams = self.of_service(service)
+    def mean_batch(self, group_key: str) -> float:
+        """Return the requests that a group's ranks have in hand on average."""
+        upstreams = self.of_group(group_key)
         return sum(u.known_in_hand() for u in upstreams) / max(1, len(upstreams))
 
-    def choose(self, service: str, tried: Collection[str], now_s: float) -> Upstream | None:
-        """Choose the least busy upstream with a free slot, or None where none has one."""
-        staying = [u for u in self.of_service(service) if u.listed.incarnation not in tried]
-        slow = self._slow_ranks.get(service)
-        if slow:
-            # A slow rank holds its whole group up by each request that it gets: rather wait.
-            staying = [u for u in staying if u.listed.group_rank not in slow] or staying
+    def choose(
+        self,
+        service: str,
+        tried: Collection[str],
+        now_s: float,
+        closed_groups: Collection[str] = (),
+    ) -> Upstream | None:
+        """Choose the least busy upstream with a free slot, or None where none has one.
+
+        Upstreams of `closed_groups` are left aside.
+        """
+        staying = [
+            u
+            for u in self.of_service(service)
+            if u.listed.incarnation not in tried and u.listed.group_key not in closed_groups
+        ]
+        # A slow rank holds its whole group up by each request that it gets: rather wait.
+        staying = [u for u in staying if not self._is_slow_rank(u)] or staying
         sound = [u for u in staying if u.ejected_until_s <= now_s]
         free = [u for u in sound or staying if u.load(now_s) < 1.0]
         if not free:
             return None
         return min(free, key=lambda u: (self._rank_by_load(u, now_s), self.rng.random()))
 
+    def _is_slow_rank(self, upstream: Upstream) -> bool:
+        slow = self._slow_ranks.get(upstream.listed.group_key)
+        return slow is not None and upstream.listed.group_rank in slow
+
+    def _drop_indexes(self, listed: ListedUpstream) -> None:
+        self._by_service.get(listed.service, {}).pop(listed.incarnation, None)
+        self._by_group.get(listed.group_key, {}).pop(listed.incarnation, None)
+
     def _rank_by_load(self, upstream: Upstream, now_s: float) -> float:
         """Return the load, with `FAR_SLOTS` on top for another hall."""
         distance = 0.0 if upstream.listed.hall == self.hall else FAR_SLOTS
@@ -235,3 +266,8 @@
             ejected=ejected + 1,
             of=len(peers),
         )
+
+
+def _share_taken(upstreams: Collection[Upstream]) -> float:
+    slots = sum(u.listed.slots for u in upstreams)
+    return sum(u.known_in_hand() for u in upstreams) / max(1, slots)
--- a/dalehollow/membership/subset.py
+++ b/dalehollow/membership/subset.py
@@ -2,23 +2,19 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Sequence
 
 from dalehollow.config.model import Upstream
+from dalehollow.rendezvous import score
 
 FAR_SHARE = 4
 
 
-def _score(entry: str, upstream: str) -> bytes:
-    return hashlib.blake2b(f"{entry}\0{upstream}".encode(), digest_size=8).digest()
-
-
 def choose_subset(
     entry: str, hall: str, upstreams: Sequence[Upstream], size: int
 ) -> tuple[Upstream, ...]:
     """Choose by rendezvous: the own hall first, and some of other halls for when it fails."""
-    ranked = sorted(upstreams, key=lambda u: _score(entry, u.name), reverse=True)
+    ranked = sorted(upstreams, key=lambda u: score(entry, u.name), reverse=True)
     near = [u for u in ranked if u.hall == hall]
     far = [u for u in ranked if u.hall != hall]
     far_count = min(len(far), max(size // FAR_SHARE, size - len(near)))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -232,7 +232,8 @@
         service = {"name": "desk", "maxConnections": 9}
         service["engine"] = {**engine, "read_per_s": 1e6, "stride": 5}
         state.take_table(decode_config(msgspec.json.encode(make_config(services=[service]))))
-        rhythm = state.rhythm("desk")
+        state.upstreams.put(ListedUpstream("u", "desk", "127.0.0.1:9", "hall", 4, False))
+        rhythm = state.rhythm(state.upstreams.of_service("desk")[0].listed)
         for _ in range(10):
             rhythm.note_pause(0.1)
         assert state.expected_run_s("desk", 50) == pytest.approx(1.0)
@@ -256,7 +257,7 @@
     for rank in (0, 1):
         listed = ListedUpstream(f"s{rank}", "desk", "127.0.0.1:9", "hall", 1, False, "g", rank, 2)
         upstreams.put(listed)
-    upstreams.note_slow_ranks("desk", {1})
+    upstreams.note_slow_ranks("desk/g", {1})
     first = upstreams.choose("desk", (), 0.0)
     assert first is not None and first.listed.group_rank == 0
     first.in_hand += 1
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -72,6 +72,7 @@
             duty="desk",
             duties=duties,
             holder=lambda: None,
+            turn=lambda: 0,
             port=group,
             ranks=lambda: {rank: f"rank-{rank}" for rank in range(RANKS)},
             figures=FIGURES,
