Bound what a rank copies in one change by time, over all layers

Hypothesis: the rank that copies most rules when a new map is in force; the first copy of each rank brings nearly all. Change: improve_layers searches all layers together under one room a rank, the layer with the longest rank first; a change that used the room up is followed by a look one window later.

--- a/dalehollow/gateway/plan_policy.py
+++ b/dalehollow/gateway/plan_policy.py
@@ -1,13 +1,11 @@
-"""Decide how eagerly a group's expert map is planned, and plan one layer by that."""
+"""Decide how eagerly a group's expert map is planned, and within which bounds."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from dalehollow.gateway.table import ExpertFigures
-from dalehollow.groups.expert_map import LayerMap
-from dalehollow.groups.place import Bounds, Improved, improve_layer
+from dalehollow.groups.place import Bounds
 
 MIN_LOAD = 0.3
 """A copy must bring more the fewer requests gain by it; below this load no more than that."""
@@ -30,7 +28,8 @@
     orders. `copy_price_mb` is what each copied megabyte must take off the longest rank, as a
     share of the mean load, in a group of one layer and one rank: all ranks gain by what is taken
     off, and it is the smaller a part of a pass the more layers there are. `sampled_share` of the
-    ranks is read; `memory` is what the last demand counts beside the newest.
+    ranks is read; `memory` is what the last demand counts beside the newest. In one change no
+    rank copies for longer than `copy_s`, or more than one expert where that takes longer.
     """
 
     calm: PlanTerms
@@ -39,6 +38,7 @@
     copy_price_mb: float
     sampled_share: float
     memory: float
+    copy_s: float
 
     def choose_terms(self, pass_s: float | None, objective_s: float) -> PlanTerms:
         """Return the terms for passes of this length; those for calm times if it is unknown."""
@@ -47,21 +47,13 @@
         return self.pressed if pass_s >= self.pressed_share * objective_s else self.calm
 
 
-def plan_layer(
-    layer: LayerMap,
-    demand: Sequence[float],
-    figures: ExpertFigures,
-    copy_price_mb: float,
-    load: float,
-    paces: Sequence[float],
-) -> Improved:
-    """Plan one layer of a group whose slots are taken to the share `load`."""
-    ranks = len(layer)
-    price = copy_price_mb * figures.expert_mb * figures.layers / ranks
-    bounds = Bounds(
+def choose_bounds(policy: PlanPolicy, figures: ExpertFigures, ranks: int, load: float) -> Bounds:
+    """Return the bounds of a change in a group whose slots are taken to the share `load`."""
+    price = policy.copy_price_mb * figures.expert_mb * figures.layers / ranks
+    copies = int(policy.copy_s / figures.copy_s) if figures.copy_s else figures.places
+    return Bounds(
         places=figures.places,
         spare=figures.spare,
         price=price / max(MIN_LOAD, min(1.0, load)),
-        max_copies=figures.spare * ranks,
+        rank_copies=max(1, copies),
     )
-    return improve_layer(layer, demand, bounds, paces)
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -11,11 +11,11 @@
 from typing import Protocol
 
 from dalehollow.gateway.demand import Demand, DemandWindow, scale_demand
-from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms, plan_layer
+from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms, choose_bounds
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
-from dalehollow.groups.place import deal_in_turn
+from dalehollow.groups.place import Improved, deal_in_turn, improve_layers
 from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
 from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
 from dalehollow.telemetry.logs import log_event
@@ -282,13 +282,12 @@
 
     async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
-        terms, price = self._terms(), self.policy.copy_price_mb
-        improved = []
-        for layer, wanted in zip(self.current, demand, strict=True):
-            improved.append(
-                plan_layer(layer, wanted, self.figures, price, self.load(), self._paces)
-            )
-            # A layer takes some ms to plan: streams are relayed in between.
+        terms = self._terms()
+        bounds = choose_bounds(self.policy, self.figures, len(self.current[0]), self.load())
+        improved: tuple[Improved, ...] = ()
+        for found in improve_layers(self.current, demand, bounds, self._paces):
+            improved = found
+            # A plan takes some ms: streams are relayed in between.
             await asyncio.sleep(0)
         before = sum(i.longest_before for i in improved) / len(improved)
         after = sum(i.longest_after for i in improved) / len(improved)
@@ -305,7 +304,7 @@
             pressed=terms is self.policy.pressed,
             step_ms=round(self._steps.step_s * _MS_PER_S, 1),
         )
-        planned = tuple(i.layer for i in improved)
+        before_map, planned = self.current, tuple(i.layer for i in improved)
         outcome = await self._carry_out(planned, fence)
         log_event(_LOG, "map_switch", duty=self.duty, outcome=outcome, epoch=self._epoch)
         if outcome is SwitchOutcome.SWITCHED:
@@ -317,6 +316,9 @@
                 self._wake.clear()
             self.changes += 1
             self.copies += copies
+            if _most_copied(before_map, planned) >= bounds.rank_copies:
+                # There was more to gain than fits one change: go on with the next window.
+                self._next_pause_s = WINDOW_S
             await self._keep_plan(demand)
         elif outcome is SwitchOutcome.UNRESOLVED:
             await self.duties.drop_duty(self.duty, "a switch is unresolved")
@@ -379,8 +381,13 @@
     def _copy_time_s(self, planned: GroupMap) -> float:
         """Return how long the rank with the most new experts copies."""
         assert self.current is not None
-        copied = [0] * len(planned[0])
-        for old, new in zip(self.current, planned, strict=True):
-            for rank, (before, after) in enumerate(zip(old, new, strict=True)):
-                copied[rank] += len(set(after) - set(before))
-        return max(copied) * self.figures.copy_s * COPY_MARGIN
+        return _most_copied(self.current, planned) * self.figures.copy_s * COPY_MARGIN
+
+
+def _most_copied(current: GroupMap, planned: GroupMap) -> int:
+    """Return how many experts are new to the rank with the most of them, over all layers."""
+    copied = [0] * len(planned[0])
+    for old, new in zip(current, planned, strict=True):
+        for rank, (before, after) in enumerate(zip(old, new, strict=True)):
+            copied[rank] += len(set(after) - set(before))
+    return max(copied)
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -325,6 +325,7 @@
         copy_price_mb=settings.plan_copy_price_mb,
         sampled_share=settings.plan_sampled_share,
         memory=settings.plan_memory,
+        copy_s=settings.plan_copy_ms / _MS_PER_S,
     )
 
 
--- a/dalehollow/groups/place.py
+++ b/dalehollow/groups/place.py
@@ -1,12 +1,13 @@
 """Improve where a layer's experts stand, within the places and copies that ranks allow.
 
 A pass lasts as long as the most loaded rank of each layer, so a change is worth what it takes off
-that rank's load, less a price for each weight that must be copied.
+that rank's load, less a price for each weight that must be copied. Ranks copy at the same time, so
+a change takes as long as the rank that copies most, over all layers together.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from dalehollow.groups.expert_map import LayerMap, rank_loads
@@ -24,14 +25,14 @@
     """Bound a change of one layer.
 
     `places` experts a rank at most, `spare` experts new to a rank in one change; `price` is the
-    share of the mean load that one copied weight must take off the longest rank; `max_copies`
-    bounds all copies of the layer.
+    share of the mean load that one copied weight must take off the longest rank; `rank_copies`
+    bounds what is new to a rank in all layers together.
     """
 
     places: int
     spare: int
     price: float
-    max_copies: int
+    rank_copies: int
 
 
 @dataclass(frozen=True)
@@ -56,28 +57,36 @@
     return loads if paces is None else [a * b for a, b in zip(loads, paces, strict=True)]
 
 
+def improve_layers(
+    layers: Sequence[LayerMap],
+    demand: Sequence[Sequence[float]],
+    bounds: Bounds,
+    paces: Sequence[float] | None = None,
+) -> Iterator[tuple[Improved, ...]]:
+    """Yield after each change what is found so far, until none pays any more.
+
+    The layer with the longest rank goes first: what ranks may copy goes where it brings most.
+    """
+    ranks = len(layers[0])
+    room = [bounds.rank_copies] * ranks
+    searches = [
+        _Search(_Work(layer, wanted, bounds, paces or [1.0] * ranks, room))
+        for layer, wanted in zip(layers, demand, strict=True)
+    ]
+    while unfinished := [s for s in searches if not s.is_finished]:
+        max(unfinished, key=lambda s: s.longest).advance()
+        yield tuple(s.best for s in searches)
+
+
 def improve_layer(
     layer: LayerMap,
     demand: Sequence[float],
     bounds: Bounds,
     paces: Sequence[float] | None = None,
 ) -> Improved:
-    """Take changes while they pay; keep the ones up to where they paid most."""
-    work = _Work(layer, demand, bounds, paces or [1.0] * len(layer))
-    before = max(work.loads)
-    best = Improved(layer, 0, before, before)
-    best_gain = 0.0
-    since_best = 0
-    while work.copies < bounds.max_copies and since_best < _GIVE_UP_STEPS:
-        if not work.take_best():
-            break
-        longest = max(work.loads)
-        gain = before - longest - bounds.price * work.copies
-        since_best += 1
-        if gain > best_gain:
-            best = Improved(work.as_layer(), work.copies, before, longest)
-            best_gain, since_best = gain, 0
-    return best
+    """Take changes of one layer while they pay; keep the ones up to where they paid most."""
+    *_, (improved,) = improve_layers([layer], [demand], bounds, paces)
+    return improved
 
 
 @dataclass(frozen=True)
@@ -97,13 +106,49 @@
     returns: int | None
 
 
+class _Search:
+    """Hold the search for the best change of one layer."""
+
+    def __init__(self, work: _Work) -> None:
+        self._work = work
+        self._before = max(work.loads)
+        self._best_gain = 0.0
+        self._since_best = 0
+        self.best = Improved(work.as_layer(), 0, self._before, self._before)
+        self.is_finished = False
+
+    @property
+    def longest(self) -> float:
+        """Return the longest rank's load as the layer is now."""
+        return max(self._work.loads)
+
+    def advance(self) -> None:
+        """Take one more change, or finish where none pays."""
+        if self._since_best == _GIVE_UP_STEPS or not self._work.take_best():
+            self.is_finished = True
+            self._work.give_back_room(self.best.layer)
+            return
+        copies = self._work.copies
+        gain = self._before - self.longest - self._work.bounds.price * copies
+        self._since_best += 1
+        if gain > self._best_gain:
+            self.best = Improved(self._work.as_layer(), copies, self._before, self.longest)
+            self._best_gain, self._since_best = gain, 0
+
+
 class _Work:
-    """Hold a layer while it is changed."""
+    """Hold a layer while it is changed; `room` is what each rank may still copy in all layers."""
 
     def __init__(
-        self, layer: LayerMap, demand: Sequence[float], bounds: Bounds, paces: Sequence[float]
+        self,
+        layer: LayerMap,
+        demand: Sequence[float],
+        bounds: Bounds,
+        paces: Sequence[float],
+        room: list[int],
     ) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
+        self._room = room
         self._paces = paces
         total = sum(demand) or 1.0
         self._demand = [d * len(layer) / total for d in demand]
@@ -140,7 +185,7 @@
         if not self._may_copy(target, expert):
             return []
         changes = []
-        if len(self._held[target]) < self._bounds.places:
+        if len(self._held[target]) < self.bounds.places:
             changes.append(self._rate(source, target, expert, None, False, None))
             changes.append(self._rate(source, target, expert, None, True, None))
         for other in self._held[target]:
@@ -153,7 +198,9 @@
     def _may_copy(self, rank: int, expert: int) -> bool:
         if expert in self._origin[rank]:
             return True
-        return len(self._held[rank] - self._origin[rank]) < self._bounds.spare
+        if not self._room[rank]:
+            return False
+        return len(self._held[rank] - self._origin[rank]) < self.bounds.spare
 
     def _rate(
         self,
@@ -226,12 +273,23 @@
     def _place(self, expert: int, rank: int) -> None:
         self._held[rank].add(expert)
         self._holders[expert].add(rank)
-        self.copies += expert not in self._origin[rank]
+        self._count_copy(expert, rank, 1)
 
     def _remove(self, expert: int, rank: int) -> None:
         self._held[rank].discard(expert)
         self._holders[expert].discard(rank)
-        self.copies -= expert not in self._origin[rank]
+        self._count_copy(expert, rank, -1)
+
+    def _count_copy(self, expert: int, rank: int, change: int) -> None:
+        if expert not in self._origin[rank]:
+            self.copies += change
+            self._room[rank] -= change
+
+    def give_back_room(self, kept: LayerMap) -> None:
+        """Leave to other layers what ranks would have copied beyond the layer that is kept."""
+        for rank, held in enumerate(kept):
+            self._room[rank] += len(self._held[rank] - self._origin[rank])
+            self._room[rank] -= len(set(held) - self._origin[rank])
 
 
 def deal_in_turn(ranks: int, experts: int) -> LayerMap:
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -5,7 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dalehollow.groups.place import Bounds, deal_in_turn, improve_layer, layer_loads
+from dalehollow.groups.place import (
+    Bounds,
+    deal_in_turn,
+    improve_layer,
+    improve_layers,
+    layer_loads,
+)
 
 _DEMANDS = st.lists(st.floats(0.0, 1000.0), min_size=24, max_size=24)
 
@@ -14,7 +20,7 @@
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_bounds_hold_for_any_demand(demand: list[float], places: int, spare: int) -> None:
     layer = deal_in_turn(6, 24)
-    bounds = Bounds(places=places, spare=spare, price=0.01, max_copies=8)
+    bounds = Bounds(places=places, spare=spare, price=0.01, rank_copies=spare)
     improved = improve_layer(layer, demand, bounds)
     assert {e for held in improved.layer for e in held} == set(range(24))
     assert all(len(set(held)) == len(held) <= places for held in improved.layer)
@@ -26,14 +32,14 @@
 
 def test_a_hot_expert_is_shared_out() -> None:
     demand = [100.0] + [1.0] * 23
-    improved = improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, 0.01, 12))
+    improved = improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, 0.01, 2))
     assert improved.longest_after < improved.longest_before / 3
     assert sum(0 in held for held in improved.layer) > 2
 
 
 def test_even_demand_moves_nothing() -> None:
     layer = deal_in_turn(6, 24)
-    improved = improve_layer(layer, [5.0] * 24, Bounds(5, 2, 0.01, 12))
+    improved = improve_layer(layer, [5.0] * 24, Bounds(5, 2, 0.01, 2))
     assert improved.copies == 0
     assert improved.layer == layer
 
@@ -41,7 +47,7 @@
 def test_a_dearer_copy_moves_less() -> None:
     demand = [float(1 + (e * 7) % 13) ** 2 for e in range(24)]
     copies = [
-        improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, price, 12)).copies
+        improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, price, 2)).copies
         for price in (0.0, 0.05, 0.5)
     ]
     assert copies == sorted(copies, reverse=True)
@@ -51,3 +57,17 @@
 def test_loads_are_over_the_mean() -> None:
     loads = layer_loads(((0,), (1, 2), (1,)), [3.0, 4.0, 2.0])
     assert loads == [1.0, 4 / 3, 2 / 3]
+
+
+def test_what_a_rank_copies_is_bounded_over_all_layers_and_goes_where_it_brings_most() -> None:
+    """A rank with two copies to make held the better map back for twice as long."""
+    hot, mild = [100.0] + [1.0] * 23, [4.0] + [1.0] * 23
+    layers = [deal_in_turn(6, 24)] * 3
+    *_, improved = improve_layers(layers, [mild, hot, mild], Bounds(5, 2, 0.0, 1))
+    copied = [
+        sum(len(set(new.layer[r]) - set(old[r])) for old, new in zip(layers, improved, strict=True))
+        for r in range(6)
+    ]
+    assert max(copied) == 1
+    assert sum(copied) == sum(i.copies for i in improved)
+    assert improved[1].copies > max(improved[0].copies, improved[2].copies)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -21,7 +21,7 @@
 RANKS, EXPERTS = 4, 16
 FIGURES = ExpertFigures(1, EXPERTS, places=5, spare=4, expert_mb=0.0, link_mbps=1000.0)
 TERMS = PlanTerms(interval_s=0.005, begin_gain=0.1)
-POLICY = PlanPolicy(TERMS, TERMS, 0.5, copy_price_mb=0.0, sampled_share=0.5, memory=0)
+POLICY = PlanPolicy(TERMS, TERMS, 0.5, copy_price_mb=0.0, sampled_share=0.5, memory=0, copy_s=1.0)
 
 
 @dataclass
@@ -152,7 +152,7 @@
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         await _until(lambda: planner.changes >= 1)
         terms = PlanTerms(interval_s=3600.0, begin_gain=0.1)
-        planner.policy = PlanPolicy(terms, terms, 0.5, 0.0, sampled_share=0.5, memory=0)
+        planner.policy = PlanPolicy(terms, terms, 0.5, 0.0, sampled_share=0.5, memory=0, copy_s=1.0)
         seen_at_note = []
         prepare = group.prepare
 
@@ -231,5 +231,5 @@
     pass_s: float | None, objective_s: float, is_pressed: bool
 ) -> None:
     pressed = PlanTerms(interval_s=1.0, begin_gain=0.1)
-    policy = PlanPolicy(TERMS, pressed, 0.5, copy_price_mb=0.0, sampled_share=0.1, memory=0.5)
+    policy = PlanPolicy(TERMS, pressed, 0.5, 0.0, sampled_share=0.1, memory=0.5, copy_s=1.0)
     assert (policy.choose_terms(pass_s, objective_s) is pressed) == is_pressed
