Remember the windows of one time until demand turns

Cause: a window of two ranks holds a few prompts. A map planned for 1.2 showed 1.45 to 1.7 in the next window though demand had not turned (counts of all ranks: steady for 4 s), so maps were changed twice a second after chance, copying half of the time (passes last 15 in 100 longer meanwhile). And a turn was planned for half from what had gone. Change: windows add up (0.8) until the map in force is 1.4 times longer under a new one than under what is remembered; then that window stands alone, and the next takes its place, for it may hold some of both times.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -15,7 +15,7 @@
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
-from dalehollow.groups.place import Improved, deal_in_turn, improve_layers
+from dalehollow.groups.place import Improved, deal_in_turn, improve_layers, layer_loads
 from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
 from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
 from dalehollow.telemetry.logs import log_event
@@ -208,13 +208,20 @@
             self._window.begin(read)
             self._next_pause_s = WINDOW_S
             return
-        is_new = self._window.add(read, forget=self._is_slower)
+        is_new = self._window.add(read, self._rate_longest)
         self._is_slower = False
         if is_new:
             await self._improve(fence, self._window.demand)
         if not self._window.demand:
             self._next_pause_s = WINDOW_S
 
+    def _rate_longest(self, demand: Demand | list[list[float]]) -> float:
+        """Return the longest rank of the map in force over the mean, on average of the layers."""
+        assert self.current is not None
+        layers = zip(self.current, demand, strict=True)
+        longest = [max(layer_loads(layer, wanted)) for layer, wanted in layers]
+        return sum(longest) / len(longest)
+
     async def _end_holds(self, fence: int) -> None:
         """End a hold whose order was carried out late, when nobody waited for it any more."""
         assert self.current is not None
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -53,7 +53,7 @@
     plan_sampled_share: float = 0.08
     plan_copy_price_mb: float = 0.00015
     plan_begin_gain: float = 0.3
-    plan_memory: float = 0.5
+    plan_memory: float = 0.8
     # How long a rank may copy weights in one change: others follow once that one is in force.
     plan_copy_ms: int = 450
     # The same while passes last longer than this share of the pauses that callers take well.
