Prepare no map before the last switch has taken place

Cause: a switch is settled when all ranks are armed, some passes before the step. Test fails before: ranks were armed when maps were prepared.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -23,6 +23,10 @@
 VERSIONS_PER_FENCE = 1_000_000
 """A version holds the planner's fence above its own count, so that two planners never give the
 same version to different maps, and ranks refuse the older planner's."""
+MIN_WAIT_S = 0.05
+MAX_WAIT_S = 0.5
+"""Bounds of the pause until a switch has taken place: about the shortest pass, and three long ones.
+An idle group makes no passes, so that what is expected may be far too long."""
 SWITCH_TRIES = 3
 COPY_MARGIN = 1.2
 MIN_SAMPLED_RANKS = 2
@@ -98,6 +102,8 @@
     _is_slower: bool = False
     _read_at_s: float = float("-inf")
     _lost_orders: bool = False
+    # The step at which the last switch takes place: until then ranks refuse another map.
+    _switch_step: int = 0
     _paces: list[float] = field(default_factory=list)
     _slow: tuple[int, ...] = ()
 
@@ -210,11 +216,17 @@
             return
         is_new = self._window.add(read, self._rate_longest)
         self._is_slower = False
-        if is_new:
+        if not self._steps.has_begun(self._switch_step):
+            self._next_pause_s = self._switch_wait_s()
+        elif is_new:
             await self._improve(fence, self._window.demand)
         if not self._window.demand:
             self._next_pause_s = WINDOW_S
 
+    def _switch_wait_s(self) -> float:
+        """Return how long to wait for the last switch to take place."""
+        return max(MIN_WAIT_S, min(MAX_WAIT_S, self._steps.wait_s(self._switch_step)))
+
     def _rate_longest(self, demand: Demand | list[list[float]]) -> float:
         """Return the longest rank of the map in force over the mean, on average of the layers."""
         assert self.current is not None
@@ -269,7 +281,7 @@
             return False
         if any(r.armed_version for r in known.values()):
             return False
-        self.current, self._epoch = current, epoch
+        self.current, self._epoch, self._switch_step = current, epoch, 0
         log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
         return True
 
@@ -325,7 +337,7 @@
             self.copies += copies
             if _most_copied(before_map, planned) >= bounds.rank_copies:
                 # There was more to gain than fits one change: go on with the next window.
-                self._next_pause_s = WINDOW_S
+                self._next_pause_s = max(WINDOW_S, self._switch_wait_s())
             await self._keep_plan(demand)
         elif outcome is SwitchOutcome.UNRESOLVED:
             await self.duties.drop_duty(self.duty, "a switch is unresolved")
@@ -369,6 +381,8 @@
                 version, self._steps.choose_step(self._lost_orders), self._epoch, self.current
             )
             outcome = await switch_map(self.port, ranks, proposal)
+            if outcome is SwitchOutcome.SWITCHED:
+                self._switch_step = proposal.step
             if outcome is not SwitchOutcome.TOO_LATE:
                 return outcome
             counts = await self.port.read_counts(ranks[0])
--- a/dalehollow/gateway/steps.py
+++ b/dalehollow/gateway/steps.py
@@ -48,6 +48,18 @@
         usual_s = self.rhythm.pass_ms(batch) / _MS_PER_S
         return batch >= 1 and self.step_s > SUSPECT_LENGTH * usual_s
 
+    def has_begun(self, step: int) -> bool:
+        """Return whether a step had begun when the steps were last read."""
+        return self._last is not None and self._last[1] >= step
+
+    def wait_s(self, step: int) -> float:
+        """Return how long it is expected to take until a step begins."""
+        if self._last is None:
+            return 0.0
+        read_at_s, last = self._last
+        since_s = asyncio.get_running_loop().time() - read_at_s
+        return max(0.0, (step - last) * (self.rhythm.pass_s() or self.step_s) - since_s)
+
     def choose_step(self, lost_orders: bool) -> int:
         """Return a step that is about to come, far enough ahead for the orders of a switch."""
         assert self._last is not None
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -48,13 +48,13 @@
 
     hot = 0
     paces = (1.0,) * RANKS
-    seen = 0
+    seen = (0,) * EXPERTS
 
     async def read_counts(self, rank: int) -> RankCounts | None:
         self.run_pass()
-        self.seen += 1000
-        counts = tuple(self.seen * (20 if e == self.hot else 1) for e in range(EXPERTS))
-        return RankCounts(self.epoch, self.step, (counts,))
+        chosen = (20_000 if e == self.hot else 1000 for e in range(EXPERTS))
+        self.seen = tuple(a + b for a, b in zip(self.seen, chosen, strict=True))
+        return RankCounts(self.epoch, self.step, (self.seen,))
 
     async def read_report(self, rank: int) -> RankReport | None:
         report = await super().read_report(rank)
@@ -109,6 +109,28 @@
     _run(scenario)
 
 
+def test_no_map_is_prepared_while_the_last_switch_has_not_taken_place() -> None:
+    """Ranks that are armed refuse it: half of a second was lost, and others copied for nothing."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        planned_while_armed = []
+
+        def note(name: str, rank: int) -> None:
+            if name == "prepare":
+                planned_while_armed.append(group.ranks[rank].armed is not None)
+
+        def is_done() -> bool:
+            # Demand turns with each plan.
+            group.hot = planner.changes
+            return planner.changes >= 3
+
+        group.on_order = note
+        await _until(is_done)
+        assert not any(planned_while_armed)
+
+    _run(scenario)
+
+
 def test_a_group_that_opens_anew_is_planned_from_the_demand_known() -> None:
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         await _until(lambda: planner.changes >= 1)
