--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -51,7 +51,7 @@
     # change must, and how much of the last demand it remembers.
     plan_interval_ms: int = 4_000
     plan_sampled_share: float = 0.08
-    plan_copy_price_mb: float = 0.00015
+    plan_copy_price_mb: float = 0.00006
     plan_begin_gain: float = 0.3
     plan_memory: float = 0.8
     # How long a rank may copy weights in one change: others follow once that one is in force.
