Let gateways of a group's own hall plan it

From another hall it saw no stream of its group, so it never knew that passes pressed on the pauses (looked every 4 s), and each prepare of a whole map crossed halls. Change: the order in which gateways try for a duty begins with the hall where most of the group's ranks stand. Test: an order by hash alone fails it.

--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -75,7 +75,7 @@
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._members: dict[str, str] = {}
+        self._members: dict[str, Member] = {}
         self._holders: dict[str, str] = {}
         self._planners: dict[str, GroupPlanner] = {}
         self._reports = PeerReports(
@@ -209,7 +209,7 @@
             duty=key,
             duties=self._session,
             holder=lambda: self._holders.get(key),
-            turn=lambda: count_before(self._members, settings.name, key),
+            turn=lambda: self._count_duty_turn(key),
             port=RankClient(figures.layers, ranks, settings.link_mbps),
             ranks=ranks.read,
             figures=figures,
@@ -220,11 +220,24 @@
             pause_objective_s=lambda: self.state.pause_objective_s(service),
         )
 
+    def _count_duty_turn(self, group_key: str) -> int:
+        """Return how many gateways come before this one for the duty of a group.
+
+        Those of the hall where most of its ranks stand come first: their streams tell how long
+        its passes last, and their orders and counts cross no hall.
+        """
+        home = self.state.upstreams.home_hall(group_key)
+        own_name, own_hall = self._settings.name, self._settings.hall
+        is_home = own_hall == home
+        peers = [n for n, m in self._members.items() if (m.hall == home) == is_home]
+        first = 0 if is_home else len(self._members) - len(peers)
+        return first + count_before(peers, own_name, group_key)
+
     def _note_member(self, name: str, member: Member | None) -> None:
         if member is None:
             self._members.pop(name, None)
         else:
-            self._members[name] = member.address
+            self._members[name] = member
         self._reports.note_member(name, member)
         if name == self._settings.name and member is None:
             self._session.note_unlisted()
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler
+from dalehollow.gateway.listed import Member
 from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.state import GatewayState
 
@@ -26,7 +27,7 @@
     hall: str
     state: GatewayState
     planners: Mapping[str, GroupPlanner]
-    members: Mapping[str, str]
+    members: Mapping[str, Member]
     holders: Mapping[str, str]
     is_ready: Callable[[], bool]
     store_age_s: Callable[[], float]
@@ -62,7 +63,7 @@
         "is_ready": sources.is_ready(),
         "config_version": state.table.version if state.table is not None else None,
         "store_heard_age_s": age_s if math.isfinite(age_s := sources.store_age_s()) else None,
-        "gateways": dict(sources.members),
+        "gateways": {name: member.address for name, member in sources.members.items()},
         "duties": dict(sources.holders),
         "services": {
             service: {
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -162,6 +162,11 @@
         """Return a rank group's upstreams that may get new requests."""
         return [u for u in self._by_group.get(group_key, {}).values() if not u.listed.is_leaving]
 
+    def home_hall(self, group_key: str) -> str:
+        """Return the hall with the most of a group's upstreams, the first by name of several."""
+        halls = Counter(u.listed.hall for u in self.of_group(group_key))
+        return max(sorted(halls), key=halls.__getitem__, default="")
+
     def groups_of(self, service: str) -> set[str]:
         """Return the keys of the groups that a service's upstreams form."""
         return {u.listed.group_key for u in self.of_service(service)}
--- a/tests/test_rank_groups.py
+++ b/tests/test_rank_groups.py
@@ -11,7 +11,7 @@
 from dalehollow.gateway.admission import Admission, NoPlace, Turn
 from dalehollow.gateway.groups import GroupRanks
 from dalehollow.gateway.health import GroupHealth
-from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 from dalehollow.groups.ranks import KeptPlan
 from dalehollow.rendezvous import count_before
@@ -175,6 +175,26 @@
     assert len(firsts) > 15
 
 
+def test_gateways_of_a_groups_hall_try_for_its_duty_first() -> None:
+    """From another hall a planner saw no streams of its group, and sent each map between halls."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        _list_groups(bench)
+        await bench.until(lambda: len(bench.gateway.state.upstreams.of_group("desk/g1")) == 2)
+        gateway = bench.gateway
+        for number in range(4):
+            gateway._note_member(f"near-{number}", Member("127.0.0.1:9", "hall"))
+            gateway._note_member(f"far-{number}", Member("127.0.0.1:9", "elsewhere"))
+        assert gateway._count_duty_turn("desk/g1") <= 4
+        for rank in range(2):
+            entry = {"name": "g1", "epoch": 1, "rank": rank, "state": "open"}
+            bench.list_server(f"g1-{rank}", "127.0.0.1:9", group=entry, size=2, zone="elsewhere")
+        await bench.until(lambda: gateway.state.upstreams.home_hall("desk/g1") == "elsewhere")
+        assert gateway._count_duty_turn("desk/g1") >= 4
+
+    run_bench(scenario)
+
+
 _ENGINE = {
     **{"slots": 2, "step_ms": 5.0, "per_seq_ms": 0, "context_per_k": 0, "read_per_s": 1e6},
     **{"sets": 1, "experts": 4, "places": 4, "spare": 4, "expertMb": 1.0, "linkMbps": 1000.0},
