Begin a window of counts with the look where the last look is old

Cause: between looks 4 s apart demand turns; the long window mixed both times, was planned for or remembered, and the turn was seen a window later.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -40,7 +40,7 @@
 EPOCH_RETRY_S = 0.1
 """Reports are some hundred ms old: those of a group that has just opened still show it broken."""
 LONGEST_WINDOW_S = 0.6
-"""A window that is longer has seen the time before the passes grew longer."""
+"""A longer window may mix the demand of two times, and says too late what there is now."""
 
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
@@ -209,8 +209,8 @@
             await self._improve(fence, known)
             self._next_pause_s = WINDOW_S
             return
-        if self._is_slower and window_s > LONGEST_WINDOW_S:
-            # What was counted since is mostly from before the change: begin a window now.
+        if window_s > LONGEST_WINDOW_S:
+            # Demand may have turned since: begin a window now.
             self._window.begin(read)
             self._next_pause_s = WINDOW_S
             return
