Look often for ten seconds after passes have pressed, and change maps only for a quarter

Cause: counts show a turn of demand 0.5 to 1 s before passes do, for streams in hand end with the experts they began with; looks became frequent only once passes were long, and were every 4 s between two turns. A planner whose own streams are few never knew that passes pressed. Change: passes of half the allowed pause, by own streams or else by the steps that counts tell, call for looks every 0.5 s for 10 s; so does a new epoch. Under pressure a change must take 0.25 off the longest rank (0.1 before: passes last 15 in 100 longer while ranks copy). Calm times keep the dearer price of copies.

--- a/dalehollow/gateway/plan_policy.py
+++ b/dalehollow/gateway/plan_policy.py
@@ -13,10 +13,17 @@
 
 @dataclass(frozen=True)
 class PlanTerms:
-    """Hold how often to look, and the share that a change must take off the longest rank."""
+    """Hold how often to look, and what makes a change worth while.
+
+    A change must take `begin_gain` off the longest rank, as a share of it. `copy_price_mb` is what
+    each copied megabyte must take off it, as a share of the mean load, in a group of one layer
+    and one rank: all ranks gain by what is taken off, and it is the smaller a part of a pass the
+    more layers there are.
+    """
 
     interval_s: float
     begin_gain: float
+    copy_price_mb: float
 
 
 @dataclass(frozen=True)
@@ -25,31 +32,30 @@
 
     Passes press from `pressed_share` of the longest pause between pieces that callers take well:
     then each one that is a little longer makes streams late, and a shorter one is worth its
-    orders. `copy_price_mb` is what each copied megabyte must take off the longest rank, as a
-    share of the mean load, in a group of one layer and one rank: all ranks gain by what is taken
-    off, and it is the smaller a part of a pass the more layers there are. `sampled_share` of the
-    ranks is read; `memory` is what the last demand counts beside the newest. In one change no
-    rank copies for longer than `copy_s`, or more than one expert where that takes longer.
+    orders. `sampled_share` of the ranks is read; `memory` is what the last demand counts beside
+    the newest. In one change no rank copies for longer than `copy_s`, or more than one expert
+    where that takes longer.
     """
 
     calm: PlanTerms
     pressed: PlanTerms
     pressed_share: float
-    copy_price_mb: float
     sampled_share: float
     memory: float
     copy_s: float
 
-    def choose_terms(self, pass_s: float | None, objective_s: float) -> PlanTerms:
-        """Return the terms for passes of this length; those for calm times if it is unknown."""
+    def is_pressing(self, pass_s: float | None, objective_s: float) -> bool:
+        """Return whether passes of this length press; those of unknown length do not."""
         if pass_s is None or not objective_s:
-            return self.calm
-        return self.pressed if pass_s >= self.pressed_share * objective_s else self.calm
+            return False
+        return pass_s >= self.pressed_share * objective_s
 
 
-def choose_bounds(policy: PlanPolicy, figures: ExpertFigures, ranks: int, load: float) -> Bounds:
+def choose_bounds(
+    policy: PlanPolicy, terms: PlanTerms, figures: ExpertFigures, ranks: int, load: float
+) -> Bounds:
     """Return the bounds of a change in a group whose slots are taken to the share `load`."""
-    price = policy.copy_price_mb * figures.expert_mb * figures.layers / ranks
+    price = terms.copy_price_mb * figures.expert_mb * figures.layers / ranks
     copies = int(policy.copy_s / figures.copy_s) if figures.copy_s else figures.places
     return Bounds(
         places=figures.places,
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -42,6 +42,9 @@
 LONGEST_WINDOW_S = 0.6
 """A longer window may mix the demand of two times, and says too late what there is now."""
 
+PRESSED_FOR_S = 10.0
+"""Once passes have pressed, looks stay frequent for so long: counts show a turn of demand half a
+second to a second before passes do, for streams in hand end with the experts they began with."""
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
@@ -94,7 +97,7 @@
     _sample: list[int] = field(default_factory=list)
     _steps: StepClock = field(init=False)
     _kept: list[list[float]] = field(default_factory=list)
-    _last_terms: PlanTerms | None = None
+    _pressed_until_s: float = float("-inf")
     _is_stopping: bool = False
     _must_look: bool = False
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -155,11 +158,11 @@
         return self._terms().interval_s if self._next_pause_s is None else self._next_pause_s
 
     def _terms(self) -> PlanTerms:
-        """Return the terms by the present passes, or the last ones while no pass is seen."""
-        pass_s = self.rhythm.pass_s()
-        if pass_s is not None or self._last_terms is None:
-            self._last_terms = self.policy.choose_terms(pass_s, self.pause_objective_s())
-        return self._last_terms
+        """Return the terms by the longest passes of the last seconds."""
+        now_s = asyncio.get_running_loop().time()
+        if self.policy.is_pressing(self._steps.pass_s(), self.pause_objective_s()):
+            self._pressed_until_s = now_s + PRESSED_FOR_S
+        return self.policy.pressed if now_s < self._pressed_until_s else self.policy.calm
 
     def note_epoch(self, epoch: int) -> None:
         """Look at once: the group has opened anew, with its first map."""
@@ -282,6 +285,8 @@
         if any(r.armed_version for r in known.values()):
             return False
         self.current, self._epoch, self._switch_step = current, epoch, 0
+        # What is in demand now is not known, nor how long passes will be with it.
+        self._pressed_until_s = asyncio.get_running_loop().time() + PRESSED_FOR_S
         log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
         return True
 
@@ -302,7 +307,7 @@
     async def _improve(self, fence: int, demand: list[list[float]]) -> None:
         assert self.current is not None
         terms = self._terms()
-        bounds = choose_bounds(self.policy, self.figures, len(self.current[0]), self.load())
+        bounds = choose_bounds(self.policy, terms, self.figures, len(self.current[0]), self.load())
         improved: tuple[Improved, ...] = ()
         for found in improve_layers(self.current, demand, bounds, self._paces):
             improved = found
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -330,12 +330,17 @@
 
 def _make_plan_policy(settings: GatewaySettings) -> PlanPolicy:
     return PlanPolicy(
-        calm=PlanTerms(settings.plan_interval_ms / _MS_PER_S, settings.plan_begin_gain),
+        calm=PlanTerms(
+            settings.plan_interval_ms / _MS_PER_S,
+            settings.plan_begin_gain,
+            settings.plan_copy_price_mb,
+        ),
         pressed=PlanTerms(
-            settings.plan_pressed_interval_ms / _MS_PER_S, settings.plan_pressed_begin_gain
+            settings.plan_pressed_interval_ms / _MS_PER_S,
+            settings.plan_pressed_begin_gain,
+            settings.plan_pressed_copy_price_mb,
         ),
         pressed_share=settings.plan_pressed_share,
-        copy_price_mb=settings.plan_copy_price_mb,
         sampled_share=settings.plan_sampled_share,
         memory=settings.plan_memory,
         copy_s=settings.plan_copy_ms / _MS_PER_S,
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -47,19 +47,20 @@
     link_mbps: float = 1000.0
     report_bytes_per_s: int = 16_000
     # The planner of expert maps: how often it looks, at which share of the ranks (two at least),
-    # what each copied megabyte must take off the longest rank (`PlanPolicy`), which share a whole
+    # what each copied megabyte must take off the longest rank (`PlanTerms`), which share a whole
     # change must, and how much of the last demand it remembers.
     plan_interval_ms: int = 4_000
     plan_sampled_share: float = 0.08
-    plan_copy_price_mb: float = 0.00006
+    plan_copy_price_mb: float = 0.00015
     plan_begin_gain: float = 0.3
     plan_memory: float = 0.8
     # How long a rank may copy weights in one change: others follow once that one is in force.
     plan_copy_ms: int = 450
-    # The same while passes last longer than this share of the pauses that callers take well.
+    # The same after passes longer than this share of the pauses that callers take well.
     plan_pressed_share: float = 0.5
     plan_pressed_interval_ms: int = 500
-    plan_pressed_begin_gain: float = 0.1
+    plan_pressed_copy_price_mb: float = 0.00006
+    plan_pressed_begin_gain: float = 0.25
 
 
 def read_gateway_settings(path: str) -> GatewaySettings:
--- a/dalehollow/gateway/steps.py
+++ b/dalehollow/gateway/steps.py
@@ -27,6 +27,7 @@
 
     rhythm: Rhythm
     step_s: float = FALLBACK_STEP_S
+    is_measured: bool = False
     is_standing_still: bool = False
     _last: tuple[float, int] | None = None
 
@@ -36,8 +37,19 @@
         self.is_standing_still = self._last is not None and step == self._last[1]
         if self._last is not None and step > self._last[1]:
             self.step_s = (now_s - self._last[0]) / (step - self._last[1])
+            self.is_measured = True
         self._last = (now_s, step)
 
+    def pass_s(self) -> float | None:
+        """Return how long passes last, as own streams or else the steps tell, if either does.
+
+        With less than a request a rank the group may have rested between steps.
+        """
+        told_s = self.rhythm.pass_s()
+        if told_s is None and self.is_measured and self.rhythm.mean_batch() >= 1:
+            return self.step_s
+        return told_s
+
     def is_suspect(self) -> bool:
         """Return whether steps take too long for any map.
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -20,8 +20,8 @@
 
 RANKS, EXPERTS = 4, 16
 FIGURES = ExpertFigures(1, EXPERTS, places=5, spare=4, expert_mb=0.0, link_mbps=1000.0)
-TERMS = PlanTerms(interval_s=0.005, begin_gain=0.1)
-POLICY = PlanPolicy(TERMS, TERMS, 0.5, copy_price_mb=0.0, sampled_share=0.5, memory=0, copy_s=1.0)
+TERMS = PlanTerms(interval_s=0.005, begin_gain=0.1, copy_price_mb=0.0)
+POLICY = PlanPolicy(TERMS, TERMS, 0.5, sampled_share=0.5, memory=0, copy_s=1.0)
 
 
 @dataclass
@@ -173,8 +173,8 @@
 
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         await _until(lambda: planner.changes >= 1)
-        terms = PlanTerms(interval_s=3600.0, begin_gain=0.1)
-        planner.policy = PlanPolicy(terms, terms, 0.5, 0.0, sampled_share=0.5, memory=0, copy_s=1.0)
+        terms = PlanTerms(interval_s=3600.0, begin_gain=0.1, copy_price_mb=0.0)
+        planner.policy = PlanPolicy(terms, terms, 0.5, sampled_share=0.5, memory=0, copy_s=1.0)
         seen_at_note = []
         prepare = group.prepare
 
@@ -245,6 +245,26 @@
     assert caplog.text.count("event=task_failed task=test") == 2
 
 
+def test_looks_stay_frequent_for_a_while_after_passes_have_pressed() -> None:
+    """Counts tell of a turn before passes do, so calm passes between two turns are no reason."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        now_s = asyncio.get_running_loop().time()
+        calm, pressed = PlanTerms(4.0, 0.3, 0.0), PlanTerms(0.5, 0.1, 0.0)
+        planner.policy = PlanPolicy(calm, pressed, 0.5, 0.5, memory=0, copy_s=1.0)
+        planner.pause_objective_s = lambda: 0.1
+        assert planner._terms() is calm
+        for _ in range(10):
+            planner.rhythm.note_pause(0.09)
+        assert planner._terms() is pressed
+        planner.rhythm._pieces.clear()
+        assert planner._terms() is pressed
+        planner._pressed_until_s = now_s
+        assert planner._terms() is calm
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize(
     ("pass_s", "objective_s", "is_pressed"),
     [(None, 0.12, False), (0.05, 0.12, False), (0.06, 0.12, True), (0.2, 0.0, False)],
@@ -252,6 +272,6 @@
 def test_plans_are_eager_while_passes_press_on_the_pauses_that_callers_take(
     pass_s: float | None, objective_s: float, is_pressed: bool
 ) -> None:
-    pressed = PlanTerms(interval_s=1.0, begin_gain=0.1)
-    policy = PlanPolicy(TERMS, pressed, 0.5, 0.0, sampled_share=0.1, memory=0.5, copy_s=1.0)
-    assert (policy.choose_terms(pass_s, objective_s) is pressed) == is_pressed
+    pressed = PlanTerms(interval_s=1.0, begin_gain=0.1, copy_price_mb=0.0)
+    policy = PlanPolicy(TERMS, pressed, 0.5, sampled_share=0.1, memory=0.5, copy_s=1.0)
+    assert policy.is_pressing(pass_s, objective_s) == is_pressed
