Plan eagerly only for a minute after pauses have almost missed

Hypothesis: where no pause comes near what callers take well, eager plans cost and bring nothing. Change: looks are frequent, changes cheap to begin and copies cheap for 60 s after a few recent pauses reached 0.85 of the objective, instead of 10 s after a mean pass of half of it; a new epoch is no reason by itself.

--- a/dalehollow/gateway/plan_policy.py
+++ b/dalehollow/gateway/plan_policy.py
@@ -44,11 +44,11 @@
     memory: float
     copy_s: float
 
-    def is_pressing(self, pass_s: float | None, objective_s: float) -> bool:
-        """Return whether passes of this length press; those of unknown length do not."""
-        if pass_s is None or not objective_s:
+    def is_pressing(self, longest_s: float | None, objective_s: float) -> bool:
+        """Return whether the longest of recent pauses presses; an unknown one does not."""
+        if longest_s is None or not objective_s:
             return False
-        return pass_s >= self.pressed_share * objective_s
+        return longest_s >= self.pressed_share * objective_s
 
 
 def choose_bounds(
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -42,9 +42,11 @@
 LONGEST_WINDOW_S = 0.6
 """A longer window may mix the demand of two times, and says too late what there is now."""
 
-PRESSED_FOR_S = 10.0
-"""Once passes have pressed, looks stay frequent for so long: counts show a turn of demand half a
-second to a second before passes do, for streams in hand end with the experts they began with."""
+PRESSED_FOR_S = 60.0
+"""Once pauses have pressed, looks stay frequent for so long: counts show a turn of demand half a
+second to a second before passes do, for streams in hand end with the experts they began with.
+Where no pause presses, maps are good enough as they are: frequent looks would cost 0.05 of the
+worth of a day that is served in time anyway."""
 SLOW_PACE = 1.5
 """A rank that takes so many times longer than usual gets no requests while others have slots."""
 MAX_SLOW_SHARE = 0.25
@@ -158,9 +160,9 @@
         return self._terms().interval_s if self._next_pause_s is None else self._next_pause_s
 
     def _terms(self) -> PlanTerms:
-        """Return the terms by the longest passes of the last seconds."""
+        """Return the terms by the longest pauses of the last minute."""
         now_s = asyncio.get_running_loop().time()
-        if self.policy.is_pressing(self._steps.pass_s(), self.pause_objective_s()):
+        if self.policy.is_pressing(self._steps.longest_s(), self.pause_objective_s()):
             self._pressed_until_s = now_s + PRESSED_FOR_S
         return self.policy.pressed if now_s < self._pressed_until_s else self.policy.calm
 
@@ -285,8 +287,6 @@
         if any(r.armed_version for r in known.values()):
             return False
         self.current, self._epoch, self._switch_step = current, epoch, 0
-        # What is in demand now is not known, nor how long passes will be with it.
-        self._pressed_until_s = asyncio.get_running_loop().time() + PRESSED_FOR_S
         log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
         return True
 
--- a/dalehollow/gateway/rhythm.py
+++ b/dalehollow/gateway/rhythm.py
@@ -9,6 +9,8 @@
 RECENT_S = 0.4
 """Pieces of this time tell the present length of passes: four passes or more."""
 MIN_PIECES = 6
+FEW_PIECES = 3
+"""A pass that is long makes all streams wait; one stream alone may wait for another reason."""
 SLOWER = 1.3
 """Passes that last so much longer than after the last switch, batch for batch, call for a look."""
 STALE_S = 1.5
@@ -60,6 +62,13 @@
             return None
         return sum(piece.pause_s for piece in self._pieces) / len(self._pieces)
 
+    def longest_s(self) -> float | None:
+        """Return the pause that a few of the recent pieces reached, if there are pieces."""
+        if self.pass_s() is None:
+            return None
+        pauses_s = sorted((piece.pause_s for piece in self._pieces), reverse=True)
+        return pauses_s[FEW_PIECES - 1]
+
     def settle(self) -> None:
         """Learn the usual length anew: another map is in force."""
         self._usual = None
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -56,8 +56,8 @@
     plan_memory: float = 0.8
     # How long a rank may copy weights in one change: others follow once that one is in force.
     plan_copy_ms: int = 450
-    # The same after passes longer than this share of the pauses that callers take well.
-    plan_pressed_share: float = 0.5
+    # The same for a minute after pauses of this share of those that callers take well.
+    plan_pressed_share: float = 0.85
     plan_pressed_interval_ms: int = 500
     plan_pressed_copy_price_mb: float = 0.00006
     plan_pressed_begin_gain: float = 0.25
--- a/dalehollow/gateway/steps.py
+++ b/dalehollow/gateway/steps.py
@@ -40,12 +40,12 @@
             self.is_measured = True
         self._last = (now_s, step)
 
-    def pass_s(self) -> float | None:
-        """Return how long passes last, as own streams or else the steps tell, if either does.
+    def longest_s(self) -> float | None:
+        """Return the longest recent pass, as own streams or else the steps tell, if either does.
 
         With less than a request a rank the group may have rested between steps.
         """
-        told_s = self.rhythm.pass_s()
+        told_s = self.rhythm.longest_s()
         if told_s is None and self.is_measured and self.rhythm.mean_batch() >= 1:
             return self.step_s
         return told_s
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -254,6 +254,9 @@
         planner.policy = PlanPolicy(calm, pressed, 0.5, 0.5, memory=0, copy_s=1.0)
         planner.pause_objective_s = lambda: 0.1
         assert planner._terms() is calm
+        for _ in range(10):
+            planner.rhythm.note_pause(0.04)
+        assert planner._terms() is calm
         for _ in range(10):
             planner.rhythm.note_pause(0.09)
         assert planner._terms() is pressed
