--- a/dalehollow/once/owners.py
+++ b/dalehollow/once/owners.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dalehollow.rendezvous import score
+
 
 @dataclass(frozen=True)
 class Generation:
@@ -36,13 +37,9 @@
     return f"{service}\0{account}\0{key}"
 
 
-def _score(member: str, scope: str) -> bytes:
-    return hashlib.blake2b(f"{member}\0{scope}".encode(), digest_size=8).digest()
-
-
 def choose_member(members: Iterable[str], scope: str) -> str:
     """Choose one member by rendezvous hashing (highest score wins)."""
-    return max(members, key=lambda member: _score(member, scope))
+    return max(members, key=lambda member: score(member, scope))
 
 
 def find_owner(
