Have a first try wait as long as it can still be served in time

Cause: a first try waited 0.22 of its objective, a share that was chosen so that a refusal came within a quarter of it. Worth counts from the first try, so a refusal in time buys nothing, and how long a wait is worth while depends on how long answers take to begin. Change: it waits for its objective less the mean time until the last answers began; where the wait ahead is longer, it is refused at once as before. Test: tests/test_admission.py fails before.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -3,7 +3,8 @@
 An upstream takes as many requests at once as it has slots; what all gateways have in hand there
 is known from their reports. Beyond that a request waits a short time at its gateway, where urgent
 ones and callers that come back go first, and is then refused with the time after which a place
-is expected: waiting longer than a quarter of the objective would be late anyway.
+is expected. It waits as long as it can still be served in time, judging by how long upstreams took
+of late until their answers began; where the wait ahead is longer, it is refused at once.
 """
 
 from __future__ import annotations
@@ -16,9 +17,8 @@
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.upstreams import Upstream, UpstreamSet
 
-PATIENCE_SHARE = 0.22
-"""A first try waits for this share of its objective: refused within a quarter, a caller that comes
-back can still be served in time."""
+BEGIN_WEIGHT = 0.1
+"""Weight of the newest of the times until answers began: the last ten of them count most."""
 RETURN_PATIENCE_S = 1.0
 """A caller that was refused once waits so long: callers of streams leave after two seconds, and a
 first piece under full load takes up to one."""
@@ -89,6 +89,8 @@
     _promised_until_s: float = 0.0
     _done_interval_s: float = 0.1
     _done_at_s: float = 0.0
+    # How long upstreams took of late until their answers began, or were whole where not streamed.
+    _begin_s: float = 0.0
 
     async def take(self, turn: Turn, tried: Collection[str]) -> Upstream | NoPlace:
         """Return an upstream, counted as in hand there, or when to come back."""
@@ -121,6 +123,12 @@
         self._done_at_s = now_s
         self.grant()
 
+    def note_begun(self, begin_s: float) -> None:
+        """Take how long an upstream took until its answer began."""
+        if not self._begin_s:
+            self._begin_s = begin_s
+        self._begin_s += BEGIN_WEIGHT * (begin_s - self._begin_s)
+
     def is_broken(self) -> bool:
         """Return whether no group of the service serves, as far as is known."""
         groups = self.upstreams.groups_of(self.service)
@@ -167,7 +175,7 @@
                 self.waiting.remove(waiter)
 
     def _patience_s(self, turn: Turn, is_return: bool) -> float:
-        patience_s = PATIENCE_SHARE * turn.objective_s
+        patience_s = max(0.0, turn.objective_s - self._begin_s)
         if is_return:
             patience_s = RETURN_PATIENCE_S
         return min(patience_s, turn.left_s)
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -55,6 +55,7 @@
         self._job = job
         self._progress = progress
         self._clock = asyncio.get_running_loop().time
+        self._sent_at_s = 0.0
 
     async def run(self) -> None:
         """Try upstreams until one answers or no other try is allowed."""
@@ -102,6 +103,7 @@
             state.retry_window(job.service).note_first(self._clock())
         resume_after = progress.splitter.last_id if self._caller.has_begun else None
         was_unsure, progress.may_have_run = progress.may_have_run, True
+        self._sent_at_s = self._clock()
         move = Move()
         if self._is_movable():
             upstream.moves.add(move)
@@ -178,6 +180,7 @@
             upstream.note_answer(failed=False)
         else:
             body = await connection.read_body()
+            self._note_begun()
             if self._judge_whole(upstream, head) and self._may_repeat(is_answered=True):
                 return False
             self._caller.send_whole(head.status, _end_to_end(head), body)
@@ -210,11 +213,16 @@
                     self._note_pause(rhythm, now_s - last_s)
                 elif not self._progress.first_piece_at_s:
                     outcome.note_first_piece(self._state, self._job, self._progress)
+                    self._note_begun()
                 last_s = now_s
             await self._caller.send_piece(events)
         await self._caller.send_piece(splitter.take_rest())
         self._caller.end_stream()
 
+    def _note_begun(self) -> None:
+        begin_s = self._clock() - self._sent_at_s
+        self._state.admission(self._job.service).note_begun(begin_s)
+
     def _note_pause(self, rhythm: Rhythm, pause_s: float) -> None:
         rhythm.note_pause(pause_s)
         self._progress.longest_pause_s = max(self._progress.longest_pause_s, pause_s)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -158,3 +158,22 @@
         assert isinstance(await desk.take(), Upstream)
 
     _run(scenario)
+
+
+def test_a_first_try_waits_as_long_as_it_can_still_be_served_in_time() -> None:
+    """A fixed share was too long where answers begin late, and too short elsewhere."""
+
+    async def scenario(desk: _Desk) -> None:
+        for _ in range(SLOTS):
+            await desk.take()
+        turn = _turn(objective_s=0.02)
+        desk.admission._done_interval_s = 0.001
+        desk.admission.note_begun(0.03)
+        assert desk.admission._patience_s(turn, False) == 0.0
+        refused = await desk.take(objective_s=0.02)
+        assert isinstance(refused, NoPlace) and refused.reason == "no_place_in_time"
+        for _ in range(100):
+            desk.admission.note_begun(0.005)
+        assert desk.admission._patience_s(turn, False) == pytest.approx(0.015, abs=0.001)
+
+    _run(scenario)
