--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -132,7 +132,7 @@
     def is_broken(self) -> bool:
         """Return whether no group of the service serves, as far as is known."""
         groups = self.upstreams.groups_of(self.service)
-        return bool(groups) and len(self._list_broken()) == len(groups)
+        return bool(groups) and all(map(self.health.is_broken, groups))
 
     def suggest_return_s(self, turn: Turn) -> float:
         """Return when a refused caller should come back."""
@@ -186,22 +186,22 @@
         return (len(self.waiting) + 1) * max(self._done_interval_s, since_done_s)
 
     def _find(self, tried: Collection[str]) -> Upstream | None:
-        closed = () if self.is_broken() else self._list_closed()
-        return self.upstreams.choose(self.service, tried, self.clock(), closed)
+        return self.upstreams.choose(self.service, tried, self.clock(), self._list_closed())
 
     def _list_closed(self) -> list[str]:
-        """Return the broken groups that are not due to be asked again."""
+        """Return the broken groups that are not due to be asked again; none if none serves."""
+        groups = self.upstreams.groups_of(self.service)
+        broken = [g for g in groups if self.health.is_broken(g)]
+        if len(broken) == len(groups):
+            return []
         now_s = self.clock()
-        return [g for g in self._list_broken() if now_s < self._ask_again_at_s(g)]
+        return [g for g in broken if now_s < self._ask_again_at_s(g)]
 
     def _ask_again_at_s(self, group_key: str) -> float:
         asked_at_s = self._asked_at_s.get(group_key, float("-inf"))
         pause_s = self.rng.uniform(ASK_AGAIN_S, 2 * ASK_AGAIN_S)
         return max(self.health.refused_at_s[group_key], asked_at_s) + pause_s
 
-    def _list_broken(self) -> list[str]:
-        return [g for g in self.upstreams.groups_of(self.service) if self.health.is_broken(g)]
-
     def _count(self, upstream: Upstream) -> Upstream:
         upstream.in_hand += 1
         if self.health.is_broken(upstream.listed.group_key):
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -28,6 +28,11 @@
         return f"{self.service}/{self.group}" if self.group else self.service
 
 
+def read_service(group_key: str) -> str:
+    """Return the service that a group's key names."""
+    return group_key.partition("/")[0]
+
+
 @dataclass(frozen=True)
 class Member:
     """Hold what a gateway says of itself: where it takes datagrams, and its hall."""
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -15,6 +15,7 @@
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
+from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.place import Improved, deal_in_turn, improve_layers, layer_loads
 from dalehollow.groups.ranks import GroupMap, KeptPlan, OrderReply, RankCounts, RankPort
 from dalehollow.groups.switch import Proposal, SwitchOutcome, settle_switch, switch_map
@@ -146,12 +147,8 @@
         clock = asyncio.get_running_loop().time
         began_s = clock()
         while (left_s := began_s + self._pause_s() - clock()) > 0:
-            try:
-                async with asyncio.timeout(min(left_s, self.policy.pressed.interval_s)):
-                    await self._wake.wait()
+            if await wait_set(self._wake, min(left_s, self.policy.pressed.interval_s)):
                 break
-            except TimeoutError:
-                pass
         self._wake.clear()
         self._must_look = False
         self._next_pause_s = None
@@ -328,8 +325,10 @@
             pressed=terms is self.policy.pressed,
             step_ms=round(self._steps.step_s * _MS_PER_S, 1),
         )
-        before_map, planned = self.current, tuple(i.layer for i in improved)
-        outcome = await self._carry_out(planned, fence)
+        planned = tuple(i.layer for i in improved)
+        most_copied = _count_most_copied(self.current, planned)
+        copy_s = most_copied * self.figures.copy_s * COPY_MARGIN
+        outcome = await self._carry_out(planned, copy_s, fence)
         log_event(_LOG, "map_switch", duty=self.duty, outcome=outcome, epoch=self._epoch)
         if outcome is SwitchOutcome.SWITCHED:
             self.current = planned
@@ -340,7 +339,7 @@
                 self._wake.clear()
             self.changes += 1
             self.copies += copies
-            if _most_copied(before_map, planned) >= bounds.rank_copies:
+            if most_copied >= bounds.rank_copies:
                 # There was more to gain than fits one change: go on with the next window.
                 self._next_pause_s = max(WINDOW_S, self._switch_wait_s())
             await self._keep_plan(demand)
@@ -369,7 +368,8 @@
             # Told at once, without waiting for a plan: requests are the larger part of its work.
             await self._keep_plan(self._window.demand or self._kept)
 
-    async def _carry_out(self, planned: GroupMap, fence: int) -> SwitchOutcome:
+    async def _carry_out(self, planned: GroupMap, copy_s: float, fence: int) -> SwitchOutcome:
+        """Have all ranks copy what a map needs, which takes `copy_s`, and switch to it."""
         assert self.current is not None
         ranks = sorted(self.ranks())
         version = self._next_version(fence)
@@ -377,7 +377,7 @@
         replies = await asyncio.gather(*(self._prepare(r, version, planned) for r in ranks))
         if any(reply is not OrderReply.TAKEN for reply in replies):
             return SwitchOutcome.ABANDONED
-        await asyncio.sleep(self._copy_time_s(planned))
+        await asyncio.sleep(copy_s)
         outcome = SwitchOutcome.ABANDONED
         for _ in range(SWITCH_TRIES):
             if self.duties.fence(self.duty) != fence:
@@ -404,13 +404,8 @@
             self._lost_orders = True
         return reply
 
-    def _copy_time_s(self, planned: GroupMap) -> float:
-        """Return how long the rank with the most new experts copies."""
-        assert self.current is not None
-        return _most_copied(self.current, planned) * self.figures.copy_s * COPY_MARGIN
-
 
-def _most_copied(current: GroupMap, planned: GroupMap) -> int:
+def _count_most_copied(current: GroupMap, planned: GroupMap) -> int:
     """Return how many experts are new to the rank with the most of them, over all layers."""
     copied = [0] * len(planned[0])
     for old, new in zip(current, planned, strict=True):
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -251,9 +251,8 @@
 
     def _note_plan(self, duty: str, plan: KeptPlan) -> None:
         # A duty bears the key of its group.
-        service = duty.partition("/")[0]
         self.state.upstreams.note_slow_ranks(duty, plan.slow_ranks)
-        self.state.move_from_slow_ranks(service, duty)
+        self.state.move_from_slow_ranks(duty)
         if duty in self._planners:
             self._planners[duty].note_kept_demand(plan.demand)
 
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -20,6 +20,7 @@
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import Member
+from dalehollow.gateway.tasks import wait_set
 from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
 from dalehollow.telemetry.logs import log_event
@@ -153,11 +154,7 @@
     async def run(self) -> None:
         """Report, for ever."""
         while True:
-            try:
-                async with asyncio.timeout(IDLE_INTERVAL_S):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
+            await wait_set(self._changed, IDLE_INTERVAL_S)
             self._changed.clear()
             self._forget_silent(self._near_reports)
             self._forget_silent(self._hall_reports)
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -11,7 +11,7 @@
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.headers import HeaderNames
 from dalehollow.gateway.health import GroupHealth
-from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.listed import ListedUpstream, read_service
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import EngineFigures, RoutingTable
@@ -124,10 +124,12 @@
         `events` of them, of a pass each, have come already: a broken stream goes on after them.
         """
         engine = self._find_engine(service)
+        if engine is None:
+            return 0.0
         groups = self.upstreams.groups_of(service)
         known = [self.rhythms[g].pass_s() for g in groups if g in self.rhythms]
         passes_s = [pass_s for pass_s in known if pass_s is not None]
-        if engine is None or not passes_s:
+        if not passes_s:
             return 0.0
         return max(0.0, tokens / max(1, engine.steps_per_pass) - events) * min(passes_s)
 
@@ -141,13 +143,14 @@
         ]
         return min(objectives_ms, default=0) / _MS_PER_S
 
-    def move_from_slow_ranks(self, service: str, group_key: str) -> None:
+    def move_from_slow_ranks(self, group_key: str) -> None:
         """Have requests at slow ranks go on elsewhere: each holds its whole group up.
 
         A request whose repeat finds no room would be cut, so only half of the room is used.
         """
         moves = [m for m in self.upstreams.list_moves(group_key) if not m.is_asked]
-        room = self.retry_window(service).count_room(asyncio.get_running_loop().time()) // 2
+        window = self.retry_window(read_service(group_key))
+        room = window.count_room(asyncio.get_running_loop().time()) // 2
         if moves:
             log_event(_LOG, "requests_moved", group=group_key, count=len(moves[:room]), room=room)
         for move in moves[:room]:
--- a/dalehollow/gateway/steps.py
+++ b/dalehollow/gateway/steps.py
@@ -26,18 +26,21 @@
     """Hold the last step that was read, and how long steps took between readings."""
 
     rhythm: Rhythm
-    step_s: float = FALLBACK_STEP_S
-    is_measured: bool = False
     is_standing_still: bool = False
     _last: tuple[float, int] | None = None
+    _measured_s: float | None = None
+
+    @property
+    def step_s(self) -> float:
+        """Return how long steps took between the last readings, or a guess before that."""
+        return FALLBACK_STEP_S if self._measured_s is None else self._measured_s
 
     def note(self, step: int) -> None:
         """Take the number of the last step that began."""
         now_s = asyncio.get_running_loop().time()
         self.is_standing_still = self._last is not None and step == self._last[1]
         if self._last is not None and step > self._last[1]:
-            self.step_s = (now_s - self._last[0]) / (step - self._last[1])
-            self.is_measured = True
+            self._measured_s = (now_s - self._last[0]) / (step - self._last[1])
         self._last = (now_s, step)
 
     def longest_s(self) -> float | None:
@@ -46,8 +49,8 @@
         With less than a request a rank the group may have rested between steps.
         """
         told_s = self.rhythm.longest_s()
-        if told_s is None and self.is_measured and self.rhythm.mean_batch() >= 1:
-            return self.step_s
+        if told_s is None and self.rhythm.mean_batch() >= 1:
+            return self._measured_s
         return told_s
 
     def is_suspect(self) -> bool:
@@ -70,13 +73,16 @@
             return 0.0
         read_at_s, last = self._last
         since_s = asyncio.get_running_loop().time() - read_at_s
-        return max(0.0, (step - last) * (self.rhythm.pass_s() or self.step_s) - since_s)
+        return max(0.0, (step - last) * self._expected_s() - since_s)
 
     def choose_step(self, lost_orders: bool) -> int:
         """Return a step that is about to come, far enough ahead for the orders of a switch."""
         assert self._last is not None
         read_at_s, step = self._last
-        step_s = self.rhythm.pass_s() or self.step_s
         margin_s = SWITCH_MARGIN_S + (LOST_ORDER_MARGIN_S if lost_orders else 0.0)
         since_s = asyncio.get_running_loop().time() - read_at_s
-        return step + math.ceil((since_s + margin_s) / step_s) + SWITCH_MARGIN_STEPS
+        return step + math.ceil((since_s + margin_s) / self._expected_s()) + SWITCH_MARGIN_STEPS
+
+    def _expected_s(self) -> float:
+        """Return how long the next steps will take, by own streams rather than by readings."""
+        return self.rhythm.pass_s() or self.step_s
--- a/dalehollow/gateway/tasks.py
+++ b/dalehollow/gateway/tasks.py
@@ -1,4 +1,4 @@
-"""Keep the tasks of a process running, whatever an answer from outside makes them fail with."""
+"""Keep the tasks of a process running, and have them wait for each other."""
 
 from __future__ import annotations
 
@@ -30,3 +30,12 @@
             await asyncio.sleep(RESTART_PAUSE_S)
 
     return asyncio.get_running_loop().create_task(supervise(), name=name)
+
+
+async def wait_set(event: asyncio.Event, timeout_s: float) -> bool:
+    """Wait until an event is set or the time is over; return whether it is set."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await event.wait()
+    except TimeoutError:
+        return False
--- a/dalehollow/groups/place.py
+++ b/dalehollow/groups/place.py
@@ -78,17 +78,6 @@
         yield tuple(s.best for s in searches)
 
 
-def improve_layer(
-    layer: LayerMap,
-    demand: Sequence[float],
-    bounds: Bounds,
-    paces: Sequence[float] | None = None,
-) -> Improved:
-    """Take changes of one layer while they pay; keep the ones up to where they paid most."""
-    *_, (improved,) = improve_layers([layer], [demand], bounds, paces)
-    return improved
-
-
 @dataclass(frozen=True)
 class _Change:
     """Add `expert` to the rank `target`; drop what gives way there and perhaps at the source.
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -17,6 +17,7 @@
 
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import Member
+from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.names import DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store
@@ -144,11 +145,7 @@
             self._wake.set()
 
     async def _pause(self, pause_s: float) -> None:
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        await wait_set(self._wake, pause_s)
         self._wake.clear()
 
     async def take_duty(self, duty: str) -> bool:
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -5,10 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dalehollow.groups.expert_map import LayerMap
 from dalehollow.groups.place import (
     Bounds,
+    Improved,
     deal_in_turn,
-    improve_layer,
     improve_layers,
     layer_loads,
 )
@@ -16,12 +17,17 @@
 _DEMANDS = st.lists(st.floats(0.0, 1000.0), min_size=24, max_size=24)
 
 
+def _improve_layer(layer: LayerMap, demand: list[float], bounds: Bounds) -> Improved:
+    *_, (improved,) = improve_layers([layer], [demand], bounds)
+    return improved
+
+
 @given(demand=_DEMANDS, places=st.integers(4, 6), spare=st.integers(0, 3))
 @settings(max_examples=200, derandomize=True, deadline=None)
 def test_bounds_hold_for_any_demand(demand: list[float], places: int, spare: int) -> None:
     layer = deal_in_turn(6, 24)
     bounds = Bounds(places=places, spare=spare, price=0.01, rank_copies=spare)
-    improved = improve_layer(layer, demand, bounds)
+    improved = _improve_layer(layer, demand, bounds)
     assert {e for held in improved.layer for e in held} == set(range(24))
     assert all(len(set(held)) == len(held) <= places for held in improved.layer)
     copied = [len(set(new) - set(old)) for old, new in zip(layer, improved.layer, strict=True)]
@@ -32,14 +38,14 @@
 
 def test_a_hot_expert_is_shared_out() -> None:
     demand = [100.0] + [1.0] * 23
-    improved = improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, 0.01, 2))
+    improved = _improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, 0.01, 2))
     assert improved.longest_after < improved.longest_before / 3
     assert sum(0 in held for held in improved.layer) > 2
 
 
 def test_even_demand_moves_nothing() -> None:
     layer = deal_in_turn(6, 24)
-    improved = improve_layer(layer, [5.0] * 24, Bounds(5, 2, 0.01, 2))
+    improved = _improve_layer(layer, [5.0] * 24, Bounds(5, 2, 0.01, 2))
     assert improved.copies == 0
     assert improved.layer == layer
 
@@ -47,7 +53,7 @@
 def test_a_dearer_copy_moves_less() -> None:
     demand = [float(1 + (e * 7) % 13) ** 2 for e in range(24)]
     copies = [
-        improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, price, 2)).copies
+        _improve_layer(deal_in_turn(6, 24), demand, Bounds(5, 2, price, 2)).copies
         for price in (0.0, 0.05, 0.5)
     ]
     assert copies == sorted(copies, reverse=True)
