--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -38,7 +38,7 @@
 """A broken group is offered one request so often from each gateway, to learn that it opened."""
 ASK_AGAIN_S = 2.0
 """While other groups of a service serve, a broken one that nobody was refused by for so long gets
-one request from a gateway: the list tells its opening, and this makes up for a lost word."""
+one request from a gateway: the list tells its opening, and this makes up for a lost report."""
 RATE_WEIGHT = 0.1
 
 
