--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -54,6 +54,7 @@
         self._is_interim = False
         self._error: Exception | None = None
         self._is_paused = False
+        self.received_bytes = 0
 
     # The connection, as asyncio reports it.
 
@@ -65,6 +66,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -100,7 +100,7 @@
         now_s = self._clock()
         self._read_at_s = self._fresh_at_s = now_s
         self.revision = max(self.revision, revision)
-        self._behind_since_s = None
+        self._note_caught_up()
         if not self._is_relay and now_s > max(self._relays_from_s, self._relay_heard_until_s):
             self._is_relay = True
             log_event(_LOG, "relay_begun", revision=self.revision)
@@ -130,17 +130,23 @@
         self._relay_heard_until_s = now_s + silence_s
         if state.revision <= self.revision:
             self._fresh_at_s = max(self._fresh_at_s, now_s - state.age_s)
-            self._behind_since_s = None
-        elif self._behind_since_s is None:
-            self._behind_since_s = now_s
+            self._note_caught_up()
+        else:
+            self._note_behind(state.revision)
 
     def take_changes(self, message: StoreChanges) -> None:
         """Take in changes that a relay passed on, unless some before them are missing."""
         if not self.revision or message.revision <= self.revision:
             return
         if message.after > self.revision:
-            if self._behind_since_s is None:
-                self._behind_since_s = self._clock()
+            log_event(
+                _LOG,
+                "changes_after_gap",
+                after=message.after,
+                until=message.revision,
+                revision=self.revision,
+            )
+            self._note_behind(message.revision)
             return
         try:
             fresh = self.select_fresh(unpack_changes(message.packed))
@@ -154,6 +160,26 @@
         """Return the changes that have not been taken in on another way."""
         return tuple(change for change in changes if change.revision > self.revision)
 
+    def describe(self) -> dict[str, object]:
+        """Return what is known of the store, for log lines of what depends on it."""
+        relied_on = self._relay if self.is_passive() else "store"
+        return {
+            "relies_on": relied_on,
+            "revision": self.revision,
+            "store_age_s": round(self.age_s(), 3),
+        }
+
+    def _note_behind(self, revision: int) -> None:
+        if self._behind_since_s is None:
+            self._behind_since_s = self._clock()
+            log_event(_LOG, "fell_behind", revision=self.revision, heard_of=revision)
+
+    def _note_caught_up(self) -> None:
+        if self._behind_since_s is not None:
+            behind_s = round(self._clock() - self._behind_since_s, 3)
+            log_event(_LOG, "caught_up", revision=self.revision, behind_s=behind_s)
+            self._behind_since_s = None
+
     def _end_relaying(self, why: str) -> None:
         if self._is_relay:
             self._is_relay = False
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -56,10 +56,19 @@
         reason=refusal.reason,
         retry_after_s=refusal.retry_after_s,
         config_version=state.table.version if state.table is not None else None,
+        **_describe_knowledge(state, refusal),
     )
     caller.send_whole(refusal.status, headers, b"")
 
 
+def _describe_knowledge(state: GatewayState, refusal: Refusal) -> dict[str, object]:
+    """Return how old the knowledge is that a refusal rests on, where it rests on it alone."""
+    if refusal.status not in (HTTPStatus.UNAUTHORIZED, HTTPStatus.NOT_FOUND):
+        return {}
+    age_s = asyncio.get_running_loop().time() - state.table_at_s
+    return {"config_age_s": round(age_s, 3), **state.describe_store()}
+
+
 def fail(
     state: GatewayState,
     caller: CallerConnection,
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -88,6 +88,7 @@
         )
         self._feed = HallFeed(settings.name, time.monotonic, rng, self._reports.send_near)
         self._reports.feed = self._feed
+        self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.note_change
 
     async def run(self, stopping: asyncio.Event) -> None:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -61,6 +61,8 @@
     admissions: dict[str, Admission] = field(default_factory=dict)
     rhythms: dict[str, Rhythm] = field(default_factory=dict)
     on_change: Callable[[], None] = _do_nothing
+    # What is known of the store just now, for the log lines of requests that are refused.
+    describe_store: Callable[[], dict[str, object]] = dict
     _retries: dict[str, RetryWindow] = field(default_factory=dict)
     _most_gateways: int = 1
 
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -81,6 +81,8 @@
         self._lapsing_until_s: dict[str, float] = {}
         self._is_reachable = True
         self._failed_at_s = float("-inf")
+        # Calls that failed since the last that was answered.
+        self._failures = 0
 
     @property
     def calls(self) -> int:
@@ -192,11 +194,26 @@
     def _note_reachable(self) -> None:
         if not self._is_reachable:
             self._is_reachable = True
-            log_event(_LOG, "store_regained", prefix=self._prefix)
+            log_event(
+                _LOG,
+                "store_regained",
+                prefix=self._prefix,
+                failures=self._failures,
+                revision=self._feed.revision,
+            )
+        self._failures = 0
 
     def _note_failure(self, exc: PlatformError) -> None:
         self._failed_at_s = time.monotonic()
+        self._failures += 1
         self._feed.note_unreachable()
-        if self._is_reachable:
-            self._is_reachable = False
-            log_event(_LOG, "store_lost", logging.WARNING, prefix=self._prefix, error=exc)
+        log_event(
+            _LOG,
+            "store_lost" if self._is_reachable else "store_still_lost",
+            logging.WARNING,
+            prefix=self._prefix,
+            failures=self._failures,
+            age_s=round(self._feed.age_s(), 3),
+            error=exc,
+        )
+        self._is_reachable = False
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -162,6 +162,7 @@
         if body is not None:
             head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
         is_write = method != "GET"
+        received_before = self._count_received()
         try:
             async with asyncio.timeout(timeout_s):
                 if self._connection is None:
@@ -170,8 +171,9 @@
                 answer = await self._connection.read_head()
                 answer_body = await self._connection.read_body()
         except (ConnectError, CutError, TimeoutError) as exc:
+            received_bytes = self._count_received() - received_before
             self.close()
-            message = f"{path}: {str(exc) or 'timed out'}"
+            message = f"{path}: {str(exc) or 'timed out'} after {received_bytes} bytes"
             sent = is_write and not isinstance(exc, ConnectError)
             raise PlatformError(message, may_have_written=sent) from exc
         except asyncio.CancelledError:
@@ -179,6 +181,9 @@
             raise
         return self._check_status(path, answer.status, answer_body)
 
+    def _count_received(self) -> int:
+        return self._connection.received_bytes if self._connection is not None else 0
+
     def _check_status(self, path: str, status: int, body: bytes) -> bytes:
         if status == _OK_STATUS:
             return body
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -171,6 +171,23 @@
     assert follow.RECOVERY_WAIT_S + follow.WATCH_MARGIN_S + follow.RETRY_PAUSE_S < 1.0
 
 
+def test_each_failure_and_its_end_are_told_with_their_age(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("servers/a", _entry())
+        await _until(lambda: "a" in heard.upstreams)
+        store.fault = "lost"
+        await _until(lambda: "failures=2 age_s=" in caplog.text)
+        store.fault = "none"
+        await _until(lambda: "event=store_regained" in caplog.text)
+
+    with caplog.at_level("INFO"):
+        _run(scenario)
+    assert "event=store_lost" in caplog.text and "event=store_still_lost" in caplog.text
+    assert "after 0 bytes" in caplog.text
+
+
 def test_history_that_is_gone_is_read_anew() -> None:
     async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
         store.put("servers/a", _entry())
