--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,8 @@
 from standins.keyvalue import KeyValueStandIn
 from standins.processes import Launcher
 
+pytest_plugins = ["pytester", "tests.known_red_plugin"]
+
 # As in a process of the system: with several of them in this one, 5 ms turns add up.
 sys.setswitchinterval(SWITCH_INTERVAL_S)
 
