--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -56,6 +56,7 @@
         self._rng = rng
         self._send = send
         self.on_changes: Callable[[tuple[Change, ...]], None] = lambda changes: None
+        # Nothing up to here is missing; single newer changes may be known too.
         self.revision = 0
         # Of each key that was ever told of, also of those that are gone: a few bytes for each of
         # some thousand servers and gateways.
@@ -138,9 +139,18 @@
             self._note_behind(state.revision)
 
     def take_changes(self, message: StoreChanges) -> None:
-        """Take in changes that a relay passed on, unless some before them are missing."""
+        """Take in changes that a relay passed on, also where some before them are missing.
+
+        Each is a whole value of its key, so none needs what came before it; only `revision`, up to
+        which nothing is missing, does not pass a gap.
+        """
         if not self.revision or message.revision <= self.revision:
             return
+        try:
+            fresh = self.select_fresh(unpack_changes(message.packed))
+        except ValueError as exc:
+            log_event(_LOG, "changes_unreadable", logging.WARNING, error=exc)
+            return
         if message.after > self.revision:
             log_event(
                 _LOG,
@@ -150,13 +160,8 @@
                 revision=self.revision,
             )
             self._note_behind(message.revision)
-            return
-        try:
-            fresh = self.select_fresh(unpack_changes(message.packed))
-        except ValueError as exc:
-            log_event(_LOG, "changes_unreadable", logging.WARNING, error=exc)
-            return
-        self.revision = message.revision
+        else:
+            self.revision = message.revision
         self.on_changes(fresh)
 
     def select_fresh(self, changes: Iterable[Change]) -> tuple[Change, ...]:
