--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -17,6 +17,11 @@
 _FIRST_FINAL_STATUS = 200
 MAX_BUFFERED_BYTES = 256 * 1024
 """Reading pauses above this: what a slow caller has not taken yet stays in the upstream."""
+PIECE_TIMEOUT_S = 0.5
+"""An answer that has begun is read for as long as its pieces come: what has come is never thrown
+away for its length. Twice the time after which a lost packet is sent again."""
+ANSWER_TIMEOUT_S = 3.0
+"""Bound of an answer that has begun: 1 MB, the largest value of the store, in 3 Mbit/s."""
 
 
 class ConnectError(ConnectionError):
@@ -145,6 +150,18 @@
             pieces.append(piece)
         return b"".join(pieces)
 
+    async def read_body_while_it_comes(self, limit: asyncio.Timeout) -> bytes:
+        """Return the body, moving the time limit in force on with each piece, up to a bound."""
+        clock = asyncio.get_running_loop().time
+        last_s = clock() + ANSWER_TIMEOUT_S
+        pieces: list[bytes] = []
+        while True:
+            limit.reschedule(min(clock() + PIECE_TIMEOUT_S, last_s))
+            piece = await self.read_piece()
+            if piece is None:
+                return b"".join(pieces)
+            pieces.append(piece)
+
     def abort(self) -> None:
         """Drop the connection at once, which cancels the request at the server."""
         if self._transport is not None:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -11,6 +11,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.gateway.admit import Refusal
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.groups import GroupRanks
@@ -88,6 +89,9 @@
         )
         self._feed = HallFeed(settings.name, time.monotonic, rng, self._reports.send_near)
         self._reports.feed = self._feed
+        self._copies = ConfigCopies(rng)
+        self._reports.copies = self._copies
+        self._copies.on_kept = self._reports.note_change
         self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.note_change
 
@@ -113,6 +117,7 @@
         await self._stop(server)
         ready.close()
         status.close()
+        self._peer_server.close()
         for task in self._tasks:
             task.cancel()
 
@@ -149,24 +154,42 @@
             self._note_holder,
             self._note_plan,
         )
-        self._follower = Follower(self._settings.store, ALL_KEYS, listener, self._feed)
+        self._follower = Follower(
+            self._settings.store, ALL_KEYS, listener, self._feed, self._copies
+        )
         return [
             keep_running("follower", self._follower.run),
+            keep_running("copies", self._copies.run),
             keep_running("session", self._session.run),
         ]
 
     async def _open_peers(self) -> None:
-        loop = asyncio.get_running_loop()
-        host, _, port = self._settings.peer.rpartition(":")
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self._reports, local_addr=(host, int(port))
-        )
-        # The port that was taken, where the settings leave it open.
-        host, port = transport.get_extra_info("sockname")[:2]
-        member = Member(f"{host}:{port}", self._settings.hall)
+        address = await self._bind_peer_port()
+        member = Member(address, self._settings.hall)
         self._session = Session(self._settings.store, self._settings.name, member)
         self._tasks.append(keep_running("reports", self._reports.run))
 
+    async def _bind_peer_port(self) -> str:
+        """Take datagrams and connections of other gateways at one port; return the address.
+
+        Where the settings leave the port open, one that is free for datagrams only is given back.
+        """
+        loop = asyncio.get_running_loop()
+        host, _, wanted = self._settings.peer.rpartition(":")
+        while True:
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: self._reports, local_addr=(host, int(wanted))
+            )
+            address = "{}:{}".format(*transport.get_extra_info("sockname")[:2])
+            try:
+                self._peer_server = await self._listen(address, self._copies.answer, self._askers)
+                return address
+            except OSError as exc:
+                transport.close()
+                if int(wanted):
+                    raise
+                log_event(_LOG, "peer_port_taken", address=address, error=exc)
+
     def _take_table(self, table: RoutingTable) -> None:
         self.state.take_table(table)
         if self.state.table is None:
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import Member
@@ -91,6 +92,7 @@
         self._health = health
         self._on_change = on_change
         self.feed: HallFeed | None = None
+        self.copies: ConfigCopies | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._near: dict[str, _Address] = {}
         self._far: dict[str, _FarHall] = {}
@@ -169,6 +171,9 @@
         now_s = asyncio.get_running_loop().time()
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.note_unknown(incarnation, unknown, now_s - age_s)
+        near = self._near.get(report.sender)
+        if near is not None:
+            self._note_config(near, report.config_revision)
         if self.feed is not None:
             self.feed.note_peer(report.sender)
             if report.relay is not None:
@@ -184,12 +189,18 @@
         self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
         if not report.is_passed_on:
+            self._note_config(addr, report.config_revision)
             hall = self._far.get(report.hall)
             if hall is not None:
                 hall.speaker, hall.heard_at_s = addr[:2], asyncio.get_running_loop().time()
             self.send_near(msgspec.structs.replace(report, is_passed_on=True))
         self._on_change()
 
+    def _note_config(self, address: _Address, revision: int) -> None:
+        """Note what a gateway has; it serves its copy at the port of its datagrams."""
+        if self.copies is not None:
+            self.copies.note_told(f"{address[0]}:{address[1]}", revision)
+
     def _take_health(
         self, served_age_s: Mapping[str, float], refused_age_s: Mapping[str, float]
     ) -> None:
@@ -212,12 +223,14 @@
             for u in self._upstreams
             if now_s - u.unknown_at_s < TOLD_LIFE_S
         }
-        self.send_near(LoadReport(self._name, in_hand, served, refused, unknown, relay))
+        config = self.copies.revision if self.copies is not None else 0
+        self.send_near(LoadReport(self._name, in_hand, served, refused, unknown, relay, config))
         if relay is not None and now_s >= self._far_from_s:
             total = Counter(in_hand)
             for reported in self._near_reports.values():
                 total.update(reported.in_hand)
-            self._send_halls(HallReport(self._hall, dict(total), served, refused), now_s)
+            report = HallReport(self._hall, dict(total), served, refused, config_revision=config)
+            self._send_halls(report, now_s)
 
     def _send_halls(self, report: HallReport, now_s: float) -> None:
         data = msgspec.msgpack.encode(report)
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from dalehollow.errors import PlatformError
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
@@ -78,10 +79,19 @@
 class Follower:
     """Keep one watch open on one prefix and tell of what changes."""
 
-    def __init__(self, address: str, prefix: str, listener: Listener, feed: HallFeed) -> None:
+    def __init__(
+        self,
+        address: str,
+        prefix: str,
+        listener: Listener,
+        feed: HallFeed,
+        copies: ConfigCopies,
+    ) -> None:
         """Prepare; nothing is read before `run`, which leaves the store alone while `feed` can."""
         self._feed = feed
         feed.on_changes = self._take_changes
+        self._copies = copies
+        copies.on_copy = self._take_copy
         self._store = Store(address)
         self._prefix = prefix
         self._listener = listener
@@ -154,18 +164,31 @@
             if self._feed.newest_revision(key) <= reading.revision:
                 self._note_missing(key)
 
+    def _take_copy(self, change: Change) -> None:
+        if change.key == CONFIG_KEY:
+            self._take_changes(self._feed.select_fresh((change,)))
+
     def _take_changes(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
             if change.value is None:
                 self._note_missing(change.key)
+            elif change.key == CONFIG_KEY:
+                self._take_config(change, change.value)
             else:
                 self._take_item(change.key, change.value)
 
+    def _take_config(self, change: Change, value: bytes) -> None:
+        try:
+            table = decode_config(value)
+        except ValueError as exc:
+            _note_unusable(change.key, exc)
+            return
+        self._listener.on_table(table)
+        self._copies.keep(change)
+
     def _take_item(self, key: str, value: bytes) -> None:
         try:
-            if key == CONFIG_KEY:
-                self._listener.on_table(decode_config(value))
-            elif key.startswith(UPSTREAM_PREFIX):
+            if key.startswith(UPSTREAM_PREFIX):
                 self._known.add(key)
                 self._lapsing_until_s.pop(key, None)
                 self._listener.on_upstream(decode_upstream(key, value))
@@ -175,7 +198,7 @@
             elif self._tell_gateway_key(key, value):
                 self._known.add(key)
         except ValueError as exc:
-            log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
+            _note_unusable(key, exc)
 
     def _note_missing(self, key: str) -> None:
         """Drop an upstream, or wait a little for it where its entry may only have lapsed."""
@@ -240,5 +263,9 @@
         self._is_reachable = False
 
 
+def _note_unusable(key: str, exc: ValueError) -> None:
+    log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -15,11 +15,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 """One lost opening packet is sent again after a second; a store that is near answers in ms."""
-PIECE_TIMEOUT_S = 0.5
-"""An answer that has begun is read for as long as its pieces come: what has come is never thrown
-away for its length. Twice the time after which a lost packet is sent again."""
-ANSWER_TIMEOUT_S = 3.0
-"""Bound of an answer that has begun: 1 MB, the largest value of the store, in 3 Mbit/s."""
 _HISTORY_GONE_STATUS = 410
 _CONFLICT_STATUS = 412
 _LEASE_GONE_STATUS = 404
@@ -175,13 +170,16 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
         is_write = method != "GET"
         received_before = self._count_received()
+        clock = asyncio.get_running_loop().time
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 if self._connection is None:
                     self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
                 self._connection.send([head.encode(), b"\r\n", data])
                 answer = await self._connection.read_head()
-                answer_body = await self._read_body(self._connection, limit)
+                begun_s = clock()
+                answer_body = await self._connection.read_body_while_it_comes(limit)
+                self.transfer_s = clock() - begun_s
         except (ConnectError, CutError, TimeoutError) as exc:
             received_bytes = self._count_received() - received_before
             self.close()
@@ -193,20 +191,6 @@
             raise
         return self._check_status(path, answer.status, answer_body)
 
-    async def _read_body(self, connection: ClientConnection, limit: asyncio.Timeout) -> bytes:
-        """Read an answer that has begun, for as long as it goes on coming."""
-        clock = asyncio.get_running_loop().time
-        begun_s = clock()
-        pieces = []
-        while True:
-            limit.reschedule(min(clock() + PIECE_TIMEOUT_S, begun_s + ANSWER_TIMEOUT_S))
-            piece = await connection.read_piece()
-            if piece is None:
-                break
-            pieces.append(piece)
-        self.transfer_s = clock() - begun_s
-        return b"".join(pieces)
-
     def _count_received(self) -> int:
         return self._connection.received_bytes if self._connection is not None else 0
 
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -36,6 +36,8 @@
     # Requests at an upstream that no gateway knows of, and how long ago that was found.
     unknown: dict[str, tuple[int, float]]
     relay: RelayState | None = None
+    # Of the newest configuration that the sender has; 0 where it has none.
+    config_revision: int = 0
 
 
 class HallReport(msgspec.Struct, frozen=True, array_like=True, tag="h"):
@@ -47,6 +49,8 @@
     refused_age_s: dict[str, float]
     # Set by whoever passes it on within a hall: it goes no further.
     is_passed_on: bool = False
+    # Of the newest configuration that the sender has; 0 where it has none.
+    config_revision: int = 0
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -63,8 +67,9 @@
 PeerMessage = LoadReport | HallReport | StoreChanges
 
 _CHANGES = msgspec.msgpack.Decoder(tuple[Change, ...])
-MAX_UNPACKED_BYTES = 1 << 20
-"""What a value of the store may hold at most; a message that unpacks to more is not one of ours."""
+MAX_UNPACKED_BYTES = (1 << 20) + 1024
+"""What a value of the store may hold at most, and its key; a message that unpacks to more is not
+one of ours."""
 
 
 def pack_changes(changes: tuple[Change, ...]) -> bytes:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -19,7 +19,9 @@
 import msgspec
 import pytest
 
-from dalehollow.aio import AnswerHead, CallerRequest, ConnectError, CutError
+from dalehollow.aio import AnswerHead, CallerRequest, ConnectError, CutError, Handler
+from dalehollow.aio.client import ClientConnection
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import Member
@@ -63,13 +65,14 @@
         self.connection.fail(CutError("the server closed the connection"))
 
 
-class _Connection:
-    """Stand in for a connection of a gateway to the store, with the bandwidth of its VM's link."""
+class _Connection(ClientConnection):
+    """Stand in for a connection that a gateway opened, with the bandwidth of its VM's link."""
 
-    def __init__(self, world: HallWorld, gateway: WorldGateway) -> None:
-        self._world = world
+    def __init__(self, gateway: WorldGateway, handler: Handler, *, is_to_store: bool) -> None:
         self._gateway = gateway
-        self._items: deque[AnswerHead | bytes | Exception | None] = deque()
+        self._handler = handler
+        self._is_to_store = is_to_store
+        self._items: deque[Any] = deque()
         self._arrived = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self.is_silent = False
@@ -91,12 +94,6 @@
         assert item is None or isinstance(item, bytes)
         return item
 
-    async def read_body(self) -> bytes:
-        pieces = []
-        while (piece := await self.read_piece()) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def abort(self) -> None:
         self._gateway.connections.discard(self)
         for task in self._tasks:
@@ -112,14 +109,14 @@
         await asyncio.sleep(DELAY_S)
         if self.is_silent:
             return
-        if self._gateway.path is Path.REFUSE:
+        if self._is_to_store and self._gateway.path is Path.REFUSE:
             self.answer(503, b"")
             return
         caller: Any = _Caller(self)
-        await self._world.store.handle(caller, request)
+        await self._handler(caller, request)
 
     async def _deliver(self, status: int, body: bytes) -> None:
-        await asyncio.sleep(DELAY_S + self._gateway.slowness_s)
+        await asyncio.sleep(DELAY_S + (self._gateway.slowness_s if self._is_to_store else 0.0))
         if self.is_silent:
             return
         self._put(AnswerHead(status, ()))
@@ -158,6 +155,7 @@
     port: int
     feed: HallFeed
     reports: PeerReports
+    copies: ConfigCopies
     follower: Follower
     bytes_per_s: float = 2.5e6
     # Added to each answer of the store.
@@ -196,6 +194,7 @@
         self.confirmed_at_s: dict[int, float] = {}
         self._padding_bytes = padding_bytes
         self._version = 0
+        self._ports = _PORT
 
     def now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -209,9 +208,12 @@
         )
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
         feed = HallFeed(name, loop.time, rng, reports.send_near)
-        reports.feed = feed
-        gateway = WorldGateway(name, hall, _PORT + len(self.gateways), feed, reports, None)  # type: ignore[arg-type]
-        gateway.follower = Follower(name, "", self._make_listener(gateway), feed)
+        copies = ConfigCopies(rng, lambda address, _: self.connect_peer(name, address))
+        reports.feed, reports.copies = feed, copies
+        copies.on_kept = reports.note_change
+        self._ports += 1
+        gateway = WorldGateway(name, hall, self._ports, feed, reports, copies, None)  # type: ignore[arg-type]
+        gateway.follower = Follower(name, "", self._make_listener(gateway), feed, copies)
         self.gateways[name] = gateway
         for one in self.gateways.values():
             gateway.reports.note_member(one.name, _member_of(one))
@@ -219,6 +221,7 @@
         gateway.tasks = [
             asyncio.ensure_future(gateway.follower.run()),
             asyncio.ensure_future(reports.run()),
+            asyncio.ensure_future(copies.run()),
         ]
         return gateway
 
@@ -285,10 +288,20 @@
         if gateway is None or gateway.path is Path.SILENT:
             await asyncio.sleep(timeout_s)
             raise ConnectError(f"no connection to {name}: timed out")
-        connection = _Connection(self, gateway)
+        connection = _Connection(gateway, self.store.handle, is_to_store=True)
         gateway.connections.add(connection)
         return connection
 
+    async def connect_peer(self, name: str, address: str) -> ClientConnection:
+        """Open a connection of a gateway to another one."""
+        host, port = address.split(":")
+        target = next((g for g in self.gateways.values() if g.port == int(port)), None)
+        await asyncio.sleep(2 * DELAY_S)
+        if target is None or name in target.deaf or target.name in self.gateways[name].deaf:
+            await asyncio.Event().wait()
+        assert target is not None and host == target.name
+        return _Connection(self.gateways[name], target.copies.answer, is_to_store=False)
+
     def lag_s(self, name: str) -> float:
         """Return how long the oldest version that a gateway lacks has been confirmed."""
         gateway = self.gateways[name]
--- a/tests/test_config_in_time.py
+++ b/tests/test_config_in_time.py
@@ -84,6 +84,41 @@
     _play(monkeypatch, beside)
 
 
+def test_the_last_change_before_a_refusal_is_copied_from_the_hall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing comes after it that would carry it along."""
+
+    async def scenario(world: HallWorld) -> None:
+        world.gateways["a"].deaf = {"b"}
+        world.set_path("b", Path.REFUSE)
+        world.apply()
+        await asyncio.sleep(0.3)
+        world.gateways["a"].deaf = set()
+        longest = await world.watch_lag("abc", for_s=8.0)
+        assert max(longest.values()) < BOUND_S, longest
+
+    _play(monkeypatch, scenario)
+
+
+def test_a_hall_that_the_store_does_not_answer_hears_from_another_hall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(world: HallWorld) -> None:
+        for name in "xyz":
+            world.start(name, hall="other")
+        await asyncio.sleep(SETTLE_S)
+        for name in "abc":
+            world.set_path(name, Path.SILENT)
+        longest = await world.watch_lag("abcxyz", for_s=10.0)
+        assert max(longest.values()) < BOUND_S, longest
+
+    async def beside(world: HallWorld) -> None:
+        await run_beside(world.keep_applying(0.8), scenario(world))
+
+    _play(monkeypatch, beside)
+
+
 def test_a_silent_relay_and_rested_connections_do_not_add_up(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
@@ -71,7 +72,8 @@
         heard = _Heard()
         feed = HallFeed("a", time.monotonic, random.Random(1), lambda changes: None)
         feed.is_first = lambda: is_first  # type: ignore[method-assign]
-        follower = Follower(address, "", heard.listener(), feed)
+        copies = ConfigCopies(random.Random(1))
+        follower = Follower(address, "", heard.listener(), feed, copies)
         task = asyncio.ensure_future(follower.run())
         try:
             async with asyncio.timeout(TIMEOUT_S):
