--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
     "burst": "no gate, a gate in each entry and the sidecar's gate under ten times capacity",
     "choice": "time to the first token under ways to choose an upstream",
     "footprint": "resident memory of idle processes, small and at the target's size",
+    "lateness": "how late a configuration comes through chains of failures and random schedules",
     "relay": "tokens relayed by one entry: rate, processor time, added latency",
     "shares": "account limits: what a large account costs the small ones, and the sum of shares",
     "skew": "step-time skew against moved weights over drifting demand",
--- a/dalehollow/gateway/copies.py
+++ b/dalehollow/gateway/copies.py
@@ -19,7 +19,7 @@
 from dalehollow.protocol.reports import Change, pack_changes, unpack_changes
 from dalehollow.telemetry.logs import log_event
 
-COPY_AFTER_S = 0.4
+COPY_AFTER_S = 0.3
 """Changes come within milliseconds, and who lacks one asks the store after 0.1 s: what is still
 missing after this was refused or lost twice."""
 RETRY_PAUSE_S = 0.1
--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -23,9 +23,10 @@
 )
 from dalehollow.telemetry.logs import log_event
 
-STALE_S = 1.4
-"""Knowledge of the store that is older is not relied on: with the time to ask oneself it leaves a
-third of the two seconds within which a configuration must be in force."""
+STALE_S = 1.0
+"""Knowledge of the store that is older is not relied on. A relay confirms its own within 0.9 s or
+notices that it cannot; what follows, a reading of one's own or a copy of another's, takes 0.8 s at
+most: together below the two seconds within which a configuration must be in force."""
 RELAY_SILENT_S = 0.6
 """A relay reports four times a second or more: two lost reports are no silence."""
 SILENCE_SPREAD_S = 0.2
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -28,21 +28,26 @@
 from dalehollow.protocol.reports import Change
 from dalehollow.telemetry.logs import log_event
 
-WATCH_WAIT_S = 1.0
-WATCH_MARGIN_S = 0.3
-"""A watch is taken as unheard this long after it should have ended. Wait and margin together stay
-below `feed.STALE_S`: what a relay knows is confirmed before the others rely on it no more."""
+WATCH_WAIT_S = 0.6
+"""A watch without changes ends after this. It is a part of how late a configuration can be where
+a relay's way to the store falls silent; each halving costs a hall some 100 calls a minute."""
+ANSWER_WAIT_S = 0.3
+"""An answer is taken as unheard when it has not begun this long after it should have: seventy
+times what the store takes. With the wait of a watch it stays below `feed.STALE_S`: what a relay
+knows is confirmed before the others rely on it no more."""
+LATER_ANSWER_WAIT_S = 0.6
+"""After a failure the next answer has this long, so that a store that is slow is heard too."""
 PASSIVE_INTERVAL_S = 0.1
 """While the hall's relay is heard, it is looked so often whether that still holds."""
 RECOVERY_WAIT_S = 0.1
-"""Wait of the watches after a failure, until one is answered: a long one that is sent into a
-silence would not be heard for its whole length."""
-READ_TIMEOUT_S = 1.0
+"""Wait of the watches after a failure or a rest, until one is answered: a long one that is sent
+into a silence would not be heard for its whole length."""
 RETRY_PAUSE_S = 0.2
-"""Pause after a failed call of the first gateway of a hall, and of one that knows nothing yet."""
+"""Pause after a first failed call, and after each of the first gateway of a hall and of one that
+knows nothing yet."""
 OTHERS_RETRY_PAUSE_S = 0.8
-"""Pause of the others: they hear from the first that the store is back, and ask for themselves in
-case it is only the first that the store turns away."""
+"""Pause of the others after more failures: they hear from the first that the store is back, and
+ask for themselves in case it is only the first that the store turns away."""
 BATCH_PAUSE_S = 0.2
 """Changes come in groups (servers that start, ranks that open): those of this time are told by one
 call, and none waits longer, a tenth of the time a configuration may take."""
@@ -98,6 +103,8 @@
         self._known: set[str] = set()
         self._lapsing_until_s: dict[str, float] = {}
         self._is_reachable = True
+        # Whether the last call was answered, and no rest came after it.
+        self._is_sure = True
         self._failed_at_s = float("-inf")
         self._was_watch_slow = False
         # Calls that failed since the last that was answered.
@@ -112,6 +119,7 @@
         """Read everything, then watch, for ever; the store's failures are lived through."""
         while True:
             if self._feed.is_passive():
+                self._rest()
                 await asyncio.sleep(PASSIVE_INTERVAL_S)
                 self._drop_lapsed()
                 continue
@@ -126,25 +134,36 @@
                 self._feed.reset()
             except PlatformError as exc:
                 self._note_failure(exc)
-                is_first = self._feed.is_first() or not self._feed.revision
-                await asyncio.sleep(RETRY_PAUSE_S if is_first else OTHERS_RETRY_PAUSE_S)
+                await asyncio.sleep(self._retry_pause_s())
             self._drop_lapsed()
 
+    def _rest(self) -> None:
+        """Leave the store alone; the next call opens a connection, for an old one may be dead."""
+        self._store.close()
+        self._is_sure = False
+
+    def _retry_pause_s(self) -> float:
+        is_first = self._feed.is_first() or not self._feed.revision
+        return RETRY_PAUSE_S if is_first or self._failures == 1 else OTHERS_RETRY_PAUSE_S
+
+    def _answer_wait_s(self) -> float:
+        return LATER_ANSWER_WAIT_S if self._failures else ANSWER_WAIT_S
+
     def _is_history_short(self) -> bool:
         """Return whether the changes since the last reading are less to read than all items."""
         is_young = bool(self._feed.revision) and self._feed.age_s() < HISTORY_MAX_AGE_S
         return is_young and not self._was_watch_slow
 
     async def _read_items(self) -> None:
-        reading = await self._store.read_range(self._prefix, READ_TIMEOUT_S)
+        reading = await self._store.read_range(self._prefix, self._answer_wait_s())
         self._was_watch_slow = False
         self._take_all(reading)
         self._feed.note_read(0, reading.changes, reading.revision)
 
     async def _watch(self) -> None:
         after = self._feed.revision
-        wait_s = WATCH_WAIT_S if self._is_reachable else RECOVERY_WAIT_S
-        timeout_s = wait_s + WATCH_MARGIN_S
+        wait_s = WATCH_WAIT_S if self._is_sure else RECOVERY_WAIT_S
+        timeout_s = wait_s + self._answer_wait_s()
         reading = await self._store.watch(self._prefix, after, wait_s, timeout_s)
         self._was_watch_slow = self._store.transfer_s > SLOW_ANSWER_S
         self._take_changes(self._feed.select_fresh(reading.changes))
@@ -246,6 +265,7 @@
                 revision=self._feed.revision,
             )
         self._failures = 0
+        self._is_sure = True
 
     def _note_failure(self, exc: PlatformError) -> None:
         self._failed_at_s = _now_s()
@@ -260,7 +280,7 @@
             age_s=round(self._feed.age_s(), 3),
             error=exc,
         )
-        self._is_reachable = False
+        self._is_reachable = self._is_sure = False
 
 
 def _note_unusable(key: str, exc: ValueError) -> None:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -170,6 +170,8 @@
     # Gateways that no datagram reaches from here.
     deaf: set[str] = field(default_factory=set)
     loss: float = 0.0
+    # Added to each datagram that it sends.
+    send_delay_s: float = 0.0
 
 
 @dataclass
@@ -279,7 +281,8 @@
             return
         loop = asyncio.get_running_loop()
         from_address = (source.name, source.port)
-        loop.call_later(DELAY_S, target.reports.datagram_received, data, from_address)
+        delay_s = DELAY_S + source.send_delay_s
+        loop.call_later(delay_s, target.reports.datagram_received, data, from_address)
 
     async def connect(self, name: str, timeout_s: float) -> _Connection:
         """Open a connection of a gateway to the store, as the store's client would."""
--- /dev/null
+++ b/tests/late_schedules.py
@@ -0,0 +1,221 @@
+"""Play random schedules of failures and look for a gateway that lacks a configuration for too long.
+
+The promise: while the store answers a gateway's calls, or another gateway of its hall reaches it,
+it lacks no configuration that the store, or that gateway, has had for longer than the bound. Each
+source is counted by itself, from when it had the version and was reachable without a break.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from tests.hall_world import HallWorld, Path, WorldGateway, use_world
+from tests.virtual_time import run_virtual
+
+SETTLE_S = 3.0
+LENGTH_S = 15.0
+EVENTS = 14
+LOOK_S = 0.05
+HALLS = {"near": "abcd", "far": "xy"}
+RESTART_S = 0.5
+LOST_SHARE = 0.3
+SLOW_S = 0.2
+
+
+@dataclass(frozen=True)
+class Miss:
+    """Hold a version that a gateway lacked for too long although a source had it."""
+
+    gateway: str
+    version: int
+    source: str
+    lacked_s: float
+
+
+@dataclass
+class _Sources:
+    """Hold since when each gateway can use each source without a break."""
+
+    world: HallWorld
+    since_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    lives: dict[str, WorldGateway] = field(default_factory=dict)
+
+    def look(self, bound_s: float) -> list[Miss]:
+        """Note what is reachable now; return what is lacked for too long."""
+        return [
+            miss
+            for gateway in self.world.gateways.values()
+            for miss in self._look_at(gateway, bound_s)
+        ]
+
+    def _look_at(self, gateway: WorldGateway, bound_s: float) -> list[Miss]:
+        if self.lives.get(gateway.name) is not gateway:
+            self.lives[gateway.name] = gateway
+            self._forget(gateway.name)
+        now_s = self.world.now_s()
+        lacked = gateway.version + 1
+        misses = []
+        for source, had_at_s in self._list_sources(gateway, lacked).items():
+            if had_at_s is None:
+                self.since_s.pop((gateway.name, source), None)
+                continue
+            since_s = self.since_s.setdefault((gateway.name, source), now_s)
+            lacked_s = now_s - max(since_s, had_at_s)
+            if lacked_s > bound_s:
+                misses.append(Miss(gateway.name, lacked, source, round(lacked_s, 2)))
+        return misses
+
+    def _list_sources(self, gateway: WorldGateway, version: int) -> dict[str, float | None]:
+        """Return when each source had a version, None for what cannot be used now."""
+        never_s = float("inf")
+        sources: dict[str, float | None] = {"store": None}
+        if gateway.path is Path.PASS and not gateway.slowness_s:
+            sources["store"] = self.world.confirmed_at_s.get(version, never_s)
+        for name in HALLS[gateway.hall]:
+            peer = self.world.gateways.get(name)
+            if peer is gateway:
+                continue
+            sources[name] = None
+            if peer is None or self.lives.get(name) is not peer:
+                continue
+            is_near = gateway.name not in peer.deaf and name not in gateway.deaf
+            if is_near and not (peer.loss or gateway.loss or peer.send_delay_s):
+                had = [at for v, at in peer.in_force_at_s.items() if v >= version]
+                sources[name] = min(had, default=never_s)
+        return sources
+
+    def _forget(self, name: str) -> None:
+        self.since_s = {pair: at for pair, at in self.since_s.items() if name not in pair}
+
+
+Play = Callable[[HallWorld, str, random.Random], Awaitable[None]]
+
+
+def _break_path(path: Path) -> Play:
+    async def play(world: HallWorld, name: str, rng: random.Random) -> None:
+        if name not in world.gateways:
+            return
+        world.set_path(name, path)
+        await asyncio.sleep(rng.uniform(0.1, 6.0))
+        if name in world.gateways:
+            world.set_path(name, Path.PASS)
+
+    return play
+
+
+async def _kill_old_connections(world: HallWorld, name: str, rng: random.Random) -> None:
+    for each in list(world.gateways):
+        if world.gateways[each].path is Path.PASS:
+            world.set_path(each, Path.OLD_SILENT)
+
+
+async def _cut_off(world: HallWorld, name: str, rng: random.Random) -> None:
+    if name not in world.gateways:
+        return
+    world.cut_off(name)
+    await asyncio.sleep(rng.uniform(0.1, 6.0))
+    if name in world.gateways:
+        world.heal(name)
+
+
+async def _restart(world: HallWorld, name: str, rng: random.Random) -> None:
+    if name not in world.gateways:
+        return
+    hall = world.gateways[name].hall
+    await world.end(name)
+    await asyncio.sleep(RESTART_S)
+    if name not in world.gateways:
+        world.start(name, hall)
+
+
+async def _lose(world: HallWorld, name: str, rng: random.Random) -> None:
+    gateway = world.gateways.get(name)
+    if gateway is not None:
+        gateway.loss = rng.choice([LOST_SHARE, 1.0])
+        await asyncio.sleep(rng.uniform(0.1, 3.0))
+        gateway.loss = 0.0
+
+
+async def _slow(world: HallWorld, name: str, rng: random.Random) -> None:
+    gateway = world.gateways.get(name)
+    if gateway is not None:
+        gateway.slowness_s = gateway.send_delay_s = SLOW_S
+        await asyncio.sleep(rng.uniform(0.5, 5.0))
+        gateway.slowness_s = gateway.send_delay_s = 0.0
+
+
+async def _forget_history(world: HallWorld, name: str, rng: random.Random) -> None:
+    world.store.forget_history()
+
+
+async def _hurry(world: HallWorld, name: str, rng: random.Random) -> None:
+    for _ in range(rng.randint(3, 12)):
+        world.apply()
+        await asyncio.sleep(rng.uniform(0.1, 0.4))
+
+
+PLAYS: tuple[Play, ...] = (
+    _break_path(Path.REFUSE),
+    _break_path(Path.SILENT),
+    _kill_old_connections,
+    _cut_off,
+    _restart,
+    _lose,
+    _slow,
+    _forget_history,
+    _hurry,
+)
+
+
+def play_schedule(seed: int, bound_s: float, monkeypatch: pytest.MonkeyPatch) -> list[Miss]:
+    """Play one schedule and return what was missed."""
+    rng = random.Random(seed)
+    world = HallWorld(seed, padding_bytes=rng.choice([0, 0, 30_000, 100_000]))
+    use_world(world, monkeypatch)
+
+    async def main() -> list[Miss]:
+        world.apply()
+        for hall, names in HALLS.items():
+            for name in names:
+                world.start(name, hall)
+        await asyncio.sleep(SETTLE_S)
+        events = [
+            asyncio.ensure_future(_play_later(world, rng, rng.uniform(0.0, LENGTH_S)))
+            for _ in range(EVENTS)
+        ]
+        try:
+            return await _watch(world, rng, bound_s)
+        finally:
+            for event in events:
+                event.cancel()
+            await asyncio.gather(*events, return_exceptions=True)
+            await world.close()
+
+    return list(run_virtual(main()))
+
+
+async def _play_later(world: HallWorld, rng: random.Random, at_s: float) -> None:
+    play, name = rng.choice(PLAYS), rng.choice("".join(HALLS.values()))
+    await asyncio.sleep(at_s)
+    await play(world, name, rng)
+
+
+async def _watch(world: HallWorld, rng: random.Random, bound_s: float) -> list[Miss]:
+    """Apply a change now and then, and look until something is missed or the time is over."""
+    sources = _Sources(world)
+    until_s = world.now_s() + LENGTH_S + 2 * bound_s
+    next_change_s = world.now_s()
+    while world.now_s() < until_s:
+        if world.now_s() >= next_change_s:
+            world.apply()
+            next_change_s = world.now_s() + rng.uniform(0.5, 4.0)
+        await asyncio.sleep(LOOK_S)
+        misses = sources.look(bound_s)
+        if misses:
+            return misses
+    return []
--- a/tests/test_config_in_time.py
+++ b/tests/test_config_in_time.py
@@ -16,11 +16,16 @@
 
 import pytest
 
+from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.feed import HallFeed
+from dalehollow.platform import follow
 from tests.hall_world import HallWorld, Path, run_beside, use_world
+from tests.late_chains import CHAINS, PHASES_S, Chain, play_chain
+from tests.late_schedules import play_schedule
 from tests.virtual_time import run_virtual
 
-BOUND_S = 2.0
-"""The shortest time that a deployment gives a confirmed configuration."""
+BOUND_S = 1.8
+"""The stated bound; the shortest time that a deployment gives a confirmed configuration is 2 s."""
 CONTACT_S = 3.0
 """The bound holds for a gateway that was left alone for so long."""
 SETTLE_S = 5.0
@@ -133,3 +138,60 @@
         assert max(longest.values()) < BOUND_S, longest
 
     _play(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("chain", CHAINS, ids=Chain.describe)
+def test_no_chain_of_failures_makes_a_configuration_late(
+    chain: Chain, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lags_s = [play_chain(chain, phase_s, monkeypatch) for phase_s in PHASES_S]
+    assert max(lags_s) < BOUND_S, lags_s
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_no_random_schedule_makes_a_configuration_late(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert play_schedule(seed, BOUND_S, monkeypatch) == []
+
+
+def _fetch_no_copies(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ConfigCopies, "note_told", lambda *args: None)
+
+
+def _rely_on_old_knowledge(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follow, "WATCH_WAIT_S", 3.0)
+    monkeypatch.setattr("dalehollow.gateway.feed.STALE_S", 4.0)
+
+
+def _drop_what_follows_a_gap(monkeypatch: pytest.MonkeyPatch) -> None:
+    take = HallFeed.take_changes
+
+    def take_in_order(feed: HallFeed, message: Any) -> None:
+        if message.after <= feed.revision:
+            take(feed, message)
+
+    monkeypatch.setattr(HallFeed, "take_changes", take_in_order)
+    # Alone, the copies would make up for it.
+    _fetch_no_copies(monkeypatch)
+
+
+def _pause_long_after_failures(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follow, "RETRY_PAUSE_S", 2.0)
+    monkeypatch.setattr(follow, "OTHERS_RETRY_PAUSE_S", 2.0)
+
+
+@pytest.mark.parametrize(
+    "defect",
+    [
+        _fetch_no_copies,
+        _rely_on_old_knowledge,
+        _drop_what_follows_a_gap,
+        _pause_long_after_failures,
+    ],
+)
+def test_the_random_schedules_find_a_defect(
+    defect: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    defect(monkeypatch)
+    assert any(play_schedule(seed, BOUND_S, monkeypatch) for seed in range(1, 41))
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from dalehollow.gateway import feed as feed_module
 from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -139,10 +140,12 @@
         pauses.clear()
         monkeypatch.setattr(follow.asyncio, "sleep", note_pause)
         store.fault = "busy"
-        retries = {follow.RETRY_PAUSE_S, follow.OTHERS_RETRY_PAUSE_S}
-        await _until(lambda: bool(retries & set(pauses)))
-        expected_s = follow.RETRY_PAUSE_S if is_first else follow.OTHERS_RETRY_PAUSE_S
-        assert retries & set(pauses) == {expected_s}
+        retries = (follow.RETRY_PAUSE_S, follow.OTHERS_RETRY_PAUSE_S)
+        await _until(lambda: sum(pause in retries for pause in pauses) > 3)
+        first, *later = [pause for pause in pauses if pause in retries]
+        # A single failure may be the connection's, so it is tried again soon.
+        assert first == follow.RETRY_PAUSE_S
+        assert set(later) == {follow.RETRY_PAUSE_S if is_first else follow.OTHERS_RETRY_PAUSE_S}
         store.fault = "none"
 
     _run(scenario, is_first=is_first)
@@ -151,7 +154,8 @@
 def test_no_long_watch_is_sent_into_a_silence(monkeypatch: pytest.MonkeyPatch) -> None:
     """A long watch sent just before a silent store came back was not heard for its whole length."""
     monkeypatch.setattr(follow, "WATCH_WAIT_S", 0.2)
-    monkeypatch.setattr(follow, "WATCH_MARGIN_S", 0.05)
+    monkeypatch.setattr(follow, "ANSWER_WAIT_S", 0.05)
+    monkeypatch.setattr(follow, "LATER_ANSWER_WAIT_S", 0.05)
     monkeypatch.setattr(follow, "RECOVERY_WAIT_S", 0.01)
 
     async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
@@ -169,8 +173,8 @@
 
 
 def test_wait_and_margin_end_before_a_store_counts_as_stable() -> None:
-    assert follow.WATCH_WAIT_S + follow.WATCH_MARGIN_S < 2.75
-    assert follow.RECOVERY_WAIT_S + follow.WATCH_MARGIN_S + follow.RETRY_PAUSE_S < 1.0
+    assert follow.WATCH_WAIT_S + follow.ANSWER_WAIT_S < feed_module.STALE_S < 2.75
+    assert follow.RECOVERY_WAIT_S + follow.LATER_ANSWER_WAIT_S + follow.RETRY_PAUSE_S < 1.0
 
 
 def test_each_failure_and_its_end_are_told_with_their_age(
