--- a/dalehollow/config/spread.py
+++ b/dalehollow/config/spread.py
@@ -71,6 +71,9 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="config", daemon=True)
+        # Parts of a configuration that is not whole yet: a poll that fails half-way, again and
+        # again on a slow way to the platform, goes on where the one before ended.
+        self._read: dict[str, bytes] = {}
         self.polls = 0
         self.failures = 0
 
@@ -142,14 +145,18 @@
 
     def _read_parts(self, manifest: Manifest) -> None:
         assert self._kv is not None
-        parts: dict[str, bytes] = {}
-        for part_id in self._holder.list_missing(manifest):
+        missing = self._holder.list_missing(manifest)
+        self._read = {part_id: self._read[part_id] for part_id in missing if part_id in self._read}
+        for part_id in missing:
+            if part_id in self._read:
+                continue
             found = self._kv.get(part_key(part_id), timeout_s=_READ_TIMEOUT_S)
             if not isinstance(found, Ok) or not found.ok_value.revision:
                 # Deleted since: a newer manifest is in force and will be read next.
                 return
-            parts[part_id] = found.ok_value.value
-        self._take(manifest, parts, "platform")
+            self._read[part_id] = found.ok_value.value
+        self._take(manifest, self._read, "platform")
+        self._read = {}
 
     def _fetch_from_peer(self, version: int, confirmed_at_ms: int, address: str) -> None:
         if version <= self._holder.version:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,16 +8,21 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from result import Err, Result
 
 from dalehollow.config import apply_text
-from dalehollow.config.spread import draw_poll_limit_ms, is_poll_due
+from dalehollow.config.holder import ConfigHolder
+from dalehollow.config.spread import Spreader, draw_poll_limit_ms, is_poll_due
 from dalehollow.entry import EntryProcess
-from dalehollow.platform.keyvalue import HttpKeyValue
+from dalehollow.errors import PlatformError
+from dalehollow.platform.keyvalue import Entry, HttpKeyValue
 from dalehollow.settings import Settings
 from dalehollow.sidecar import Sidecar
 from dalehollow.web import HttpServer
 from standins.hall import digest_key
 from standins.keyvalue import KeyValueStandIn
+from tests.config_text import make_text
+from tests.fake_keyvalue import FakeKeyValue
 from tests.payment_bench import wait_for
 from tests.relay import Relay
 
@@ -273,3 +278,29 @@
     versions = world.seen["sidecar-up-ngb"]
     assert versions != sorted(set(versions))
     versions.clear()
+
+
+@dataclass
+class _TiringKeyValue(FakeKeyValue):
+    """Answer a few calls, then none until it has rested."""
+
+    left: int = 0
+
+    def get(self, key: str, *, timeout_s: float = 2.0) -> Result[Entry, PlatformError]:
+        if not self.left:
+            return Err(PlatformError("timed out", may_have_written=False))
+        self.left -= 1
+        return super().get(key, timeout_s=timeout_s)
+
+
+def test_parts_that_were_read_are_not_read_again_when_a_later_one_fails() -> None:
+    """Each poll read the same first parts and threw them away: it never came to the last."""
+    kv = _TiringKeyValue(left=1000)
+    apply_text(kv, make_text(), apply_id="one").unwrap()
+    holder = ConfigHolder()
+    spreader = Spreader(1_000, holder, kv)
+    for _ in range(20):
+        # The head, its manifest and one part.
+        kv.left = 3
+        spreader.poll()
+    assert holder.version == 1
