--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import dataclasses
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
-import pyjson5
-
-from dalehollow.errors import SettingsError
+from dalehollow.settings_text import (
+    check_address,
+    check_choice,
+    parse_settings_text,
+    read_settings_text,
+)
 from dalehollow.telemetry.logs import LEVELS
 
 GATEWAY_ROLE = "gateway"
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 _ADDRESS_FIELDS = ("http", "ready", "metrics", "store", "peer")
 
 
@@ -65,35 +65,23 @@
 
 def read_gateway_settings(path: str) -> GatewaySettings:
     """Read a settings file; raise SettingsError with every mistake in it."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as exc:
-        raise SettingsError(f"settings file {path!r} cannot be read: {exc.strerror}") from exc
-    return parse_gateway_settings(text)
+    return parse_gateway_settings(read_settings_text(path))
 
 
 def parse_gateway_settings(text: str) -> GatewaySettings:
     """Check settings given as text; unknown fields are left aside, for later releases add some."""
-    try:
-        raw = pyjson5.decode(text)
-    except pyjson5.Json5DecoderException as exc:
-        raise SettingsError(f"settings are not JSON with comments: {exc.args[0]}") from exc
-    if not isinstance(raw, dict):
-        raise SettingsError(f"settings are {raw!r}, must be an object")
-    mistakes = _find_mistakes(raw)
-    if mistakes:
-        raise SettingsError("; ".join(mistakes))
+    raw = parse_settings_text(text, _find_mistakes)
     return GatewaySettings(**{name: raw[name] for name in _fields() if name in raw})
 
 
 def read_unknown(path: str) -> list[str]:
     """Return the names of a settings file's fields that this release does not know."""
-    return list_unknown(Path(path).read_text(encoding="utf-8"))
+    return list_unknown(read_settings_text(path))
 
 
 def list_unknown(text: str) -> list[str]:
     """Return the names of fields that this release does not know."""
-    return sorted(set(pyjson5.decode(text)) - set(_fields()))
+    return sorted(set(parse_settings_text(text, lambda raw: [])) - set(_fields()))
 
 
 def _fields() -> dict[str, dataclasses.Field[Any]]:
@@ -114,10 +102,9 @@
     if name == "role":
         return [] if value == GATEWAY_ROLE else [f"'role' is {value!r}, must be {GATEWAY_ROLE!r}"]
     if name == "log_level":
-        return [] if value in LEVELS else [f"{name!r} is {value!r}, choices: {', '.join(LEVELS)}"]
+        return check_choice(name, value, LEVELS)
     if name in _ADDRESS_FIELDS:
-        is_address = isinstance(value, str) and _ADDRESS.fullmatch(value) is not None
-        return [] if is_address else [f"{name!r} is {value!r}, must be like 127.0.0.1:80"]
+        return check_address(name, value)
     if kind in ("int", "float"):
         allowed = (int,) if kind == "int" else (int, float)
         is_sound = isinstance(value, allowed) and not isinstance(value, bool) and value >= 0
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
-from dalehollow.errors import SettingsError
-from dalehollow.jsonc import JsoncError, parse_jsonc
+from dalehollow.settings_text import (
+    check_address,
+    check_choice,
+    is_address,
+    parse_settings_text,
+    read_settings_text,
+)
 from dalehollow.telemetry.logs import LEVELS
 
 ROLES = ("entry", "sidecar")
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
 
 @dataclass(frozen=True)
@@ -51,25 +53,12 @@
 
 def read_settings(path: str) -> Settings:
     """Read a settings file; raise SettingsError with every mistake in it."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as exc:
-        raise SettingsError(f"settings file {path!r} cannot be read: {exc.strerror}") from exc
-    return parse_settings(text)
+    return parse_settings(read_settings_text(path))
 
 
 def parse_settings(text: str) -> Settings:
     """Check settings given as text; raise SettingsError with every mistake in it."""
-    try:
-        raw, _ = parse_jsonc(text)
-    except JsoncError as exc:
-        message = f"settings are not JSON with comments, line {exc.line}: {exc}"
-        raise SettingsError(message) from exc
-    if not isinstance(raw, dict):
-        raise SettingsError(f"settings are {raw!r}, must be an object")
-    mistakes = _find_mistakes(raw)
-    if mistakes:
-        raise SettingsError("; ".join(mistakes))
+    raw = parse_settings_text(text, _find_mistakes)
     values: dict[str, Any] = {k: tuple(v) if isinstance(v, list) else v for k, v in raw.items()}
     return Settings(**values)
 
@@ -92,22 +81,18 @@
 def _check_value(name: str, value: Any, kind: str) -> list[str]:
     choices = {"role": ROLES, "log_level": LEVELS}.get(name)
     if choices is not None:
-        return [] if value in choices else [f"{name!r} is {value!r}, choices: {', '.join(choices)}"]
+        return check_choice(name, value, choices)
     if kind == "int":
         whole = isinstance(value, int) and not isinstance(value, bool) and value >= 0
         return [] if whole else [f"{name!r} is {value!r}, must be a whole number from 0"]
     if name == "peers":
-        is_list = isinstance(value, list) and all(_is_address(v) for v in value)
+        is_list = isinstance(value, list) and all(is_address(v) for v in value)
         return [] if is_list else [f"{name!r} is {value!r}, must be a list of addresses"]
     if name in ("http", "control", "platform", "upstream_http", "advertise_http"):
-        return [] if _is_address(value) else [f"{name!r} is {value!r}, must be like 127.0.0.1:80"]
+        return check_address(name, value)
     return [] if isinstance(value, str) else [f"{name!r} is {value!r}, must be text"]
 
 
-def _is_address(value: Any) -> bool:
-    return isinstance(value, str) and _ADDRESS.fullmatch(value) is not None
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Split host:port."""
     host, _, port = address.rpartition(":")
