--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -79,6 +79,10 @@
         self._members: dict[str, Member] = {}
         self._holders: dict[str, str] = {}
         self._planners: dict[str, GroupPlanner] = {}
+        self._feed = HallFeed(
+            settings.name, time.monotonic, rng, lambda changes: self._reports.send_near(changes)
+        )
+        self._copies = ConfigCopies(rng)
         self._reports = PeerReports(
             settings.name,
             settings.hall,
@@ -86,12 +90,9 @@
             self.state.health,
             self.state.grant_all,
             settings.report_bytes_per_s,
+            self._feed,
+            self._copies,
         )
-        self._feed = HallFeed(settings.name, time.monotonic, rng, self._reports.send_near)
-        self._reports.feed = self._feed
-        self._copies = ConfigCopies(rng)
-        self._reports.copies = self._copies
-        self._copies.on_kept = self._reports.note_change
         self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.note_change
 
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -79,10 +79,13 @@
         health: GroupHealth,
         on_change: Callable[[], None],
         far_bytes_per_s: float,
+        feed: HallFeed,
+        copies: ConfigCopies,
     ) -> None:
         """Prepare; `on_change` is called after each report that was taken in.
 
-        Reports to other halls stay within `far_bytes_per_s`.
+        Reports to other halls stay within `far_bytes_per_s`. What they tell of the store goes to
+        `feed`, what of configurations to `copies`.
         """
         self._name = name
         self._hall = hall
@@ -91,16 +94,15 @@
         self._upstreams = upstreams
         self._health = health
         self._on_change = on_change
-        self.feed: HallFeed | None = None
-        self.copies: ConfigCopies | None = None
+        self._feed = feed
+        self._copies = copies
+        copies.on_kept = self.note_change
         self._transport: asyncio.DatagramTransport | None = None
         self._near: dict[str, _Address] = {}
         self._far: dict[str, _FarHall] = {}
         self._near_reports: dict[str, _Reported] = {}
         self._hall_reports: dict[str, _Reported] = {}
         self._changed = asyncio.Event()
-        self.sent = 0
-        self.received = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
@@ -114,13 +116,12 @@
         except msgspec.MsgspecError as exc:
             log_event(_LOG, "report_unreadable", logging.WARNING, sender=addr[0], error=exc)
             return
-        self.received += 1
         if isinstance(message, LoadReport):
             self._take_load(message)
         elif isinstance(message, HallReport):
             self._take_hall(message, addr)
-        elif self.feed is not None:
-            self.feed.take_changes(message)
+        else:
+            self._feed.take_changes(message)
 
     def error_received(self, exc: Exception) -> None:
         """Note a datagram that could not be delivered; the peer's silence tells the rest."""
@@ -174,13 +175,12 @@
         near = self._near.get(report.sender)
         if near is not None:
             self._note_config(near, report.config_revision)
-        if self.feed is not None:
-            self.feed.note_peer(report.sender)
-            if report.relay is not None:
-                self.feed.note_relay(report.sender, report.relay)
-            if self.feed.relay_state() is not None:
-                # What this relay tells other halls has changed too.
-                self._changed.set()
+        self._feed.note_peer(report.sender)
+        if report.relay is not None:
+            self._feed.note_relay(report.sender, report.relay)
+        if self._feed.relay_state() is not None:
+            # What this relay tells other halls has changed too.
+            self._changed.set()
         self._on_change()
 
     def _take_hall(self, report: HallReport, addr: _Address) -> None:
@@ -198,8 +198,7 @@
 
     def _note_config(self, address: _Address, revision: int) -> None:
         """Note what a gateway has; it serves its copy at the port of its datagrams."""
-        if self.copies is not None:
-            self.copies.note_told(f"{address[0]}:{address[1]}", revision)
+        self._copies.note_told(f"{address[0]}:{address[1]}", revision)
 
     def _take_health(
         self, served_age_s: Mapping[str, float], refused_age_s: Mapping[str, float]
@@ -217,13 +216,13 @@
         in_hand = {u.listed.incarnation: u.in_hand for u in self._upstreams if u.in_hand}
         served = _list_ages(self._health.served_at_s, now_s)
         refused = _list_ages(self._health.refused_at_s, now_s)
-        relay = self.feed.relay_state() if self.feed is not None else None
+        relay = self._feed.relay_state()
         unknown = {
             u.listed.incarnation: (u.unknown, round(now_s - u.unknown_at_s, 3))
             for u in self._upstreams
             if now_s - u.unknown_at_s < TOLD_LIFE_S
         }
-        config = self.copies.revision if self.copies is not None else 0
+        config = self._copies.revision
         self.send_near(LoadReport(self._name, in_hand, served, refused, unknown, relay, config))
         if relay is not None and now_s >= self._far_from_s:
             total = Counter(in_hand)
@@ -242,7 +241,6 @@
     def _send(self, data: bytes, address: _Address) -> None:
         if self._transport is not None:
             self._transport.sendto(data, address)
-            self.sent += 1
 
     def _replace(
         self,
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -174,10 +174,6 @@
         if reading.changes:
             await asyncio.sleep(BATCH_PAUSE_S)
 
-    def close(self) -> None:
-        """Drop the connection."""
-        self._store.close()
-
     def _take_all(self, reading: Reading) -> None:
         """Take all items in; what is known and not among them is gone, unless it came later."""
         self._take_changes(self._feed.select_fresh(reading.changes))
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -205,14 +205,19 @@
         """Start a gateway and let all others know of it."""
         loop = asyncio.get_running_loop()
         rng = random.Random(f"{name}{self.rng.random()}")
+        feed = HallFeed(name, loop.time, rng, lambda changes: reports.send_near(changes))
+        copies = ConfigCopies(rng, lambda address, _: self.connect_peer(name, address))
         reports = PeerReports(
-            name, hall, UpstreamSet(rng, hall), GroupHealth(), lambda: None, far_bytes_per_s=16e3
+            name,
+            hall,
+            UpstreamSet(rng, hall),
+            GroupHealth(),
+            lambda: None,
+            far_bytes_per_s=16e3,
+            feed=feed,
+            copies=copies,
         )
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
-        feed = HallFeed(name, loop.time, rng, reports.send_near)
-        copies = ConfigCopies(rng, lambda address, _: self.connect_peer(name, address))
-        reports.feed, reports.copies = feed, copies
-        copies.on_kept = reports.note_change
         self._ports += 1
         gateway = WorldGateway(name, hall, self._ports, feed, reports, copies, None)  # type: ignore[arg-type]
         gateway.follower = Follower(name, "", self._make_listener(gateway), feed, copies)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from dalehollow.gateway import reports
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -59,15 +60,21 @@
 def _run(scenario: Callable[[_Bench], Awaitable[None]]) -> None:
     async def run() -> None:
         upstreams = UpstreamSet(random.Random(1), "hall-1")
+        clock = ManualClock()
+        feed = HallFeed("gw", clock, random.Random(1), lambda c: peer_reports.send_near(c))
         peer_reports = PeerReports(
-            "gw", "hall-1", upstreams, GroupHealth(), lambda: None, far_bytes_per_s=1e9
+            "gw",
+            "hall-1",
+            upstreams,
+            GroupHealth(),
+            lambda: None,
+            far_bytes_per_s=1e9,
+            feed=feed,
+            copies=ConfigCopies(random.Random(1)),
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
-        clock = ManualClock()
-        feed = HallFeed("gw", clock, random.Random(1), peer_reports.send_near)
         bench = _Bench(peer_reports, upstreams, feed, socket, clock)
-        peer_reports.feed = feed
         for name, address, hall in (
             ("near", NEAR, "hall-1"),
             ("near-2", NEAR_2, "hall-1"),
