--- a/dalehollow/gateway/copies.py
+++ b/dalehollow/gateway/copies.py
@@ -24,7 +24,7 @@
 missing after this was refused or lost twice."""
 RETRY_PAUSE_S = 0.1
 """Pause after a fetch that failed, before another gateway that has the value is asked."""
-HOLDER_LIFE_S = 1.0
+SOURCE_LIFE_S = 1.0
 """A gateway that has not said for so long that it has the value is not asked for it: four of its
 reports are missing."""
 FETCH_TIMEOUT_S = 0.3
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True)
-class _Holder:
+class _Source:
     """Hold where a newer configuration is to be had, and when that was last heard."""
 
     revision: int
@@ -52,7 +52,7 @@
         self._rng = rng
         self._dial = dial
         self._own: Change | None = None
-        self._holders: dict[str, _Holder] = {}
+        self._sources: dict[str, _Source] = {}
         self._lacks = asyncio.Event()
         # Both are set by whoever makes use of them.
         self.on_copy: Callable[[Change], None] = lambda change: None
@@ -75,9 +75,9 @@
         A gateway that knows no configuration at all knows no upstreams either: it reads the store.
         """
         if not self.revision or revision <= self.revision:
-            self._holders.pop(address, None)
+            self._sources.pop(address, None)
             return
-        self._holders[address] = _Holder(revision, asyncio.get_running_loop().time())
+        self._sources[address] = _Source(revision, asyncio.get_running_loop().time())
         self._lacks.set()
 
     async def run(self) -> None:
@@ -85,11 +85,11 @@
         while True:
             await self._lacks.wait()
             self._lacks.clear()
-            wanted = max((h.revision for h in self._holders.values()), default=0)
+            wanted = max((h.revision for h in self._sources.values()), default=0)
             if wanted <= self.revision:
                 continue
             await asyncio.sleep(COPY_AFTER_S)
-            while self.revision < wanted and (address := self._choose_holder(wanted)):
+            while self.revision < wanted and (address := self._choose_source(wanted)):
                 if await self._fetch(address):
                     break
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -101,11 +101,11 @@
             return
         caller.send_whole(HTTPStatus.OK, [], pack_changes((self._own,)))
 
-    def _choose_holder(self, wanted: int) -> str:
+    def _choose_source(self, wanted: int) -> str:
         """Return where a revision is to be had, or "" where nobody is heard that has it."""
-        since_s = asyncio.get_running_loop().time() - HOLDER_LIFE_S
-        self._holders = {a: h for a, h in self._holders.items() if h.heard_at_s > since_s}
-        having = sorted(a for a, h in self._holders.items() if h.revision >= wanted)
+        since_s = asyncio.get_running_loop().time() - SOURCE_LIFE_S
+        self._sources = {a: h for a, h in self._sources.items() if h.heard_at_s > since_s}
+        having = sorted(a for a, h in self._sources.items() if h.revision >= wanted)
         return self._rng.choice(having) if having else ""
 
     async def _fetch(self, address: str) -> bool:
@@ -116,9 +116,9 @@
                 self.on_copy(change)
         except (OSError, TimeoutError, ValueError) as exc:
             error = str(exc) or "timed out"
-            log_event(_LOG, "copy_failed", logging.WARNING, holder=address, error=error)
+            log_event(_LOG, "copy_failed", logging.WARNING, source=address, error=error)
             return False
-        log_event(_LOG, "copy_taken", holder=address, before=before, revision=self.revision)
+        log_event(_LOG, "copy_taken", source=address, before=before, revision=self.revision)
         return True
 
     async def _call(self, address: str) -> bytes:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -14,24 +14,19 @@
 from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
-from dalehollow.gateway.groups import GroupRanks
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.outcome import refuse
-from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
-from dalehollow.gateway.planner import GroupPlanner
+from dalehollow.gateway.planners import GroupPlanners
 from dalehollow.gateway.reports import PeerReports
 from dalehollow.gateway.settings import GatewaySettings
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.status import StatusSources, make_status_handler, watch_gauges
-from dalehollow.gateway.table import CallerLimits, ExpertFigures, RoutingTable
+from dalehollow.gateway.table import CallerLimits, RoutingTable
 from dalehollow.gateway.tasks import keep_running
 from dalehollow.gateway.upstreams import UpstreamSet
-from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.follow import Follower, Listener
 from dalehollow.platform.names import ALL_KEYS, HEADERS
-from dalehollow.platform.ranks import RankClient
 from dalehollow.platform.session import Session
-from dalehollow.rendezvous import count_before
 from dalehollow.telemetry.logs import log_event
 
 _MS_PER_S = 1000
@@ -77,8 +72,6 @@
         self._askers: set[CallerConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._members: dict[str, Member] = {}
-        self._holders: dict[str, str] = {}
-        self._planners: dict[str, GroupPlanner] = {}
         self._feed = HallFeed(
             settings.name, time.monotonic, rng, lambda changes: self._reports.send_near(changes)
         )
@@ -119,7 +112,7 @@
         ready.close()
         status.close()
         self._peer_server.close()
-        for task in self._tasks:
+        for task in (*self._tasks, *self._planners.tasks):
             task.cancel()
 
     async def _listen_status(self) -> asyncio.Server:
@@ -127,9 +120,9 @@
             name=self._settings.name,
             hall=self._settings.hall,
             state=self.state,
-            planners=self._planners,
+            planners=self._planners.by_group,
             members=self._members,
-            holders=self._holders,
+            holders=self._planners.holders,
             is_ready=self.is_ready,
             store_age_s=self._feed.age_s,
             store_calls=lambda: self._follower.calls,
@@ -152,8 +145,8 @@
             self._take_upstream,
             state.upstreams.remove,
             self._note_member,
-            self._note_holder,
-            self._note_plan,
+            self._planners.note_holder,
+            self._planners.note_plan,
         )
         self._follower = Follower(
             self._settings.store, ALL_KEYS, listener, self._feed, self._copies
@@ -168,6 +161,7 @@
         address = await self._bind_peer_port()
         member = Member(address, self._settings.hall)
         self._session = Session(self._settings.store, self._settings.name, member)
+        self._planners = GroupPlanners(self._settings, self.state, self._session, self._members)
         self._tasks.append(keep_running("reports", self._reports.run))
 
     async def _bind_peer_port(self) -> str:
@@ -196,24 +190,12 @@
         if self.state.table is None:
             return
         for upstream in self.state.upstreams:
-            self._plan_group_of(upstream.listed)
-
-    def _plan_group_of(self, listed: ListedUpstream) -> None:
-        """Start the planner of a rank's group, once its service's experts are known."""
-        key, table = listed.group_key, self.state.table
-        if not listed.group or table is None or key in self._planners:
-            return
-        service = table.services.get(listed.service)
-        experts = service.engine.experts if service and service.engine else None
-        if experts is None:
-            return
-        self._planners[key] = self._make_planner(listed, experts)
-        self._tasks.append(keep_running(f"planner-{key}", self._planners[key].run))
+            self._planners.plan_group_of(upstream.listed)
 
     def _take_upstream(self, listed: ListedUpstream) -> None:
         before = self.state.upstreams.find(listed.incarnation)
         self.state.upstreams.put(listed)
-        self._plan_group_of(listed)
+        self._planners.plan_group_of(listed)
         if not listed.group or before is None or before == listed:
             return
         now_s = asyncio.get_running_loop().time()
@@ -221,43 +203,10 @@
         if listed.group_is_open and is_new_epoch:
             self.state.health.note_served(listed.group_key, now_s)
             self.state.grant_all()
-            if listed.group_key in self._planners:
-                self._planners[listed.group_key].note_epoch(listed.group_epoch)
+            self._planners.note_epoch(listed)
         elif not listed.group_is_open and before.group_is_open:
             self.state.health.note_refused(listed.group_key, now_s)
 
-    def _make_planner(self, listed: ListedUpstream, figures: ExpertFigures) -> GroupPlanner:
-        key, service = listed.group_key, listed.service
-        ranks = GroupRanks(self.state.upstreams, key)
-        settings = self._settings
-        return GroupPlanner(
-            duty=key,
-            duties=self._session,
-            holder=lambda: self._holders.get(key),
-            turn=lambda: self._count_duty_turn(key),
-            port=RankClient(figures.layers, ranks, settings.link_mbps),
-            ranks=ranks.read,
-            figures=figures,
-            policy=_make_plan_policy(settings),
-            rng=self.state.rng,
-            rhythm=self.state.rhythm(listed),
-            load=lambda: self.state.upstreams.load_of_group(key),
-            pause_objective_s=lambda: self.state.pause_objective_s(service),
-        )
-
-    def _count_duty_turn(self, group_key: str) -> int:
-        """Return how many gateways come before this one for the duty of a group.
-
-        Those of the hall where most of its ranks stand come first: their streams tell how long
-        its passes last, and their orders and counts cross no hall.
-        """
-        home = self.state.upstreams.home_hall(group_key)
-        own_name, own_hall = self._settings.name, self._settings.hall
-        is_home = own_hall == home
-        peers = [n for n, m in self._members.items() if (m.hall == home) == is_home]
-        first = 0 if is_home else len(self._members) - len(peers)
-        return first + count_before(peers, own_name, group_key)
-
     def _note_member(self, name: str, member: Member | None) -> None:
         if member is None:
             self._members.pop(name, None)
@@ -274,21 +223,6 @@
             count=len(self._members),
         )
 
-    def _note_plan(self, duty: str, plan: KeptPlan) -> None:
-        # A duty bears the key of its group.
-        self.state.upstreams.note_slow_ranks(duty, plan.slow_ranks)
-        self.state.move_from_slow_ranks(duty)
-        if duty in self._planners:
-            self._planners[duty].note_kept_demand(plan.demand)
-
-    def _note_holder(self, duty: str, holder: str | None) -> None:
-        if holder is None:
-            self._holders.pop(duty, None)
-            if duty in self._planners:
-                self._planners[duty].note_vacancy()
-        else:
-            self._holders[duty] = holder
-
     async def _listen(
         self, address: str, handler: Handler, connections: set[CallerConnection]
     ) -> asyncio.Server:
@@ -328,8 +262,7 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         self._is_stopping = True
-        for planner in self._planners.values():
-            planner.stop()
+        self._planners.stop()
         last_s = began_s + self._settings.stop_grace_ms / _MS_PER_S - STOP_MARGIN_S
         log_event(_LOG, "stopping", in_hand=self._count_busy())
         self._close_idle()
@@ -352,25 +285,6 @@
         return sum(1 for caller in self._callers if caller.is_busy)
 
 
-def _make_plan_policy(settings: GatewaySettings) -> PlanPolicy:
-    return PlanPolicy(
-        calm=PlanTerms(
-            settings.plan_interval_ms / _MS_PER_S,
-            settings.plan_begin_gain,
-            settings.plan_copy_price_mb,
-        ),
-        pressed=PlanTerms(
-            settings.plan_pressed_interval_ms / _MS_PER_S,
-            settings.plan_pressed_begin_gain,
-            settings.plan_pressed_copy_price_mb,
-        ),
-        pressed_share=settings.plan_pressed_share,
-        sampled_share=settings.plan_sampled_share,
-        memory=settings.plan_memory,
-        copy_s=settings.plan_copy_ms / _MS_PER_S,
-    )
-
-
 def _read_address(server: asyncio.Server) -> str:
     host, port = server.sockets[0].getsockname()[:2]
     return f"{host}:{port}"
--- a/tests/test_rank_groups.py
+++ b/tests/test_rank_groups.py
@@ -185,12 +185,12 @@
         for number in range(4):
             gateway._note_member(f"near-{number}", Member("127.0.0.1:9", "hall"))
             gateway._note_member(f"far-{number}", Member("127.0.0.1:9", "elsewhere"))
-        assert gateway._count_duty_turn("desk/g1") <= 4
+        assert gateway._planners._count_duty_turn("desk/g1") <= 4
         for rank in range(2):
             entry = {"name": "g1", "epoch": 1, "rank": rank, "state": "open"}
             bench.list_server(f"g1-{rank}", "127.0.0.1:9", group=entry, size=2, zone="elsewhere")
         await bench.until(lambda: gateway.state.upstreams.home_hall("desk/g1") == "elsewhere")
-        assert gateway._count_duty_turn("desk/g1") >= 4
+        assert gateway._planners._count_duty_turn("desk/g1") >= 4
 
     run_bench(scenario)
 
@@ -212,11 +212,11 @@
 def test_one_gateway_plans_both_groups_and_takes_one_duty_over_alone() -> None:
     async def scenario(bench: GatewayBench) -> None:
         bench.store.put("dalehollow/duties/desk/g0", b"another")
-        await bench.until(lambda: bench.gateway._holders.get("desk/g0") == "another")
+        await bench.until(lambda: bench.gateway._planners.holders.get("desk/g0") == "another")
         service = {"name": "desk", "maxConnections": 9, "engine": _ENGINE}
         await bench.apply(make_config(2, services=[service]))
         _list_groups(bench)
-        await bench.until(lambda: set(bench.gateway._planners) == {"desk/g0", "desk/g1"})
+        await bench.until(lambda: set(bench.gateway._planners.by_group) == {"desk/g0", "desk/g1"})
         session = bench.gateway._session
         await bench.until(lambda: session.fence("desk/g1") is not None)
         assert session.fence("desk/g0") is None
@@ -232,9 +232,9 @@
         service = {"name": "desk", "maxConnections": 9, "engine": _ENGINE}
         await bench.apply(make_config(2, services=[service]))
         _list_groups(bench)
-        await bench.until(lambda: len(bench.gateway._planners) == 2)
-        bench.gateway._note_plan("desk/g0", KeptPlan(((9, 0, 0, 0),)))
-        planners = bench.gateway._planners
+        await bench.until(lambda: len(bench.gateway._planners.by_group) == 2)
+        bench.gateway._planners.note_plan("desk/g0", KeptPlan(((9, 0, 0, 0),)))
+        planners = bench.gateway._planners.by_group
         assert planners["desk/g0"]._kept and not planners["desk/g1"]._kept
 
     run_bench(scenario)
