--- a/dalehollow/cli.py
+++ b/dalehollow/cli.py
@@ -30,7 +30,7 @@
 from dalehollow.protocol.link import PeerLink
 from dalehollow.settings import ROLES, Settings, read_settings
 from dalehollow.telemetry.logs import setup_logs
-from dalehollow.telemetry.story import collect_story, explain_end
+from dalehollow.telemetry.trace import collect_trace, explain_end
 from dalehollow.web import HttpClient
 
 EXIT_FAILED = 1
@@ -196,11 +196,11 @@
 
 def _explain_from_logs(request_id: str, files: Sequence[str]) -> None:
     lines = [line for file in files for line in _read_file(file).splitlines()]
-    story = collect_story(str(request_id), lines)
-    for line in story:
+    trace = collect_trace(str(request_id), lines)
+    for line in trace:
         print(line.text)
-    print(explain_end(story))
-    if not story:
+    print(explain_end(trace))
+    if not trace:
         sys.exit(EXIT_FAILED)
 
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -13,7 +13,7 @@
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
-from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstreams import Move, Upstream
@@ -203,14 +203,14 @@
             self._caller.begin_stream(
                 head.status, _end_to_end(head), length=int(length) if length else None
             )
-        rhythm = self._state.rhythm(upstream.listed)
+        pass_times = self._state.pass_times_of(upstream.listed)
         last_s = None
         while (piece := await connection.read_piece()) is not None:
             events = splitter.feed(piece)
             if events:
                 now_s = self._clock()
                 if last_s is not None:
-                    self._note_pause(rhythm, now_s - last_s)
+                    self._note_pause(pass_times, now_s - last_s)
                 elif not self._progress.first_piece_at_s:
                     outcome.note_first_piece(self._state, self._job, self._progress)
                     self._note_begun()
@@ -223,8 +223,8 @@
         begin_s = self._clock() - self._sent_at_s
         self._state.admission(self._job.service).note_begun(begin_s)
 
-    def _note_pause(self, rhythm: Rhythm, pause_s: float) -> None:
-        rhythm.note_pause(pause_s)
+    def _note_pause(self, pass_times: PassTimes, pause_s: float) -> None:
+        pass_times.note_pause(pause_s)
         self._progress.longest_pause_s = max(self._progress.longest_pause_s, pause_s)
 
     def _may_repeat(self, *, is_answered: bool = False) -> bool:
--- a/dalehollow/gateway/rhythm.py
+++ b/dalehollow/gateway/pass_times.py
@@ -29,7 +29,7 @@
 
 
 @dataclass
-class Rhythm:
+class PassTimes:
     """Hold the recent pauses between pieces, and what they were after the last switch.
 
     Passes last longer the more requests each rank runs, so lengths are compared for the same
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -11,8 +11,8 @@
 from typing import Protocol
 
 from dalehollow.gateway.demand import Demand, DemandWindow, scale_demand
+from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms, choose_bounds
-from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.gateway.tasks import wait_set
@@ -87,7 +87,7 @@
     figures: ExpertFigures
     policy: PlanPolicy
     rng: random.Random
-    rhythm: Rhythm
+    pass_times: PassTimes
     load: Callable[[], float]
     # The longest pause between pieces that callers take well, 0 where none is known.
     pause_objective_s: Callable[[], float]
@@ -116,8 +116,8 @@
     def __post_init__(self) -> None:
         """Begin without demand."""
         self._window = DemandWindow(self.policy.memory)
-        self._steps = StepClock(self.rhythm)
-        self.rhythm.on_slower = self._note_slower
+        self._steps = StepClock(self.pass_times)
+        self.pass_times.on_slower = self._note_slower
 
     def stop(self) -> None:
         """Plan no more; a switch in hand is brought to its end, then the duty is given up."""
@@ -332,7 +332,7 @@
         log_event(_LOG, "map_switch", duty=self.duty, outcome=outcome, epoch=self._epoch)
         if outcome is SwitchOutcome.SWITCHED:
             self.current = planned
-            self.rhythm.settle()
+            self.pass_times.settle()
             self._is_slower = False
             if not self._must_look:
                 # Passes were long under the map before; the new one is looked at in its turn.
--- a/dalehollow/gateway/planners.py
+++ b/dalehollow/gateway/planners.py
@@ -94,7 +94,7 @@
             figures=figures,
             policy=_make_plan_policy(settings),
             rng=self._state.rng,
-            rhythm=self._state.rhythm(listed),
+            pass_times=self._state.pass_times_of(listed),
             load=lambda: self._state.upstreams.load_of_group(key),
             pause_objective_s=lambda: self._state.pause_objective_s(service),
         )
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -12,8 +12,8 @@
 from dalehollow.gateway.headers import HeaderNames
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, read_service
+from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
-from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import EngineFigures, RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.telemetry.logs import log_event
@@ -59,7 +59,7 @@
     table: RoutingTable | None = None
     table_at_s: float = 0.0
     admissions: dict[str, Admission] = field(default_factory=dict)
-    rhythms: dict[str, Rhythm] = field(default_factory=dict)
+    pass_times: dict[str, PassTimes] = field(default_factory=dict)
     on_change: Callable[[], None] = _do_nothing
     # What is known of the store just now, for the log lines of requests that are refused.
     describe_store: Callable[[], dict[str, object]] = dict
@@ -107,18 +107,18 @@
             self.admissions[service] = admission
         return admission
 
-    def rhythm(self, listed: ListedUpstream) -> Rhythm:
+    def pass_times_of(self, listed: ListedUpstream) -> PassTimes:
         """Return what follows the passes of an upstream's group, or of the upstream alone."""
         key, service = listed.group_key, listed.service
-        rhythm = self.rhythms.get(key)
-        if rhythm is None:
-            rhythm = Rhythm(
+        pass_times = self.pass_times.get(key)
+        if pass_times is None:
+            pass_times = PassTimes(
                 asyncio.get_running_loop().time,
                 lambda: self.upstreams.mean_batch(key),
                 lambda batch: self._pass_ms(service, batch),
             )
-            self.rhythms[key] = rhythm
-        return rhythm
+            self.pass_times[key] = pass_times
+        return pass_times
 
     def expected_run_s(self, service: str, tokens: int, events: int = 0) -> float:
         """Return how long so many tokens take at the present pace, 0 where that is unknown.
@@ -129,7 +129,7 @@
         if engine is None:
             return 0.0
         groups = self.upstreams.groups_of(service)
-        known = [self.rhythms[g].pass_s() for g in groups if g in self.rhythms]
+        known = [self.pass_times[g].pass_s() for g in groups if g in self.pass_times]
         passes_s = [pass_s for pass_s in known if pass_s is not None]
         if not passes_s:
             return 0.0
--- a/dalehollow/gateway/steps.py
+++ b/dalehollow/gateway/steps.py
@@ -6,7 +6,7 @@
 import math
 from dataclasses import dataclass
 
-from dalehollow.gateway.rhythm import Rhythm
+from dalehollow.gateway.pass_times import PassTimes
 
 FALLBACK_STEP_S = 0.1
 SWITCH_MARGIN_S = 0.06
@@ -25,7 +25,7 @@
 class StepClock:
     """Hold the last step that was read, and how long steps took between readings."""
 
-    rhythm: Rhythm
+    pass_times: PassTimes
     is_standing_still: bool = False
     _last: tuple[float, int] | None = None
     _measured_s: float | None = None
@@ -48,8 +48,8 @@
 
         With less than a request a rank the group may have rested between steps.
         """
-        told_s = self.rhythm.longest_s()
-        if told_s is None and self.rhythm.mean_batch() >= 1:
+        told_s = self.pass_times.longest_s()
+        if told_s is None and self.pass_times.mean_batch() >= 1:
             return self._measured_s
         return told_s
 
@@ -59,8 +59,8 @@
         The pieces of this gateway's own streams may be too few to tell. With less than a request
         a rank the group may have rested between steps.
         """
-        batch = self.rhythm.mean_batch()
-        usual_s = self.rhythm.pass_ms(batch) / _MS_PER_S
+        batch = self.pass_times.mean_batch()
+        usual_s = self.pass_times.pass_ms(batch) / _MS_PER_S
         return batch >= 1 and self.step_s > SUSPECT_LENGTH * usual_s
 
     def has_begun(self, step: int) -> bool:
@@ -85,4 +85,4 @@
 
     def _expected_s(self) -> float:
         """Return how long the next steps will take, by own streams rather than by readings."""
-        return self.rhythm.pass_s() or self.step_s
+        return self.pass_times.pass_s() or self.step_s
--- a/dalehollow/telemetry/story.py
+++ b/dalehollow/telemetry/trace.py
@@ -45,7 +45,7 @@
     return LogLine(pairs, text[start:].rstrip()) if "event" in pairs else None
 
 
-def collect_story(request_id: str, lines: Iterable[str]) -> list[LogLine]:
+def collect_trace(request_id: str, lines: Iterable[str]) -> list[LogLine]:
     """Return the lines about one request, in order of time."""
     found = []
     for text in lines:
@@ -56,11 +56,11 @@
     return sorted(found, key=lambda line: line.pairs["time"])
 
 
-def explain_end(story: list[LogLine]) -> str:
+def explain_end(trace: list[LogLine]) -> str:
     """Say in a sentence how a request ended and why."""
-    if not story:
+    if not trace:
         return "no line tells of this request: it was ordinary and not sampled, or left out"
-    last = story[-1].pairs
+    last = trace[-1].pairs
     reason = last.get("reason", "")
     why = CAUSES.get(reason, reason or "no reason is given")
     what = {
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,4 +1,4 @@
-"""Check the small parts of a gateway: settings, tables, events, repeats, rhythm."""
+"""Check the small parts of a gateway: settings, tables, events, repeats, pass times."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 from dalehollow.errors import SettingsError
 from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
-from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.settings import list_unknown, parse_gateway_settings
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.table import RequestKind
@@ -184,25 +184,25 @@
 
 def test_passes_that_grow_longer_for_their_batch_are_noticed() -> None:
     now_s, batch, noticed = 100.0, 2.0, []
-    rhythm = Rhythm(lambda: now_s, lambda: batch, lambda b: 20.0 * b)
-    rhythm.on_slower = lambda: noticed.append(now_s)
+    pass_times = PassTimes(lambda: now_s, lambda: batch, lambda b: 20.0 * b)
+    pass_times.on_slower = lambda: noticed.append(now_s)
     for _ in range(20):
         now_s += 0.05
-        rhythm.note_pause(0.040)
+        pass_times.note_pause(0.040)
     batch = 4.0
     for _ in range(20):
         now_s += 0.05
-        rhythm.note_pause(0.080)
+        pass_times.note_pause(0.080)
     assert noticed == []
     for _ in range(20):
         now_s += 0.05
-        rhythm.note_pause(0.160)
+        pass_times.note_pause(0.160)
     assert noticed
-    rhythm.settle()
+    pass_times.settle()
     noticed.clear()
     for _ in range(40):
         now_s += 0.05
-        rhythm.note_pause(0.160)
+        pass_times.note_pause(0.160)
     assert noticed == []
 
 
@@ -233,9 +233,9 @@
         service["engine"] = {**engine, "read_per_s": 1e6, "stride": 5}
         state.take_table(decode_config(msgspec.json.encode(make_config(services=[service]))))
         state.upstreams.put(ListedUpstream("u", "desk", "127.0.0.1:9", "hall", 4, False))
-        rhythm = state.rhythm(state.upstreams.of_service("desk")[0].listed)
+        pass_times = state.pass_times_of(state.upstreams.of_service("desk")[0].listed)
         for _ in range(10):
-            rhythm.note_pause(0.1)
+            pass_times.note_pause(0.1)
         assert state.expected_run_s("desk", 50) == pytest.approx(1.0)
         assert state.expected_run_s("desk", 50, events=7) == pytest.approx(0.3)
         assert state.expected_run_s("desk", 50, events=20) == 0.0
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Check that log lines are bounded, never wait for a reader, and can be joined to a story."""
+"""Check that log lines are bounded, never wait for a reader, and can be joined to a trace."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from dalehollow.telemetry import logs
 from dalehollow.telemetry.logs import LineWriter, log_event
-from dalehollow.telemetry.story import collect_story, explain_end, parse_line
+from dalehollow.telemetry.trace import collect_trace, explain_end, parse_line
 
 
 def _record(text: str, level: int = logging.INFO) -> logging.LogRecord:
@@ -75,7 +75,7 @@
     assert line.pairs["process"] == "gw"
 
 
-STORY = [
+LINES = [
     "time=2026-01-01T00:00:02.000Z level=info process=gw-2 event=request_failed request=r1 "
     "status=503 reason=no_place_in_time",
     "time=2026-01-01T00:00:01.000Z level=info process=gw-1 event=request_refused request=r1 "
@@ -87,11 +87,11 @@
 
 
 def test_lines_of_several_processes_become_a_story() -> None:
-    story = collect_story("r1", STORY)
-    assert [line.pairs["process"] for line in story] == ["gw-1", "gw-2"]
-    assert "status 503" in explain_end(story)
-    assert "expected wait was too long" in explain_end(story)
+    trace = collect_trace("r1", LINES)
+    assert [line.pairs["process"] for line in trace] == ["gw-1", "gw-2"]
+    assert "status 503" in explain_end(trace)
+    assert "expected wait was too long" in explain_end(trace)
 
 
 def test_a_request_without_lines_is_said_so() -> None:
-    assert "no line" in explain_end(collect_story("r9", STORY))
+    assert "no line" in explain_end(collect_trace("r9", LINES))
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -11,9 +11,9 @@
 import pytest
 
 from dalehollow.gateway import tasks
+from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
 from dalehollow.gateway.planner import GroupPlanner
-from dalehollow.gateway.rhythm import Rhythm
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.groups.ranks import KeptPlan, OrderReply, RankCounts, RankReport
 from tests.fake_ranks import FakeGroup
@@ -67,7 +67,7 @@
 ) -> None:
     async def run() -> None:
         group, duties = _CountingGroup(RANKS), _Duties()
-        rhythm = Rhythm(asyncio.get_running_loop().time, lambda: 1.0, lambda batch: 10.0)
+        pass_times = PassTimes(asyncio.get_running_loop().time, lambda: 1.0, lambda batch: 10.0)
         planner = GroupPlanner(
             duty="desk",
             duties=duties,
@@ -78,7 +78,7 @@
             figures=FIGURES,
             policy=POLICY,
             rng=random.Random(3),
-            rhythm=rhythm,
+            pass_times=pass_times,
             load=lambda: 0.9,
             pause_objective_s=lambda: 0.0,
         )
@@ -161,7 +161,7 @@
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         await _until(lambda: planner.changes >= 1)
         group.paces = (1.0, 1.0, 12.0, 1.0)
-        planner.rhythm.pass_ms = lambda batch: 0.001
+        planner.pass_times.pass_ms = lambda batch: 0.001
         await _until(lambda: bool(duties.kept) and duties.kept[-1].slow_ranks == (2,))
 
     _run(scenario)
@@ -255,12 +255,12 @@
         planner.pause_objective_s = lambda: 0.1
         assert planner._terms() is calm
         for _ in range(10):
-            planner.rhythm.note_pause(0.04)
+            planner.pass_times.note_pause(0.04)
         assert planner._terms() is calm
         for _ in range(10):
-            planner.rhythm.note_pause(0.09)
+            planner.pass_times.note_pause(0.09)
         assert planner._terms() is pressed
-        planner.rhythm._pieces.clear()
+        planner.pass_times._pieces.clear()
         assert planner._terms() is pressed
         planner._pressed_until_s = now_s
         assert planner._terms() is calm
