--- a/dalehollow/gateway/copies.py
+++ b/dalehollow/gateway/copies.py
@@ -52,6 +52,8 @@
         self._rng = rng
         self._dial = dial
         self._own: Change | None = None
+        # Of `_own`, made when it is first asked for: many may ask at once.
+        self._packed = b""
         self._sources: dict[str, _Source] = {}
         self._lacks = asyncio.Event()
         # Both are set by whoever makes use of them.
@@ -66,7 +68,7 @@
     def keep(self, change: Change) -> None:
         """Keep a configuration that was taken in, for the others."""
         if change.revision > self.revision:
-            self._own = change
+            self._own, self._packed = change, b""
             self.on_kept()
 
     def note_told(self, address: str, revision: int) -> None:
@@ -99,7 +101,8 @@
         if self._own is None:
             caller.send_whole(HTTPStatus.NOT_FOUND, [], b"")
             return
-        caller.send_whole(HTTPStatus.OK, [], pack_changes((self._own,)))
+        self._packed = self._packed or pack_changes((self._own,))
+        caller.send_whole(HTTPStatus.OK, [], self._packed)
 
     def _choose_source(self, wanted: int) -> str:
         """Return where a revision is to be had, or "" where nobody is heard that has it."""
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -164,3 +164,31 @@
     for revision in (3, 2, 3, 5):
         copies.keep(_make_change(revision))
     assert told == [3, 5]
+
+
+def test_a_copy_is_packed_once_and_anew_for_a_newer_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    packed: list[int] = []
+    pack = copies_module.pack_changes
+
+    def note_pack(changes: tuple[Change, ...]) -> bytes:
+        packed.append(changes[0].revision)
+        return pack(changes)
+
+    async def ask(address: str) -> bytes:
+        connection = await connect(address, TIMEOUT_S)
+        connection.send([b"GET /configuration HTTP/1.1\r\nHost: x\r\n\r\n"])
+        await connection.read_head()
+        body = await connection.read_body()
+        connection.abort()
+        return body
+
+    async def main() -> None:
+        copies = _make_copies(_make_change(3))
+        address = await listen(copies.answer)
+        assert await ask(address) == await ask(address) == pack((_make_change(3),))
+        copies.keep(_make_change(5))
+        assert await ask(address) == pack((_make_change(5),))
+
+    monkeypatch.setattr(copies_module, "pack_changes", note_pack)
+    asyncio.run(main())
+    assert packed == [3, 5]
