--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 import fire
 
 from soak.callers import Callers, count_served
-from soak.defects import DEFECTS
+from soak.defects import DEFECTS, LATE
 from soak.faults import Fault, draw_faults, play_fault
 from soak.promises import Violation, find_violations
 from soak.world import PROGRAM, World
@@ -100,7 +100,7 @@
     for name in DEFECTS:
         program = ("-m", "soak.defects", name, "run")
         for seed in range(1, most + 1):
-            if _play_one(seed, "", program, bounds=False).violations:
+            if _play_one(seed, "", program, bounds=name in LATE).violations:
                 print(f"defect {name}: found with seed {seed}")
                 break
         else:
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -11,8 +11,11 @@
 from typing import Any
 
 from dalehollow import cli
+from dalehollow.aio import client
 from dalehollow.gateway import outcome, table
+from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.state import GatewayState
+from dalehollow.platform import follow
 
 GO_BACK_S = 0.5
 
@@ -45,11 +48,27 @@
     GatewayState.take_table = take_and_go_back  # type: ignore[method-assign]
 
 
+def _read_history_in_a_hurry() -> None:
+    """Ask for all changes since the last reading, and give an answer up after a short time."""
+    follow.HISTORY_MAX_AGE_S = follow.SLOW_ANSWER_S = float("inf")
+    client.ANSWER_TIMEOUT_S = 0.1
+    _fetch_no_copies()
+
+
+def _fetch_no_copies() -> None:
+    """Learn of configurations from the store and the hall's relay only."""
+    ConfigCopies.note_told = lambda *args: None  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "false_refusals": _refuse_what_may_have_run,
     "runs_twice": _repeat_everything,
     "older_configuration": _go_back_a_version,
+    "history_in_a_hurry": _read_history_in_a_hurry,
+    "no_copies": _fetch_no_copies,
 }
+LATE = frozenset({"history_in_a_hurry", "no_copies"})
+"""Those that only the bounds in time can show."""
 
 
 if __name__ == "__main__":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from soak.peers import LOST_SHARE
 from soak.proxy import Mode
 from soak.world import Gateway, World
 from standins.server import Way
@@ -148,6 +149,30 @@
     gateway.store.set_mode(Mode.PASS)
 
 
+async def _break_store_path_of_hall(world: World, fault: Fault) -> None:
+    """Break the way to the store of all gateways of a hall; another hall may reach it."""
+    hall = _choose_gateway(world, fault).hall
+    mode = BROKEN_MODES[fault.target % len(BROKEN_MODES)]
+    gateways = [g for g in world.gateways.values() if g.hall == hall]
+    for gateway in gateways:
+        gateway.store.set_mode(mode)
+    names = [f"store of {gateway.name}" for gateway in gateways]
+    await asyncio.gather(*(_disturb(world, name, fault) for name in names))
+    for gateway in gateways:
+        gateway.store.set_mode(Mode.PASS)
+
+
+async def _lose_datagrams(world: World, fault: Fault) -> None:
+    """Lose a share of what a gateway and its peers tell each other, or all of it."""
+    gateway = _choose_gateway(world, fault)
+    proxy = world.network.proxies.get(gateway.name)
+    if proxy is None:
+        return
+    proxy.set_loss(LOST_SHARE if fault.target % 2 else 1.0)
+    await _disturb(world, f"peers of {gateway.name}", fault)
+    proxy.set_loss(0.0)
+
+
 async def _break_store(world: World, fault: Fault) -> None:
     world.store.fault = STORE_FAULTS[fault.target % len(STORE_FAULTS)]
     await _disturb(world, "store", fault)
@@ -199,6 +224,8 @@
     "kill": _kill,
     "stop": _stop,
     "store path": _break_store_path,
+    "store path of a hall": _break_store_path_of_hall,
+    "datagrams": _lose_datagrams,
     "store": _break_store,
     "history": _forget_history,
     "leases": _end_leases,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,6 +10,7 @@
 
 REFUSALS = frozenset({408, 421, 429, 503})
 OK = 200
+UNKNOWN_ROUTE = 404
 PLAIN_BODY = b"whole answer"
 CONTACT_S = 3.0
 """Bounds in time hold for who was left alone for so long before."""
@@ -85,7 +86,11 @@
         *_check_stops(ledger),
     ]
     if checks_bounds:
-        found += [*_check_config_bound(ledger), *_check_drain_bound(ledger)]
+        found += [
+            *_check_config_bound(ledger),
+            *_check_refused_routes(ledger),
+            *_check_drain_bound(ledger),
+        ]
     return found
 
 
@@ -153,10 +158,25 @@
             for version, at_s in ledger.applied_at_s.items()
             if version > a.version and a.sent_at_s - at_s > CONFIG_BOUND_S + MARGIN_S
         ]
-        if newer and _is_in_touch(ledger, a):
+        if newer and _can_know(ledger, a):
             yield Violation("configuration in time", f"{a.gateway}: {a.version}, not {newer}")
 
 
+def _check_refused_routes(ledger: Ledger) -> Iterator[Violation]:
+    """A route that was confirmed long ago is not refused as unknown while it is the newest."""
+    for a in ledger.asked:
+        if a.kind != "version" or a.status != UNKNOWN_ROUTE:
+            continue
+        is_newest = not any(
+            version > a.version and at_s < a.ended_at_s
+            for version, at_s in ledger.applied_at_s.items()
+        )
+        age_s = a.sent_at_s - ledger.applied_at_s.get(a.version, a.sent_at_s)
+        if is_newest and age_s > CONFIG_BOUND_S + MARGIN_S and _can_know(ledger, a):
+            detail = f"{a.gateway}: {a.version} unknown after {age_s:.1f} s"
+            yield Violation("configuration in time", detail)
+
+
 def _check_drain_bound(ledger: Ledger) -> Iterator[Violation]:
     by_id = {a.request_id: a for a in ledger.asked}
     for incarnation, left_at_s in ledger.leaving_at_s.items():
@@ -165,15 +185,32 @@
             late_s = arrival.at_s - left_at_s - DRAIN_BOUND_S
             if a is None or late_s <= MARGIN_S or a.sent_at_s < left_at_s:
                 continue
-            if _is_in_touch(ledger, a) and ledger.is_calm(
+            if _reaches_store(ledger, a.gateway, a) and ledger.is_calm(
                 incarnation, left_at_s - CONTACT_S, arrival.at_s
             ):
                 detail = f"{a.request_id} by {a.gateway} {late_s:.1f} s late at {incarnation}"
                 yield Violation("no new work when leaving", detail)
 
 
-def _is_in_touch(ledger: Ledger, a: Asked) -> bool:
-    names = (a.gateway, f"store of {a.gateway}", "store")
+def _reaches_store(ledger: Ledger, gateway: str, a: Asked) -> bool:
+    """Return whether a gateway reached the store all the time before a request and in it."""
+    return _were_calm(ledger, (gateway, f"store of {gateway}", "store"), a)
+
+
+def _can_know(ledger: Ledger, a: Asked) -> bool:
+    """Return whether a gateway reached the store, or another that did."""
+    if _reaches_store(ledger, a.gateway, a):
+        return True
+    if not _were_calm(ledger, (a.gateway, f"peers of {a.gateway}"), a):
+        return False
+    others = {asked.gateway for asked in ledger.asked} - {a.gateway}
+    return any(
+        _reaches_store(ledger, name, a) and _were_calm(ledger, (f"peers of {name}",), a)
+        for name in others
+    )
+
+
+def _were_calm(ledger: Ledger, names: Sequence[str], a: Asked) -> bool:
     from_s = a.sent_at_s - CONTACT_S
     return all(ledger.is_calm(name, from_s, a.ended_at_s) for name in names)
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import math
 
 CHUNK_BYTES = 65_536
 
@@ -26,20 +27,21 @@
 class Proxy:
     """Hold one listening port and the connections that came in by it."""
 
-    def __init__(self, target: str, delay_s: float = 0.15) -> None:
+    def __init__(self, target: str, delay_s: float = 0.15, bytes_per_s: float = math.inf) -> None:
         """Prepare; `target` is host:port, `delay_s` is what each piece waits in mode DELAY."""
         self.target = target
         self.address = ""
         self._delay_s = delay_s
+        self._bytes_per_s = bytes_per_s
         self._mode = Mode.PASS
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
-    async def open(self) -> None:
-        """Listen on a free port of loopback."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+    async def open(self, port: int = 0) -> None:
+        """Listen on a port of loopback, a free one for 0."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
@@ -107,6 +109,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if self._mode is Mode.DELAY:
                 await asyncio.sleep(self._delay_s)
+            await asyncio.sleep(len(data) / self._bytes_per_s)
             while self._mode in holding:
                 await self._changed.wait()
             writer.write(data)
--- a/soak/world.py
+++ b/soak/world.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from dalehollow.aio import CallerConnection, CallerRequest
+from soak.peers import PeerNetwork, SoakStore
 from soak.promises import Arrival, Ledger
 from soak.proxy import Proxy
-from standins.metadata import MetadataStandIn
 from standins.platform import GatewayProcess, launch_gateway, listen
 from standins.server import ServerStandIn, Way
 
@@ -23,6 +23,12 @@
 SLOTS = 8
 PACE_S = 0.02
 LEASE_CHECK_S = 0.1
+HALLS = ("hall", "hall", "hall", "other")
+"""Of the gateways in turn: a hall with a relay and two that hear it, and one beside it."""
+STORE_BYTES_PER_S = 2.5e6
+"""A gateway's link; with configurations of this size a second of history takes longer on it than
+a call may wait."""
+PADDING_BYTES = 100_000
 PROGRAM = ("-m", "dalehollow", "run")
 
 
@@ -42,6 +48,7 @@
     return msgspec.json.encode(
         {
             "version": version,
+            "padding": random.Random(version).randbytes(PADDING_BYTES // 2).hex(),
             "routes": routes,
             "services": [{"name": "desk", "maxConnections": 50}],
             "limits": limits,
@@ -78,6 +85,7 @@
 
     name: str
     store: Proxy
+    hall: str
     process: GatewayProcess | None = None
     life: int = 0
     is_paused: bool = False
@@ -91,7 +99,8 @@
     directory: Path
     program: Sequence[str] = PROGRAM
     ledger: Ledger = field(default_factory=Ledger)
-    store: MetadataStandIn = field(default_factory=MetadataStandIn)
+    network: PeerNetwork = field(init=False)
+    store: SoakStore = field(init=False)
     store_address: str = ""
     gateways: dict[str, Gateway] = field(default_factory=dict)
     servers: dict[str, SoakServer] = field(default_factory=dict)
@@ -100,6 +109,11 @@
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _server_count: int = 0
 
+    def __post_init__(self) -> None:
+        """Make the store and what stands between the gateways."""
+        self.network = PeerNetwork(self.rng)
+        self.store = SoakStore(self.network)
+
     def now_s(self) -> float:
         """Return the time on the driver's steady clock."""
         return asyncio.get_running_loop().time()
@@ -112,9 +126,9 @@
             await self.add_server()
         for number in range(gateways):
             name = f"gateway-{number + 1}"
-            proxy = Proxy(self.store_address)
+            proxy = Proxy(self.store_address, bytes_per_s=STORE_BYTES_PER_S)
             await proxy.open()
-            self.gateways[name] = Gateway(name, proxy)
+            self.gateways[name] = Gateway(name, proxy, HALLS[number % len(HALLS)])
         await asyncio.gather(*(self.start(gateway) for gateway in self.gateways.values()))
         self._tasks.append(asyncio.ensure_future(self._end_leases()))
 
@@ -127,6 +141,7 @@
                 gateway.process.process.kill()
                 await gateway.process.process.wait()
             await gateway.store.close()
+        await self.network.close()
         for proxy in self.proxies.values():
             await proxy.close()
 
@@ -135,7 +150,11 @@
         gateway.life += 1
         gateway.is_paused = False
         gateway.process = await launch_gateway(
-            gateway.store.address, gateway.name, self.directory, self.program
+            gateway.store.address,
+            gateway.name,
+            self.directory,
+            self.program,
+            hall=gateway.hall,
         )
 
     def send_signal(self, gateway: Gateway, number: signal.Signals) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,14 @@
     return ledger
 
 
+def _refused(sent_at_s: float, newest: int = 3) -> Ledger:
+    """Refuse the route of version 3, which was confirmed at 10 s, as unknown."""
+    asked = replace(VERSION, version=3, status=404, sent_at_s=sent_at_s, ended_at_s=sent_at_s + 0.1)
+    ledger = _ledger(asked)
+    ledger.applied_at_s.update({2: 1.0, 3: 10.0, newest: 10.0})
+    return ledger
+
+
 CUT = replace(GOOD, status=0, is_whole=False, body=b"")
 
 
@@ -72,6 +80,10 @@
         (_left(11.0, 10.9), []),
         (_applied(13.0), ["configuration in time"]),
         (_applied(11.0), []),
+        (_refused(13.0), ["configuration in time"]),
+        (_refused(11.0), []),
+        # A newer one has taken the route away.
+        (_refused(13.0, newest=4), []),
     ],
 )
 def test_each_broken_promise_is_found(ledger: Ledger, broken: list[str]) -> None:
@@ -85,6 +97,27 @@
         assert find_violations(ledger, checks_bounds=True) == []
 
 
+@pytest.mark.parametrize(
+    ("disturbed", "is_broken"),
+    [
+        (["store of gw"], True),
+        (["store of gw", "peers of gw"], False),
+        (["store of gw", "peers of other"], False),
+        (["store of gw", "store of other"], False),
+        (["store"], False),
+    ],
+)
+def test_a_gateway_may_know_from_another_that_reaches_the_store(
+    disturbed: list[str], is_broken: bool
+) -> None:
+    ledger = _refused(13.0)
+    ledger.asked.append(replace(GOOD, gateway="other", request_id="r2", answered_id="r2"))
+    for name in disturbed:
+        ledger.disturbed[name].append((9.0, 12.5))
+    found = [v.promise for v in find_violations(ledger, checks_bounds=True)]
+    assert found == (["configuration in time"] if is_broken else [])
+
+
 def test_faults_of_every_kind_are_drawn_and_the_same_for_a_seed() -> None:
     drawn = draw_faults(random.Random(1), 10.0, 200)
     assert {fault.kind for fault in drawn} == set(PLAYS)
