--- a/tests/test_config_in_time.py
+++ b/tests/test_config_in_time.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from dalehollow.gateway import copies, feed, reports
 from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.platform import follow
@@ -140,6 +141,16 @@
     _play(monkeypatch, scenario)
 
 
+def test_the_waits_of_the_longest_chain_add_up_to_less_than_the_bound() -> None:
+    """A silent relay is noticed, another gateway asks, tells of it, and is asked for a copy."""
+    noticed_s = feed.STALE_S + follow.PASSIVE_INTERVAL_S
+    told_s = reports.IDLE_INTERVAL_S
+    assert noticed_s + told_s + copies.COPY_AFTER_S < BOUND_S
+    # A single gateway of a hall that fails once before it is answered.
+    failed_s = follow.RECOVERY_WAIT_S + follow.ANSWER_WAIT_S + follow.RETRY_PAUSE_S
+    assert noticed_s + failed_s < BOUND_S
+
+
 @pytest.mark.parametrize("chain", CHAINS, ids=Chain.describe)
 def test_no_chain_of_failures_makes_a_configuration_late(
     chain: Chain, monkeypatch: pytest.MonkeyPatch
@@ -167,9 +178,9 @@
 def _drop_what_follows_a_gap(monkeypatch: pytest.MonkeyPatch) -> None:
     take = HallFeed.take_changes
 
-    def take_in_order(feed: HallFeed, message: Any) -> None:
-        if message.after <= feed.revision:
-            take(feed, message)
+    def take_in_order(taking: HallFeed, message: Any) -> None:
+        if message.after <= taking.revision:
+            take(taking, message)
 
     monkeypatch.setattr(HallFeed, "take_changes", take_in_order)
     # Alone, the copies would make up for it.
