--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,8 @@
 )
 BROKEN_MODES = (Mode.DELAY, Mode.RESET, Mode.SILENT, Mode.SILENT_THERE, Mode.SILENT_BACK)
 STORE_FAULTS = ("busy", "silent", "lost")
+CHANGES = (1, 3, 30)
+CHANGE_GAP_S = 0.2
 SERVES_ON_S = 3.0
 """A server that leaves serves on for so long after it said so."""
 STOP_GRACE_S = 8.0
@@ -213,10 +215,10 @@
 
 
 async def _apply(world: World, fault: Fault) -> None:
-    """Change the configuration, some times in a row."""
-    for _ in range(1 + fault.target % 3):
+    """Change the configuration once, a few times in a row, or for seconds."""
+    for _ in range(CHANGES[fault.target % len(CHANGES)]):
         world.apply_next()
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(CHANGE_GAP_S)
 
 
 PLAYS: dict[str, Play] = {
