--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 python -m soak run --seeds 1-50                  fifty runs, one after the other
 python -m soak run --seeds 7 --keep logs         one run whose logs are kept
+python -m soak chains                            the chains that make a configuration late
 python -m soak defects                           shows that each known defect is found
 """
 
@@ -11,6 +12,7 @@
 import random
 import shutil
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -18,7 +20,7 @@
 
 from soak.callers import Callers, count_served
 from soak.defects import DEFECTS, LATE
-from soak.faults import Fault, draw_faults, play_fault
+from soak.faults import LATE_CHAINS, Fault, draw_faults, play_fault
 from soak.promises import Violation, find_violations
 from soak.world import PROGRAM, World
 
@@ -47,19 +49,21 @@
     checks_bounds: bool = True,
     program: tuple[str, ...] = PROGRAM,
     length_s: float = LENGTH_S,
-    faults: int = FAULTS,
+    faults: int | Sequence[Fault] = FAULTS,
     callers: int = CALLERS,
 ) -> Outcome:
-    """Play one seed to its end."""
+    """Play one seed to its end, with so many faults drawn or those given."""
     rng = random.Random(seed)
-    drawn = draw_faults(rng, length_s, faults)
+    drawn = draw_faults(rng, length_s, faults) if isinstance(faults, int) else list(faults)
     world = World(rng, directory, program)
     try:
         await world.open(GATEWAYS, SERVERS)
         asking = Callers(world)
         stopping = asyncio.Event()
         tasks = [asyncio.ensure_future(asking.run(stopping)) for _ in range(callers)]
-        await asyncio.gather(*(play_fault(world, fault) for fault in drawn))
+        await asyncio.gather(
+            asyncio.sleep(length_s), *(play_fault(world, fault) for fault in drawn)
+        )
         await asyncio.sleep(1.0)
         stopping.set()
         await asyncio.gather(*tasks)
@@ -94,24 +98,49 @@
     raise SystemExit(bool(broken))
 
 
+def chains(seeds: int = 2) -> None:
+    """Play each chain that makes a configuration late; end with an error if a promise broke."""
+    broken = sum(
+        bool(_play_one(seed, "", PROGRAM, True, faults).violations)
+        for faults in LATE_CHAINS.values()
+        for seed in range(1, seeds + 1)
+    )
+    print(f"{len(LATE_CHAINS)} chains, {seeds} seeds each: {broken} with a broken promise")
+    raise SystemExit(bool(broken))
+
+
 def defects(most: int = 10) -> None:
-    """Play seeds with each known defect until it is found; end with an error if one is not."""
-    missed = []
-    for name in DEFECTS:
-        program = ("-m", "soak.defects", name, "run")
-        for seed in range(1, most + 1):
-            if _play_one(seed, "", program, bounds=name in LATE).violations:
-                print(f"defect {name}: found with seed {seed}")
-                break
-        else:
-            missed.append(name)
+    """Play seeds with each known defect until it is found; end with an error if one is not.
+
+    Defects that only the bounds in time show are looked for with the chains.
+    """
+    missed = [name for name in DEFECTS if not _find_defect(name, most)]
     print(f"defects not found: {', '.join(missed) or 'none'}")
     raise SystemExit(bool(missed))
 
 
-def _play_one(seed: int, keep: str, program: tuple[str, ...], bounds: bool) -> Outcome:
+def _find_defect(name: str, most: int) -> bool:
+    program = ("-m", "soak.defects", name, "run")
+    schedules = LATE_CHAINS if name in LATE else {"drawn": FAULTS}
+    for seed in range(1, most + 1):
+        for schedule, faults in schedules.items():
+            if _play_one(seed, "", program, name in LATE, faults).violations:
+                print(f"defect {name}: found with seed {seed}, faults: {schedule}")
+                return True
+    return False
+
+
+def _play_one(
+    seed: int,
+    keep: str,
+    program: tuple[str, ...],
+    bounds: bool,
+    faults: int | Sequence[Fault] = FAULTS,
+) -> Outcome:
     with tempfile.TemporaryDirectory() as directory:
-        played = asyncio.run(play(seed, Path(directory), checks_bounds=bounds, program=program))
+        played = asyncio.run(
+            play(seed, Path(directory), checks_bounds=bounds, program=program, faults=faults)
+        )
         if keep or (played.violations and program == PROGRAM):
             kept = Path(keep or "target/soak") / str(seed)
             shutil.copytree(directory, kept, dirs_exist_ok=True)
@@ -126,4 +155,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"run": run, "defects": defects})
+    fire.Fire({"run": run, "chains": chains, "defects": defects})
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from soak.peers import LOST_SHARE
 from soak.proxy import Mode
@@ -27,6 +27,8 @@
 STORE_FAULTS = ("busy", "silent", "lost")
 CHANGES = (1, 3, 30)
 CHANGE_GAP_S = 0.2
+HALL_S = 3.0
+"""Added to the time for which a hall reaches no store: longer than a configuration may take."""
 SERVES_ON_S = 3.0
 """A server that leaves serves on for so long after it said so."""
 STOP_GRACE_S = 8.0
@@ -159,7 +161,8 @@
     for gateway in gateways:
         gateway.store.set_mode(mode)
     names = [f"store of {gateway.name}" for gateway in gateways]
-    await asyncio.gather(*(_disturb(world, name, fault) for name in names))
+    long = replace(fault, for_s=fault.for_s + HALL_S)
+    await asyncio.gather(*(_disturb(world, name, long) for name in names))
     for gateway in gateways:
         gateway.store.set_mode(Mode.PASS)
 
@@ -170,7 +173,7 @@
     proxy = world.network.proxies.get(gateway.name)
     if proxy is None:
         return
-    proxy.set_loss(LOST_SHARE if fault.target % 2 else 1.0)
+    proxy.set_loss(LOST_SHARE if fault.target // len(world.gateways) % 2 else 1.0)
     await _disturb(world, f"peers of {gateway.name}", fault)
     proxy.set_loss(0.0)
 
@@ -236,3 +239,43 @@
     "replace server": _replace_server,
     "configuration": _apply,
 }
+
+
+def _aim(gateway: int, mode: Mode) -> int:
+    """Return the target that stands for one of four gateways and one way to break its path."""
+    fits = (t for t in range(100) if t % 4 == gateway and BROKEN_MODES[t % 5] is mode)
+    return next(fits)
+
+
+ONE_CHANGE, MANY_CHANGES = 0, 2
+LATE_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "the relay killed as a change comes": (
+        Fault(1.0, 3.0, "kill", 0),
+        Fault(1.0, 0.1, "configuration", ONE_CHANGE),
+    ),
+    "the relay frozen as a change comes": (
+        Fault(1.0, 3.0, "pause", 0),
+        Fault(1.0, 0.1, "configuration", ONE_CHANGE),
+    ),
+    "the relay's way to the store silent": (
+        Fault(1.0, 8.0, "store path", _aim(0, Mode.SILENT)),
+        Fault(1.0, 0.1, "configuration", ONE_CHANGE),
+    ),
+    "a gateway turned away that lacks one change": (
+        Fault(1.0, 0.5, "datagrams", 1),
+        Fault(1.0, 8.0, "store path", _aim(1, Mode.RESET)),
+        Fault(1.1, 0.1, "configuration", ONE_CHANGE),
+    ),
+    "a hall that reaches no store": (
+        Fault(0.5, 8.0, "store path of a hall", _aim(0, Mode.RESET)),
+        Fault(2.0, 0.1, "configuration", ONE_CHANGE),
+    ),
+    "changes for seconds after a cut": (
+        Fault(0.5, 3.0, "store path", _aim(1, Mode.SILENT)),
+        Fault(0.5, 3.0, "datagrams", 1),
+        Fault(0.5, 0.1, "configuration", MANY_CHANGES),
+        Fault(6.5, 0.1, "configuration", MANY_CHANGES),
+    ),
+}
+"""The chains that make a configuration late (docs/PLATFORM.md), with real processes; the first
+gateway is the relay of its hall."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,9 @@
 import pytest
 
 from soak.__main__ import play
-from soak.faults import PLAYS, draw_faults
+from soak.faults import BROKEN_MODES, LATE_CHAINS, PLAYS, draw_faults
 from soak.promises import PLAIN_BODY, Arrival, Asked, Ledger, find_violations
+from soak.proxy import Mode
 
 GOOD = Asked("r1", "read", "gw", 1, 10.0, 10.1, 200, True, PLAIN_BODY, "r1")
 VERSION = replace(GOOD, kind="version", version=2)
@@ -124,6 +125,14 @@
     assert drawn == draw_faults(random.Random(1), 10.0, 200)
 
 
+def test_the_late_chains_are_made_of_known_faults_and_aim_where_they_say() -> None:
+    faults = [fault for chain in LATE_CHAINS.values() for fault in chain]
+    assert {fault.kind for fault in faults} <= set(PLAYS)
+    silent = LATE_CHAINS["the relay's way to the store silent"][0]
+    assert silent.target % 4 == 0
+    assert BROKEN_MODES[silent.target % 5] is Mode.SILENT
+
+
 def test_a_short_seed_keeps_every_promise(tmp_path: Path) -> None:
     """Bounds in time are left to runs by hand: this one may share its machine with anything."""
     played = asyncio.run(play(2, tmp_path, checks_bounds=False, length_s=5.0, faults=8, callers=6))
