--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -169,8 +169,13 @@
     return Answer(head.status, head, b"".join(pieces), True)
 
 
+PATIENT_CONNECT_MS = 5_000
+"""All parts share one process, which may get no turn for longer than a connection usually takes."""
+
+
 async def start_gateway(store_address: str, name: str = "gw-1", **changes: object) -> Gateway:
     """Start a gateway in this event loop; the caller runs it."""
+    changes.setdefault("connect_timeout_ms", PATIENT_CONNECT_MS)
     settings = GatewaySettings(
         role="gateway",
         name=name,
