Log what tells a store that went back from changes that were lost on the way

The record of the incident could not show that a change was passed over, what a gateway knew of its key, as of which revision all items were read, and whether the store said that it had been restored. New lines: store_era, items_read, change_passed_over, changes_passed_over (debug), relay_is_older. No decision changes.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -71,6 +71,7 @@
         self._relays_from_s = clock() + RELAY_SILENT_S
         self._behind_since_s: float | None = None
         self._earlier_heard_at_s = float("-inf")
+        self._older_relay = ("", 0)
 
     def is_passive(self) -> bool:
         """Return whether it is enough to hear the relay, so that the store need not be asked."""
@@ -133,6 +134,8 @@
         self._relay = sender
         silence_s = RELAY_SILENT_S + self._rng.uniform(0, SILENCE_SPREAD_S)
         self._relay_heard_until_s = now_s + silence_s
+        if state.revision < self.revision:
+            self._note_older_relay(sender, state)
         if state.revision <= self.revision:
             self._fresh_at_s = max(self._fresh_at_s, now_s - state.age_s)
             self._note_caught_up()
@@ -145,7 +148,17 @@
         Each is a whole value of its key, so none needs what came before it; only `revision`, up to
         which nothing is missing, does not pass a gap.
         """
-        if not self.revision or message.revision <= self.revision:
+        if not self.revision:
+            return
+        if message.revision <= self.revision:
+            log_event(
+                _LOG,
+                "changes_passed_over",
+                logging.DEBUG,
+                after=message.after,
+                until=message.revision,
+                revision=self.revision,
+            )
             return
         try:
             fresh = self.select_fresh(unpack_changes(message.packed))
@@ -175,6 +188,15 @@
             if change.revision > self.newest_revision(change.key):
                 self._newest[change.key] = change.revision
                 fresh.append(change)
+            elif change.revision < self.newest_revision(change.key):
+                known = self.newest_revision(change.key)
+                log_event(
+                    _LOG,
+                    "change_passed_over",
+                    key=change.key,
+                    revision=change.revision,
+                    known=known,
+                )
         return tuple(fresh)
 
     def newest_revision(self, key: str) -> int:
@@ -190,6 +212,14 @@
             "store_age_s": round(self.age_s(), 3),
         }
 
+    def _note_older_relay(self, sender: str, state: RelayState) -> None:
+        """Log once that a relay knows less than this gateway does."""
+        if self._older_relay != (sender, self.revision):
+            self._older_relay = (sender, self.revision)
+            log_event(
+                _LOG, "relay_is_older", relay=sender, known=state.revision, revision=self.revision
+            )
+
     def _note_behind(self, revision: int) -> None:
         if self._behind_since_s is None:
             self._behind_since_s = self._clock()
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -157,6 +157,13 @@
 
     async def _read_items(self) -> None:
         reading = await self._store.read_range(self._prefix, self._answer_wait_s())
+        log_event(
+            _LOG,
+            "items_read",
+            items=len(reading.changes),
+            as_of=reading.revision,
+            revision=self._feed.revision,
+        )
         self._was_watch_slow = False
         self._take_all(reading)
         self._feed.note_read(0, reading.changes, reading.revision)
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import logging
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -12,6 +13,7 @@
 from dalehollow.aio import ClientConnection, ConnectError, CutError, connect
 from dalehollow.errors import PlatformError
 from dalehollow.protocol.reports import Change
+from dalehollow.telemetry.logs import log_event
 
 CONNECT_TIMEOUT_S = 1.0
 """One lost opening packet is sent again after a second; a store that is near answers in ms."""
@@ -19,6 +21,9 @@
 _CONFLICT_STATUS = 412
 _LEASE_GONE_STATUS = 404
 _OK_STATUS = 200
+_ERA_HEADER = b"store-era"
+
+_LOG = logging.getLogger(__name__)
 
 
 class ConflictError(Exception):
@@ -77,6 +82,7 @@
         self._address = address
         self._connection: ClientConnection | None = None
         self.calls = 0
+        self._era = b""
         # How long the last answer was on its way, from its head to its end or to where it broke
         # off; 0 where none began.
         self.transfer_s = 0.0
@@ -180,6 +186,7 @@
                 self._connection.send([head.encode(), b"\r\n", data])
                 answer = await self._connection.read_head()
                 begun_s = clock()
+                self._note_era(answer.get(_ERA_HEADER) or b"")
                 try:
                     answer_body = await self._connection.read_body_while_it_comes(limit)
                 finally:
@@ -198,6 +205,14 @@
     def _count_received(self) -> int:
         return self._connection.received_bytes if self._connection is not None else 0
 
+    def _note_era(self, era: bytes) -> None:
+        """Log when the store says for the first time, or anew, how often it was restored."""
+        if era != self._era:
+            log_event(
+                _LOG, "store_era", era=era.decode("latin-1"), before=self._era.decode("latin-1")
+            )
+            self._era = era
+
     def _check_status(self, path: str, status: int, body: bytes) -> bytes:
         if status == _OK_STATUS:
             return body
