Put the era of the store in front of its revisions

Cause: a store that is restored from a copy gives revisions out again. Gateways ordered all knowledge by revision alone: what was written at or below a revision that they had seen was passed over, and a relay of a lower revision confirmed that nothing was missing. Class: an order that only one life of its source keeps, taken as an order for ever. Ruled out: lost datagrams (relays that read the store themselves lacked it too) and slow reading (all items were read within 0.05 s).

Change: the store's client reads Store-Era with each answer and puts it in front of each revision, so everything that compares revisions compares eras first: feed, relays, copies, fences and the versions that planners make of them. A watch across eras reads all items anew. A lease ends with its era. An answer of an earlier era is not used; an era that is missing or unreadable says nothing.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -21,6 +21,7 @@
     pack_changes,
     unpack_changes,
 )
+from dalehollow.protocol.revisions import show_revision
 from dalehollow.telemetry.logs import log_event
 
 STALE_S = 1.0
@@ -109,7 +110,7 @@
         self._note_caught_up()
         if not self._is_relay and now_s > max(self._relays_from_s, self._relay_heard_until_s):
             self._is_relay = True
-            log_event(_LOG, "relay_begun", revision=self.revision)
+            log_event(_LOG, "relay_begun", revision=show_revision(self.revision))
         if self._is_relay and after:
             for message in _split_changes(after, changes, revision):
                 self._send(message)
@@ -118,10 +119,6 @@
         """Leave the relaying to a gateway that reaches the store."""
         self._end_relaying("store_lost")
 
-    def reset(self) -> None:
-        """Begin anew: the store has forgotten what changed since the last reading."""
-        self.revision = 0
-
     def note_relay(self, sender: str, state: RelayState) -> None:
         """Take in what another gateway tells as the relay."""
         if self._is_relay and self.relay_state() is not None:
@@ -130,7 +127,7 @@
             self._end_relaying(f"relay is {sender}")
         now_s = self._clock()
         if sender != self._relay:
-            log_event(_LOG, "relay_heard", relay=sender, revision=state.revision)
+            log_event(_LOG, "relay_heard", relay=sender, revision=show_revision(state.revision))
         self._relay = sender
         silence_s = RELAY_SILENT_S + self._rng.uniform(0, SILENCE_SPREAD_S)
         self._relay_heard_until_s = now_s + silence_s
@@ -155,9 +152,9 @@
                 _LOG,
                 "changes_passed_over",
                 logging.DEBUG,
-                after=message.after,
-                until=message.revision,
-                revision=self.revision,
+                after=show_revision(message.after),
+                until=show_revision(message.revision),
+                revision=show_revision(self.revision),
             )
             return
         try:
@@ -169,9 +166,9 @@
             log_event(
                 _LOG,
                 "changes_after_gap",
-                after=message.after,
-                until=message.revision,
-                revision=self.revision,
+                after=show_revision(message.after),
+                until=show_revision(message.revision),
+                revision=show_revision(self.revision),
             )
             self._note_behind(message.revision)
         else:
@@ -189,14 +186,9 @@
                 self._newest[change.key] = change.revision
                 fresh.append(change)
             elif change.revision < self.newest_revision(change.key):
-                known = self.newest_revision(change.key)
-                log_event(
-                    _LOG,
-                    "change_passed_over",
-                    key=change.key,
-                    revision=change.revision,
-                    known=known,
-                )
+                known = show_revision(self.newest_revision(change.key))
+                told = show_revision(change.revision)
+                log_event(_LOG, "change_passed_over", key=change.key, revision=told, known=known)
         return tuple(fresh)
 
     def newest_revision(self, key: str) -> int:
@@ -208,7 +200,7 @@
         relied_on = self._relay if self.is_passive() else "store"
         return {
             "relies_on": relied_on,
-            "revision": self.revision,
+            "revision": show_revision(self.revision),
             "store_age_s": round(self.age_s(), 3),
         }
 
@@ -217,24 +209,33 @@
         if self._older_relay != (sender, self.revision):
             self._older_relay = (sender, self.revision)
             log_event(
-                _LOG, "relay_is_older", relay=sender, known=state.revision, revision=self.revision
+                _LOG,
+                "relay_is_older",
+                relay=sender,
+                known=show_revision(state.revision),
+                revision=show_revision(self.revision),
             )
 
     def _note_behind(self, revision: int) -> None:
         if self._behind_since_s is None:
             self._behind_since_s = self._clock()
-            log_event(_LOG, "fell_behind", revision=self.revision, heard_of=revision)
+            log_event(
+                _LOG,
+                "fell_behind",
+                revision=show_revision(self.revision),
+                heard_of=show_revision(revision),
+            )
 
     def _note_caught_up(self) -> None:
         if self._behind_since_s is not None:
             behind_s = round(self._clock() - self._behind_since_s, 3)
-            log_event(_LOG, "caught_up", revision=self.revision, behind_s=behind_s)
+            log_event(_LOG, "caught_up", revision=show_revision(self.revision), behind_s=behind_s)
             self._behind_since_s = None
 
     def _end_relaying(self, why: str) -> None:
         if self._is_relay:
             self._is_relay = False
-            log_event(_LOG, "relay_ended", why=why, revision=self.revision)
+            log_event(_LOG, "relay_ended", why=why, revision=show_revision(self.revision))
 
 
 def _split_changes(
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -27,6 +27,7 @@
 from dalehollow.platform.follow import Follower, Listener
 from dalehollow.platform.names import ALL_KEYS, HEADERS
 from dalehollow.platform.session import Session
+from dalehollow.platform.store import StoreEra
 from dalehollow.telemetry.logs import log_event
 
 _MS_PER_S = 1000
@@ -76,6 +77,7 @@
             settings.name, time.monotonic, rng, lambda changes: self._reports.send_near(changes)
         )
         self._copies = ConfigCopies(rng)
+        self._era = StoreEra()
         self._reports = PeerReports(
             settings.name,
             settings.hall,
@@ -149,7 +151,7 @@
             self._planners.note_plan,
         )
         self._follower = Follower(
-            self._settings.store, ALL_KEYS, listener, self._feed, self._copies
+            self._settings.store, ALL_KEYS, listener, self._feed, self._copies, self._era
         )
         return [
             keep_running("follower", self._follower.run),
@@ -160,7 +162,7 @@
     async def _open_peers(self) -> None:
         address = await self._bind_peer_port()
         member = Member(address, self._settings.hall)
-        self._session = Session(self._settings.store, self._settings.name, member)
+        self._session = Session(self._settings.store, self._settings.name, member, era=self._era)
         self._planners = GroupPlanners(self._settings, self.state, self._session, self._members)
         self._tasks.append(keep_running("reports", self._reports.run))
 
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -24,8 +24,9 @@
 )
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream, read_incarnation
-from dalehollow.platform.store import HistoryGoneError, Reading, Store
+from dalehollow.platform.store import HistoryGoneError, Reading, Store, StoreEra
 from dalehollow.protocol.reports import Change
+from dalehollow.protocol.revisions import show_revision
 from dalehollow.telemetry.logs import log_event
 
 WATCH_WAIT_S = 0.6
@@ -92,17 +93,19 @@
         listener: Listener,
         feed: HallFeed,
         copies: ConfigCopies,
+        era: StoreEra | None = None,
     ) -> None:
         """Prepare; nothing is read before `run`, which leaves the store alone while `feed` can."""
         self._feed = feed
         feed.on_changes = self._take_changes
         self._copies = copies
         copies.on_copy = self._take_copy
-        self._store = Store(address)
+        self._store = Store(address, era)
         self._prefix = prefix
         self._listener = listener
         self._known: set[str] = set()
         self._lapsing_until_s: dict[str, float] = {}
+        self._must_read_items = False
         self._is_reachable = True
         # Whether the last call was answered, and no rest came after it.
         self._is_sure = True
@@ -130,9 +133,10 @@
                 else:
                     await self._read_items()
                 self._note_reachable()
-            except HistoryGoneError:
-                log_event(_LOG, "store_history_gone", revision=self._feed.revision)
-                self._feed.reset()
+            except HistoryGoneError as exc:
+                revision = show_revision(self._feed.revision)
+                log_event(_LOG, "store_history_gone", revision=revision, why=exc)
+                self._must_read_items = True
             except PlatformError as exc:
                 self._note_failure(exc)
                 await asyncio.sleep(self._retry_pause_s())
@@ -153,7 +157,7 @@
     def _is_history_short(self) -> bool:
         """Return whether the changes since the last reading are less to read than all items."""
         is_young = bool(self._feed.revision) and self._feed.age_s() < HISTORY_MAX_AGE_S
-        return is_young and not self._was_watch_slow
+        return is_young and not self._was_watch_slow and not self._must_read_items
 
     async def _read_items(self) -> None:
         reading = await self._store.read_range(self._prefix, self._answer_wait_s())
@@ -161,10 +165,10 @@
             _LOG,
             "items_read",
             items=len(reading.changes),
-            as_of=reading.revision,
-            revision=self._feed.revision,
+            as_of=show_revision(reading.revision),
+            revision=show_revision(self._feed.revision),
         )
-        self._was_watch_slow = False
+        self._was_watch_slow = self._must_read_items = False
         self._take_all(reading)
         self._feed.note_read(0, reading.changes, reading.revision)
 
@@ -268,7 +272,7 @@
                 "store_regained",
                 prefix=self._prefix,
                 failures=self._failures,
-                revision=self._feed.revision,
+                revision=show_revision(self._feed.revision),
             )
         self._failures = 0
         self._is_sure = True
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -20,7 +20,8 @@
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.ranks import KeptPlan
 from dalehollow.platform.names import DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
-from dalehollow.platform.store import ConflictError, LeaseGoneError, Store
+from dalehollow.platform.store import ConflictError, LeaseGoneError, Store, StoreEra
+from dalehollow.protocol.revisions import read_era, show_revision
 from dalehollow.telemetry.logs import log_event
 
 CALL_TIMEOUT_S = 0.5
@@ -77,9 +78,15 @@
         self._valid_until_s = asked_at_s + ttl_s - self.times.margin_s
 
     async def renew(self) -> None:
-        """Renew the lease, or raise LeaseGoneError."""
+        """Renew the lease, or raise LeaseGoneError.
+
+        A store that was restored may have lost the lease, and given its revision out again as the
+        fence of another holder: the lease is over, whatever the store says of it.
+        """
         asked_at_s = self.clock()
         await self.store.keep_lease(self._id, CALL_TIMEOUT_S)
+        if read_era(self.revision) != self.store.era.newest:
+            raise LeaseGoneError(f"{self.key}: the store was restored")
         self._valid_until_s = asked_at_s + self.times.ttl_s - self.times.margin_s
 
     async def end(self) -> None:
@@ -107,19 +114,24 @@
     name: str
     member: Member
     clock: Callable[[], float] = time.monotonic
+    era: StoreEra = field(default_factory=StoreEra)
     _duties: dict[str, Lease] = field(default_factory=dict)
     _renewing: dict[str, asyncio.Task[None]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Prepare the process's own lease."""
         key = MEMBER_PREFIX + self.name
-        store, value = Store(self.address), msgspec.json.encode(self.member)
+        store, value = Store(self.address, self.era), msgspec.json.encode(self.member)
         self._member = Lease(store, key, value, MEMBER_TIMES, self.clock)
         self._is_listed = False
         self._wake = asyncio.Event()
 
     def fence(self, duty: str) -> int | None:
-        """Return the fence of a duty that is surely held now, or None."""
+        """Return the fence of a duty that is surely held now, or None.
+
+        It is higher than that of each earlier holder, also of those before a restore of the store:
+        ranks take no version of a map below one that they had, and versions are made of fences.
+        """
         lease = self._duties.get(duty)
         return lease.revision if lease is not None and lease.is_valid() else None
 
@@ -151,7 +163,7 @@
     async def take_duty(self, duty: str) -> bool:
         """Try to take a duty that nobody holds; its fence is higher than any before."""
         key = DUTY_PREFIX + duty
-        store = Store(self.address)
+        store = Store(self.address, self.era)
         lease = Lease(store, key, self.name.encode(), DUTY_TIMES, self.clock)
         try:
             await lease.begin()
@@ -166,7 +178,7 @@
         self._duties[duty] = lease
         loop = asyncio.get_running_loop()
         self._renewing[duty] = loop.create_task(self._keep_duty(duty, lease))
-        log_event(_LOG, "duty_taken", duty=duty, fence=lease.revision)
+        log_event(_LOG, "duty_taken", duty=duty, fence=show_revision(lease.revision))
         return True
 
     async def drop_duty(self, duty: str, why: str) -> None:
@@ -175,12 +187,12 @@
         if lease is None:
             return
         self._renewing.pop(duty).cancel()
-        log_event(_LOG, "duty_dropped", duty=duty, fence=lease.revision, why=why)
+        log_event(_LOG, "duty_dropped", duty=duty, fence=show_revision(lease.revision), why=why)
         await lease.end()
 
     async def keep_plan(self, duty: str, plan: KeptPlan) -> None:
         """Keep what a plan was made for, for planners to come and for the other gateways."""
-        store = Store(self.address)
+        store = Store(self.address, self.era)
         try:
             await store.put(PLAN_PREFIX + duty, msgspec.json.encode(plan), CALL_TIMEOUT_S)
         except PlatformError as exc:
@@ -231,4 +243,4 @@
             del self._renewing[duty]
         lease.forget()
         lease.store.close()
-        log_event(_LOG, "duty_lost", duty=duty, fence=lease.revision)
+        log_event(_LOG, "duty_lost", duty=duty, fence=show_revision(lease.revision))
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -1,4 +1,7 @@
-"""Read the users' metadata store: items, ranges and watches."""
+"""Read and write the users' metadata store: items, ranges, watches, leases.
+
+Revisions of this module hold the era in front (`protocol/revisions.py`).
+"""
 
 from __future__ import annotations
 
@@ -6,6 +9,7 @@
 import base64
 import logging
 from dataclasses import dataclass
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -13,6 +17,7 @@
 from dalehollow.aio import ClientConnection, ConnectError, CutError, connect
 from dalehollow.errors import PlatformError
 from dalehollow.protocol.reports import Change
+from dalehollow.protocol.revisions import MAX_ERA, join_revision, read_era, read_number
 from dalehollow.telemetry.logs import log_event
 
 CONNECT_TIMEOUT_S = 1.0
@@ -25,6 +30,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+_T = TypeVar("_T")
+
 
 class ConflictError(Exception):
     """Report that a condition of a write did not hold; nothing of it was done."""
@@ -38,6 +45,41 @@
     """Report that the store has dropped the changes a watch asked for: read everything again."""
 
 
+class StoreEra:
+    """Hold how often the store was restored, as all connections of a process heard it."""
+
+    def __init__(self) -> None:
+        """Begin with none: a store that names no era is in era 0."""
+        self.newest = 0
+        self._unusable = b""
+
+    def take(self, told: bytes | None) -> int:
+        """Return the era of an answer; raise PlatformError for an answer of an earlier one.
+
+        Such an answer was made before the store was restored: its revisions would hide those that
+        are given out again. An era that is missing or no number says nothing: the newest holds.
+        """
+        era = self._parse(told)
+        if era is None:
+            return self.newest
+        if era < self.newest:
+            log_event(_LOG, "store_era_lower", logging.WARNING, era=era, newest=self.newest)
+            message = f"an answer of era {era} after {self.newest}"
+            raise PlatformError(message, may_have_written=True)
+        if era > self.newest:
+            log_event(_LOG, "store_era", era=era, before=self.newest)
+            self.newest = era
+        return era
+
+    def _parse(self, told: bytes | None) -> int | None:
+        if told is not None and told.isdigit() and len(told) < 20 and int(told) <= MAX_ERA:
+            return int(told)
+        if told is not None and told != self._unusable:
+            self._unusable = told
+            log_event(_LOG, "store_era_unusable", logging.ERROR, era=told.decode("latin-1"))
+        return None
+
+
 @dataclass(frozen=True)
 class Reading:
     """Hold what a call told and the store's revision it is as of."""
@@ -77,12 +119,12 @@
 class Store:
     """Call the store over one kept connection; one call at a time."""
 
-    def __init__(self, address: str) -> None:
-        """Prepare; `address` is host:port."""
+    def __init__(self, address: str, era: StoreEra | None = None) -> None:
+        """Prepare; `address` is host:port, `era` is shared by all connections of a process."""
         self._address = address
+        self.era = era or StoreEra()
         self._connection: ClientConnection | None = None
         self.calls = 0
-        self._era = b""
         # How long the last answer was on its way, from its head to its end or to where it broke
         # off; 0 where none began.
         self.transfer_s = 0.0
@@ -96,17 +138,21 @@
         rest is read is told again by a watch from there.
         """
         changes: list[Change] = []
-        first_revision = 0
+        first: tuple[int, int] | None = None
         after = ""
         while True:
             path = f"/kv-range?pathPrefix={quote(prefix, safe='')}"
             if after:
                 path += f"&afterRevision={quote(after, safe='')}"
-            page = msgspec.json.decode(await self._call(path, timeout_s), type=_Page)
-            first_revision = first_revision or page.revision
-            changes += map(_convert_item, page.items)
+            page = _decode(await self._call(path, timeout_s), _Page)
+            era = self.era.newest
+            first = first or (era, page.revision)
+            if era != first[0]:
+                message = f"{path}: the store was restored between two pages"
+                raise PlatformError(message, may_have_written=False)
+            changes += (_convert_item(item, era) for item in page.items)
             if not page.has_more or not page.items:
-                return Reading(tuple(changes), first_revision)
+                return Reading(tuple(changes), join_revision(*first))
             after = page.items[-1].key
 
     async def watch(
@@ -114,14 +160,19 @@
     ) -> Reading:
         """Wait for changes under a prefix; raise HistoryGoneError or PlatformError.
 
-        `timeout_s` bounds the wait for the answer to begin.
+        `timeout_s` bounds the wait for the answer to begin. Changes between two eras are told by
+        no watch: a restored store may have given the revision out again.
         """
         path = (
             f"/kv-watch?pathPrefix={quote(prefix, safe='')}"
-            f"&afterRevision={after_revision}&waitMs={round(wait_s * 1000)}"
+            f"&afterRevision={read_number(after_revision)}&waitMs={round(wait_s * 1000)}"
         )
-        events = msgspec.json.decode(await self._call(path, timeout_s), type=_Events)
-        return Reading(tuple(map(_convert_item, events.events)), events.revision)
+        self._check_same_era(after_revision)
+        events = _decode(await self._call(path, timeout_s), _Events)
+        self._check_same_era(after_revision)
+        era = self.era.newest
+        changes = tuple(_convert_item(item, era) for item in events.events)
+        return Reading(changes, join_revision(era, events.revision))
 
     async def create(self, key: str, value: bytes, lease: int, timeout_s: float) -> int:
         """Create a key that must not be there; return the revision, or raise ConflictError."""
@@ -129,7 +180,7 @@
         # A condition of revision 0 says that the key is not there.
         body = {"expectedRevision": [{"key": key, "revision": 0}], "setKeys": [item]}
         answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
-        return msgspec.json.decode(answer, type=_Written).revision
+        return join_revision(self.era.newest, _decode(answer, _Written).revision)
 
     async def put(self, key: str, value: bytes, timeout_s: float, *, lease: int = 0) -> int:
         """Write a key whatever it holds, for values of which any recent one will do.
@@ -139,18 +190,21 @@
         item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expectedRevision": [], "setKeys": [item]}
         answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
-        return msgspec.json.decode(answer, type=_Written).revision
+        return join_revision(self.era.newest, _decode(answer, _Written).revision)
 
     async def delete(self, key: str, revision: int, timeout_s: float) -> None:
         """Delete a key if it is still of this revision, or raise ConflictError."""
-        body = {"expectedRevision": [{"key": key, "revision": revision}], "delete": [key]}
+        if read_era(revision) != self.era.newest:
+            raise ConflictError(key)
+        expected = {"key": key, "revision": read_number(revision)}
+        body = {"expectedRevision": [expected], "delete": [key]}
         await self._call("/kv-txn", timeout_s, method="POST", body=body)
 
     async def grant_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
         """Return a new lease and the seconds that it holds."""
         body = {"ttlMs": round(ttl_s * 1000)}
         answer = await self._call("/kv-lease", timeout_s, method="POST", body=body)
-        lease = msgspec.json.decode(answer, type=_Lease)
+        lease = _decode(answer, _Lease)
         return lease.lease, lease.ttl_ms / 1000
 
     async def keep_lease(self, lease: int, timeout_s: float) -> None:
@@ -186,7 +240,7 @@
                 self._connection.send([head.encode(), b"\r\n", data])
                 answer = await self._connection.read_head()
                 begun_s = clock()
-                self._note_era(answer.get(_ERA_HEADER) or b"")
+                self.era.take(answer.get(_ERA_HEADER))
                 try:
                     answer_body = await self._connection.read_body_while_it_comes(limit)
                 finally:
@@ -197,7 +251,7 @@
             message = f"{path}: {str(exc) or 'timed out'} after {received_bytes} bytes"
             sent = is_write and not isinstance(exc, ConnectError)
             raise PlatformError(message, may_have_written=sent) from exc
-        except asyncio.CancelledError:
+        except (PlatformError, asyncio.CancelledError):
             self.close()
             raise
         return self._check_status(path, answer.status, answer_body)
@@ -205,13 +259,9 @@
     def _count_received(self) -> int:
         return self._connection.received_bytes if self._connection is not None else 0
 
-    def _note_era(self, era: bytes) -> None:
-        """Log when the store says for the first time, or anew, how often it was restored."""
-        if era != self._era:
-            log_event(
-                _LOG, "store_era", era=era.decode("latin-1"), before=self._era.decode("latin-1")
-            )
-            self._era = era
+    def _check_same_era(self, revision: int) -> None:
+        if read_era(revision) != self.era.newest:
+            raise HistoryGoneError(f"the store was restored, its era is {self.era.newest}")
 
     def _check_status(self, path: str, status: int, body: bytes) -> bytes:
         if status == _OK_STATUS:
@@ -227,6 +277,22 @@
         raise PlatformError(f"{path}: status {status}", may_have_written=False)
 
 
-def _convert_item(item: _Item) -> Change:
-    value = None if item.deleted else base64.b64decode(item.value)
-    return Change(item.key, value, item.revision)
+def _decode(body: bytes, kind: type[_T]) -> _T:
+    """Return an answer; raise PlatformError if it is none."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        message = f"an answer that cannot be read: {exc}"
+        raise PlatformError(message, may_have_written=True) from exc
+
+
+def _convert_item(item: _Item, era: int) -> Change:
+    """Return an item; one whose bytes cannot be read holds none, so that it names nothing."""
+    revision = join_revision(era, item.revision)
+    if item.deleted:
+        return Change(item.key, None, revision)
+    try:
+        return Change(item.key, base64.b64decode(item.value, validate=True), revision)
+    except ValueError as exc:
+        log_event(_LOG, "store_value_unreadable", logging.ERROR, key=item.key, error=exc)
+        return Change(item.key, b"", revision)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from dalehollow.errors import PlatformError
 from dalehollow.gateway import feed as feed_module
 from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
@@ -20,7 +21,7 @@
 from dalehollow.platform import follow, session
 from dalehollow.platform.follow import Follower, Listener
 from dalehollow.platform.session import Lease, Session
-from dalehollow.platform.store import LeaseGoneError
+from dalehollow.platform.store import LeaseGoneError, StoreEra
 from standins.metadata import MetadataStandIn
 from standins.platform import listen
 from tests.gateway_bench import TIMEOUT_S, make_config
@@ -311,6 +312,8 @@
     valid_at_answers = []
 
     class _SlowStore:
+        era = StoreEra()
+
         async def keep_lease(self, lease: int, timeout_s: float) -> None:
             nonlocal now_s
             now_s += 0.3
@@ -362,3 +365,61 @@
         assert [t.version for t in heard.tables] == [1, 8]
 
     _run(scenario)
+
+
+def test_an_era_that_cannot_be_read_changes_nothing(caplog: pytest.LogCaptureFixture) -> None:
+    era = StoreEra()
+    assert era.take(None) == 0
+    assert era.take(b"3") == 3
+    for told in (None, b"", b"no number", b"-4", b"3.5", b"9" * 30, b"\xb2", b"99999999999"):
+        assert era.take(told) == 3
+    # Each is told once; an empty one is as good as none.
+    assert caplog.text.count("event=store_era_unusable") == 6
+
+
+def test_an_answer_of_an_earlier_era_is_not_used() -> None:
+    """Its revisions would hide those that the restored store gives out again."""
+    era = StoreEra()
+    era.take(b"3")
+    with pytest.raises(PlatformError, match="era 2 after 3"):
+        era.take(b"2")
+    assert era.take(b"3") == 3
+
+
+def test_a_lease_ends_with_the_era_of_the_store() -> None:
+    """Its revision, the fence, may be given out again to another holder."""
+
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        first = Session(address, "a", MEMBER)
+        store.take_copy()
+        assert await first.take_duty("desk")
+        fence = first.fence("desk")
+        store.restore()
+        await _until(lambda: first.fence("desk") is None)
+        second = Session(address, "b", MEMBER)
+        assert await second.take_duty("desk")
+        later = second.fence("desk")
+        assert fence is not None and later is not None and later > fence
+
+    _run(scenario)
+
+
+def test_what_a_restored_store_lost_is_gone_and_what_it_gives_out_again_is_taken() -> None:
+    async def scenario(store: MetadataStandIn, address: str, heard: _Heard) -> None:
+        store.put("op/config", msgspec.json.encode(make_config(3)))
+        await _until(lambda: bool(heard.tables))
+        store.take_copy()
+        store.put("op/config", msgspec.json.encode(make_config(4)))
+        for number in range(5):
+            store.put(f"dalehollow/plans/{number}", b"{}")
+        store.put("servers/lost", _entry())
+        await _until(lambda: "lost" in heard.upstreams)
+        store.restore()
+        # The counter is below what was seen for all that follows.
+        store.put("op/config", msgspec.json.encode(make_config(5)))
+        store.put("servers/new", _entry())
+        await _until(lambda: "new" in heard.upstreams)
+        assert [t.version for t in heard.tables] == [3, 4, 5]
+        await _until(lambda: set(heard.upstreams) == {"new"})
+
+    _run(scenario)
