Copy all that the store told between gateways, not configurations only

Cause: a gateway that the store turned away and that lost one datagram learned that an upstream leaves only from the store; a hall turned away learned nothing of it. Class: a way that stands in for the store for one kind of knowledge only.

Change: each gateway tells up to which revision it lacks nothing, and gives whoever lacks something all that is newer, or everything where it was not there yet when keys may have gone. A gateway that knows nothing begins with a copy too. The chains hold for leaving and lost upstreams without exception.

--- a/benchmarks/lateness.py
+++ b/benchmarks/lateness.py
@@ -1,4 +1,4 @@
-"""Measure how late a configuration can come into force at a gateway, on virtual time.
+"""Measure how late a gateway can learn what the store has confirmed, on virtual time.
 
 Prints the longest lag of each chain of failures, worst first, and what random schedules miss.
 """
@@ -21,18 +21,22 @@
     logging.disable(logging.CRITICAL)
     with pytest.MonkeyPatch.context() as patch:
         rows = [(_play_phases(chain, patch), chain.describe()) for chain in CHAINS]
-        for (config_s, leaving_s), chain in sorted(rows, reverse=True):
-            print_pairs(config_s=config_s, leaving_s=leaving_s, chain=chain)
+        for (config_s, leaving_s, gone_s), chain in sorted(rows, reverse=True):
+            print_pairs(config_s=config_s, leaving_s=leaving_s, gone_s=gone_s, chain=chain)
         missed = [s for s in range(1, SEEDS + 1) if play_schedule(s, BOUND_S, patch)]
     print_pairs(
         chains=len(CHAINS),
-        over_bound=sum(config_s > BOUND_S for (config_s, _), _ in rows),
+        over_bound=sum(max(lags_s) > BOUND_S for lags_s, _ in rows),
         schedules=SEEDS,
         missed=missed,
     )
 
 
-def _play_phases(chain: Chain, patch: pytest.MonkeyPatch) -> tuple[float, float]:
-    """Return the longest lags of a configuration and of an upstream that leaves."""
+def _play_phases(chain: Chain, patch: pytest.MonkeyPatch) -> tuple[float, float, float]:
+    """Return the longest lags of a configuration, of a leaving and of a lost upstream."""
     lags = [play_chain(chain, phase_s, patch) for phase_s in PHASES_S]
-    return max(lag.config_s for lag in lags), max(lag.leaving_s for lag in lags)
+    return (
+        max(lag.config_s for lag in lags),
+        max(lag.leaving_s for lag in lags),
+        max(lag.gone_s for lag in lags),
+    )
--- a/dalehollow/gateway/contact.py
+++ b/dalehollow/gateway/contact.py
@@ -33,8 +33,8 @@
         self._absence_s = absence_s
         self._answered_at_s = float("-inf")
         self._unbroken_since_s = float("inf")
-        # When the last absence of the store began and ended. A gateway that has just started has read
-        # all items since, so what goes after that has not lapsed in an absence before.
+        # When the last absence of the store began and ended. A gateway that has just started has
+        # read all items since, so what goes after that has not lapsed in an absence before.
         self._away_from_s = float("-inf")
         self._returned_at_s = float("-inf")
         # Called when it turns out that the store was not away.
--- a/dalehollow/gateway/copies.py
+++ b/dalehollow/gateway/copies.py
@@ -1,9 +1,9 @@
-"""Hand the newest configuration from gateway to gateway where the store does not.
+"""Hand what the store told from gateway to gateway where the store does not.
 
-Reports tell which revision of the configuration their sender has. Who hears of a newer one than
-its own, and does not get it by the usual ways within a moment, fetches the whole value from a
-gateway that has it. So a gateway lacks no configuration for long that any gateway it hears of
-knows, whether or not the store answers it.
+Reports tell up to which revision their sender lacks nothing. Who hears of a later one than its own,
+and does not get there by the usual ways within a moment, fetches what is newer from a gateway that
+has it: configurations, upstreams that leave or are gone, members, duties, plans. So a gateway lacks
+nothing for long that any gateway it hears knows, whether or not the store answers it.
 """
 
 from __future__ import annotations
@@ -14,22 +14,27 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import msgspec
 
 from dalehollow.aio import CallerConnection, CallerRequest, ClientConnection, CutError, connect
-from dalehollow.protocol.reports import Change, pack_changes, unpack_changes
+from dalehollow.gateway.feed import HallFeed
+from dalehollow.protocol.reports import StoreChanges
+from dalehollow.protocol.revisions import show_revision
 from dalehollow.telemetry.logs import log_event
 
 COPY_AFTER_S = 0.3
 """Changes come within milliseconds, and who lacks one asks the store after 0.1 s: what is still
 missing after this was refused or lost twice."""
 RETRY_PAUSE_S = 0.1
-"""Pause after a fetch that failed, before another gateway that has the value is asked."""
+"""Pause after a fetch that failed, before another gateway that has more is asked."""
 SOURCE_LIFE_S = 1.0
-"""A gateway that has not said for so long that it has the value is not asked for it: four of its
-reports are missing."""
+"""A gateway that has not said for so long what it knows is not asked for it: four of its reports
+are missing."""
 FETCH_TIMEOUT_S = 0.3
 """Bound of the connection and of the wait for the answer to begin: both take milliseconds."""
-_PATH = "/configuration"
+_PATH = "/changes"
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,45 +43,37 @@
 
 @dataclass(frozen=True)
 class _Source:
-    """Hold where a newer configuration is to be had, and when that was last heard."""
+    """Hold up to which revision a gateway lacks nothing, and when that was last heard."""
 
     revision: int
     heard_at_s: float
 
 
-class ConfigCopies:
-    """Hold the newest configuration as the store gave it, and who has a newer one."""
+@dataclass(frozen=True)
+class _Packed:
+    """Hold an answer, and for which request and state of knowledge it was made."""
+
+    after: int
+    taken: int
+    body: bytes
+
+
+class StoreCopies:
+    """Fetch from other gateways what this one lacks, and give them what they lack."""
 
-    def __init__(self, rng: random.Random, dial: Dial = connect) -> None:
+    def __init__(self, feed: HallFeed, rng: random.Random, dial: Dial = connect) -> None:
         """Prepare; `dial` opens a connection to another gateway's address."""
+        self._feed = feed
         self._rng = rng
         self._dial = dial
-        self._own: Change | None = None
-        # Of `_own`, made when it is first asked for: many may ask at once.
-        self._packed = b""
+        # Kept, since many that lack the same may ask at once.
+        self._packed = _Packed(0, -1, b"")
         self._sources: dict[str, _Source] = {}
         self._lacks = asyncio.Event()
-        # Both are set by whoever makes use of them.
-        self.on_copy: Callable[[Change], None] = lambda change: None
-        self.on_kept: Callable[[], None] = lambda: None
-
-    @property
-    def revision(self) -> int:
-        """Return the revision of the newest configuration that is known, 0 for none."""
-        return self._own.revision if self._own is not None else 0
-
-    def keep(self, change: Change) -> None:
-        """Keep a configuration that was taken in, for the others."""
-        if change.revision > self.revision:
-            self._own, self._packed = change, b""
-            self.on_kept()
 
     def note_told(self, address: str, revision: int) -> None:
-        """Take in which revision the gateway at an address has.
-
-        A gateway that knows no configuration at all knows no upstreams either: it reads the store.
-        """
-        if not self.revision or revision <= self.revision:
+        """Take in up to which revision the gateway at an address lacks nothing."""
+        if revision <= self._feed.revision:
             self._sources.pop(address, None)
             return
         self._sources[address] = _Source(revision, asyncio.get_running_loop().time())
@@ -87,53 +84,73 @@
         while True:
             await self._lacks.wait()
             self._lacks.clear()
-            wanted = max((h.revision for h in self._sources.values()), default=0)
-            if wanted <= self.revision:
+            wanted = max((s.revision for s in self._sources.values()), default=0)
+            if wanted <= self._feed.revision:
                 continue
             await asyncio.sleep(COPY_AFTER_S)
-            while self.revision < wanted and (address := self._choose_source(wanted)):
+            while self._feed.revision < wanted and (address := self._choose_source(wanted)):
                 if await self._fetch(address):
                     break
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def answer(self, caller: CallerConnection, request: CallerRequest) -> None:
-        """Serve the newest configuration to another gateway."""
-        if self._own is None:
+        """Tell another gateway all that is known here and newer than a revision."""
+        after = _read_after(request.target)
+        if after is None:
+            caller.send_whole(HTTPStatus.BAD_REQUEST, [], b"")
+            return
+        if not self._feed.revision:
             caller.send_whole(HTTPStatus.NOT_FOUND, [], b"")
             return
-        self._packed = self._packed or pack_changes((self._own,))
-        caller.send_whole(HTTPStatus.OK, [], self._packed)
+        if (self._packed.after, self._packed.taken) != (after, self._feed.taken):
+            body = msgspec.msgpack.encode(self._feed.list_changes(after))
+            self._packed = _Packed(after, self._feed.taken, body)
+        caller.send_whole(HTTPStatus.OK, [], self._packed.body)
 
     def _choose_source(self, wanted: int) -> str:
         """Return where a revision is to be had, or "" where nobody is heard that has it."""
         since_s = asyncio.get_running_loop().time() - SOURCE_LIFE_S
-        self._sources = {a: h for a, h in self._sources.items() if h.heard_at_s > since_s}
-        having = sorted(a for a, h in self._sources.items() if h.revision >= wanted)
+        self._sources = {a: s for a, s in self._sources.items() if s.heard_at_s > since_s}
+        having = sorted(a for a, s in self._sources.items() if s.revision >= wanted)
         return self._rng.choice(having) if having else ""
 
     async def _fetch(self, address: str) -> bool:
-        """Fetch the configuration from a gateway; return whether it gave one."""
-        before = self.revision
+        """Fetch from a gateway what is lacked; return whether it gave it."""
+        before = self._feed.revision
         try:
-            for change in unpack_changes(await self._call(address)):
-                self.on_copy(change)
+            body = await self._call(address, before)
+            self._feed.take_changes(msgspec.msgpack.decode(body, type=StoreChanges))
         except (OSError, TimeoutError, ValueError) as exc:
             error = str(exc) or "timed out"
             log_event(_LOG, "copy_failed", logging.WARNING, source=address, error=error)
             return False
-        log_event(_LOG, "copy_taken", source=address, before=before, revision=self.revision)
-        return True
-
-    async def _call(self, address: str) -> bytes:
+        log_event(
+            _LOG,
+            "copy_taken",
+            source=address,
+            before=show_revision(before),
+            revision=show_revision(self._feed.revision),
+            bytes=len(body),
+        )
+        return self._feed.revision > before
+
+    async def _call(self, address: str, after: int) -> bytes:
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S) as limit:
                 connection = await self._dial(address, FETCH_TIMEOUT_S)
-                connection.send([f"GET {_PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()])
-                head = await connection.read_head()
-                if head.status != HTTPStatus.OK:
-                    raise CutError(f"status {head.status}")
+                head = f"GET {_PATH}?after={after} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+                connection.send([head.encode()])
+                answer = await connection.read_head()
+                if answer.status != HTTPStatus.OK:
+                    raise CutError(f"status {answer.status}")
                 return await connection.read_body_while_it_comes(limit)
         finally:
             if connection is not None:
                 connection.abort()
+
+
+def _read_after(target: bytes) -> int | None:
+    """Return the revision that a request names, or None if it names none."""
+    values = parse_qs(target.partition(b"?")[2]).get(b"after", [b""])
+    return int(values[0]) if values[0].isdigit() else None
--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -61,12 +61,18 @@
         self._rng = rng
         self._send = send
         self.contact = contact or StoreContact(clock)
+        # Both are set by whoever makes use of what comes: single changes, or all items that there
+        # are as of a revision.
         self.on_changes: Callable[[tuple[Change, ...]], None] = lambda changes: None
+        self.on_all: Callable[[tuple[Change, ...], int], None] = lambda changes, revision: None
         # Nothing up to here is missing; single newer changes may be known too.
         self.revision = 0
-        # Of each key that was ever told of, also of those that are gone: a few bytes for each of
-        # some thousand servers and gateways.
-        self._newest: dict[str, int] = {}
+        # The newest change of each key that was ever told of, also of those that are gone.
+        self._newest: dict[str, Change] = {}
+        # How many changes were taken in.
+        self.taken = 0
+        # Of keys that were gone before this revision nothing is known.
+        self._complete_from = 0
         self._fresh_at_s = float("-inf")
         self._read_at_s = float("-inf")
         self._is_relay = False
@@ -101,7 +107,8 @@
 
     def view(self) -> StoreView:
         """Return what this gateway tells others of the store."""
-        return StoreView(round(self.contact.answer_age_s(), 3), self.contact.unbroken_s())
+        age_s = round(self.contact.answer_age_s(), 3)
+        return StoreView(self.revision, age_s, self.contact.unbroken_s())
 
     def relay_state(self) -> RelayState | None:
         """Return what the relay tells of itself, or None for any other gateway."""
@@ -114,7 +121,7 @@
         """Take in that the store answered with all changes after one revision up to another."""
         now_s = self._clock()
         self._read_at_s = self._fresh_at_s = now_s
-        self.revision = max(self.revision, revision)
+        self._move_on(revision)
         self._note_caught_up()
         if not self._is_relay and now_s > max(self._relays_from_s, self._relay_heard_until_s):
             self._is_relay = True
@@ -153,7 +160,7 @@
         Each is a whole value of its key, so none needs what came before it; only `revision`, up to
         which nothing is missing, does not pass a gap.
         """
-        if not self.revision:
+        if message.after and not self.revision:
             return
         if message.revision <= self.revision:
             log_event(
@@ -166,10 +173,15 @@
             )
             return
         try:
-            fresh = self.select_fresh(unpack_changes(message.packed))
+            changes = unpack_changes(message.packed)
         except ValueError as exc:
             log_event(_LOG, "changes_unreadable", logging.WARNING, error=exc)
             return
+        if not message.after:
+            self.on_all(changes, message.revision)
+            self._move_on(message.revision)
+            return
+        fresh = self.select_fresh(changes)
         if message.after > self.revision:
             log_event(
                 _LOG,
@@ -180,9 +192,25 @@
             )
             self._note_behind(message.revision)
         else:
-            self.revision = message.revision
+            self._move_on(message.revision)
         self.on_changes(fresh)
 
+    def list_changes(self, after: int) -> StoreChanges:
+        """Return what is known that is newer than a revision, for a gateway that lacks it.
+
+        Where keys may have gone since then of which nothing is known here, that is everything, told
+        as what comes after revision 0.
+        """
+        after = after if after >= self._complete_from else 0
+        known = sorted(self._newest.values(), key=_read_revision)
+        newer = (c for c in known if c.revision > after and (after or c.value is not None))
+        return StoreChanges(after, self.revision, pack_changes(tuple(newer)))
+
+    def note_missing(self, key: str, revision: int) -> None:
+        """Take in that a key is not among all items as of a revision."""
+        self._newest[key] = Change(key, None, revision)
+        self.taken += 1
+
     def select_fresh(self, changes: Iterable[Change]) -> tuple[Change, ...]:
         """Return the changes that are newer than what is known of their keys, and note them.
 
@@ -191,7 +219,8 @@
         fresh = []
         for change in changes:
             if change.revision > self.newest_revision(change.key):
-                self._newest[change.key] = change.revision
+                self._newest[change.key] = change
+                self.taken += 1
                 fresh.append(change)
             elif change.revision < self.newest_revision(change.key):
                 known = show_revision(self.newest_revision(change.key))
@@ -201,7 +230,8 @@
 
     def newest_revision(self, key: str) -> int:
         """Return the revision of the newest change of a key that was taken in, 0 for none."""
-        return self._newest.get(key, 0)
+        known = self._newest.get(key)
+        return known.revision if known is not None else 0
 
     def describe(self) -> dict[str, object]:
         """Return what is known of the store, for log lines of what depends on it."""
@@ -212,6 +242,14 @@
             "store_age_s": round(self.age_s(), 3),
         }
 
+    def _move_on(self, revision: int) -> None:
+        """Take in that nothing up to a revision is missing."""
+        if not self.revision:
+            self._complete_from = revision
+        if revision > self.revision:
+            self.revision = revision
+            self.taken += 1
+
     def _note_older_relay(self, sender: str, state: RelayState) -> None:
         """Log once that a relay knows less than this gateway does."""
         if self._older_relay != (sender, self.revision):
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -12,7 +12,7 @@
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import LAPSE_HEARTBEATS, StoreContact
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -82,7 +82,7 @@
             lambda changes: self._reports.send_near(changes),
             StoreContact(time.monotonic, absence_s),
         )
-        self._copies = ConfigCopies(rng)
+        self._copies = StoreCopies(self._feed, rng)
         self._era = StoreEra()
         self._reports = PeerReports(
             settings.name,
@@ -156,9 +156,7 @@
             self._planners.note_holder,
             self._planners.note_plan,
         )
-        self._follower = Follower(
-            self._settings.store, ALL_KEYS, listener, self._feed, self._copies, self._era
-        )
+        self._follower = Follower(self._settings.store, ALL_KEYS, listener, self._feed, self._era)
         return [
             keep_running("follower", self._follower.run),
             keep_running("copies", self._copies.run),
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import Member
@@ -80,12 +80,12 @@
         on_change: Callable[[], None],
         far_bytes_per_s: float,
         feed: HallFeed,
-        copies: ConfigCopies,
+        copies: StoreCopies,
     ) -> None:
         """Prepare; `on_change` is called after each report that was taken in.
 
         Reports to other halls stay within `far_bytes_per_s`. What they tell of the store goes to
-        `feed`, what of configurations to `copies`.
+        `feed`, how much of it they know to `copies`.
         """
         self._name = name
         self._hall = hall
@@ -96,7 +96,6 @@
         self._on_change = on_change
         self._feed = feed
         self._copies = copies
-        copies.on_kept = self.note_change
         self._transport: asyncio.DatagramTransport | None = None
         self._near: dict[str, _Address] = {}
         self._far: dict[str, _FarHall] = {}
@@ -174,11 +173,8 @@
         now_s = asyncio.get_running_loop().time()
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.note_unknown(incarnation, unknown, now_s - age_s)
-        near = self._near.get(report.sender)
-        if near is not None:
-            self._note_config(near, report.config_revision)
         self._feed.note_peer(report.sender)
-        self._note_view(report.view)
+        self._note_view(report.view, self._near.get(report.sender))
         if report.relay is not None:
             self._feed.note_relay(report.sender, report.relay)
         if self._feed.relay_state() is not None:
@@ -191,22 +187,21 @@
             return
         self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
-        self._note_view(report.view)
+        self._note_view(report.view, None if report.is_passed_on else addr)
         if not report.is_passed_on:
-            self._note_config(addr, report.config_revision)
             hall = self._far.get(report.hall)
             if hall is not None:
                 hall.speaker, hall.heard_at_s = addr[:2], asyncio.get_running_loop().time()
             self.send_near(msgspec.structs.replace(report, is_passed_on=True))
         self._on_change()
 
-    def _note_view(self, view: StoreView | None) -> None:
-        if view is not None:
-            self._feed.contact.note_told(view.answer_age_s, view.unbroken_s)
-
-    def _note_config(self, address: _Address, revision: int) -> None:
-        """Note what a gateway has; it serves its copy at the port of its datagrams."""
-        self._copies.note_told(f"{address[0]}:{address[1]}", revision)
+    def _note_view(self, view: StoreView | None, address: _Address | None) -> None:
+        """Note what a gateway knows; it gives copies at the port of its datagrams."""
+        if view is None:
+            return
+        self._feed.contact.note_told(view.answer_age_s, view.unbroken_s)
+        if address is not None:
+            self._copies.note_told(f"{address[0]}:{address[1]}", view.revision)
 
     def _take_health(
         self, served_age_s: Mapping[str, float], refused_age_s: Mapping[str, float]
@@ -230,17 +225,14 @@
             for u in self._upstreams
             if now_s - u.unknown_at_s < TOLD_LIFE_S
         }
-        config = self._copies.revision
         view = self._feed.view()
-        report = LoadReport(self._name, in_hand, served, refused, unknown, relay, config, view)
+        report = LoadReport(self._name, in_hand, served, refused, unknown, relay, view)
         self.send_near(report)
         if relay is not None and now_s >= self._far_from_s:
             total = Counter(in_hand)
             for reported in self._near_reports.values():
                 total.update(reported.in_hand)
-            total_report = HallReport(
-                self._hall, dict(total), served, refused, config_revision=config, view=view
-            )
+            total_report = HallReport(self._hall, dict(total), served, refused, view=view)
             self._send_halls(total_report, now_s)
 
     def _send_halls(self, report: HallReport, now_s: float) -> None:
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -11,7 +11,6 @@
 
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.contact import LAPSE_GRACE_S
-from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
@@ -25,7 +24,7 @@
 )
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream, read_incarnation
-from dalehollow.platform.store import HistoryGoneError, Reading, Store, StoreEra
+from dalehollow.platform.store import HistoryGoneError, Store, StoreEra
 from dalehollow.protocol.reports import Change
 from dalehollow.protocol.revisions import show_revision
 from dalehollow.telemetry.logs import log_event
@@ -93,15 +92,13 @@
         prefix: str,
         listener: Listener,
         feed: HallFeed,
-        copies: ConfigCopies,
         era: StoreEra | None = None,
     ) -> None:
         """Prepare; nothing is read before `run`, which leaves the store alone while `feed` can."""
         self._feed = feed
         feed.on_changes = self._take_changes
         feed.contact.on_refuted = self._drop_lapsed
-        self._copies = copies
-        copies.on_copy = self._take_copy
+        feed.on_all = self._take_all
         self._store = Store(address, era)
         self._prefix = prefix
         self._listener = listener
@@ -171,7 +168,7 @@
         )
         self._was_watch_slow = self._must_read_items = False
         self._feed.contact.note_answered()
-        self._take_all(reading)
+        self._take_all(reading.changes, reading.revision)
         self._feed.note_read(0, reading.changes, reading.revision)
 
     async def _watch(self) -> None:
@@ -188,18 +185,15 @@
         if reading.changes:
             await asyncio.sleep(BATCH_PAUSE_S)
 
-    def _take_all(self, reading: Reading) -> None:
+    def _take_all(self, changes: tuple[Change, ...], revision: int) -> None:
         """Take all items in; what is known and not among them is gone, unless it came later."""
-        self._take_changes(self._feed.select_fresh(reading.changes))
-        present = {change.key for change in reading.changes}
+        self._take_changes(self._feed.select_fresh(changes))
+        present = {change.key for change in changes}
         for key in self._known - present:
-            if self._feed.newest_revision(key) <= reading.revision:
+            if self._feed.newest_revision(key) <= revision:
+                self._feed.note_missing(key, revision)
                 self._note_missing(key)
 
-    def _take_copy(self, change: Change) -> None:
-        if change.key == CONFIG_KEY:
-            self._take_changes(self._feed.select_fresh((change,)))
-
     def _take_changes(self, changes: tuple[Change, ...]) -> None:
         for change in changes:
             if change.value is None:
@@ -216,7 +210,6 @@
             _note_unusable(change.key, exc)
             return
         self._listener.on_table(table)
-        self._copies.keep(change)
 
     def _take_item(self, key: str, value: bytes) -> None:
         try:
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -23,12 +23,14 @@
 
 
 class StoreView(msgspec.Struct, frozen=True, array_like=True):
-    """Tell when the store was there, as far as the sender knows.
+    """Tell what the sender knows of the store, and when the store was there.
 
-    It answered some gateway that the sender hears `answer_age_s` ago, and for `unbroken_s` without
-    an absence in which entries could lapse.
+    Nothing up to `revision` is missing, 0 where nothing is known. The store answered some gateway
+    that the sender hears `answer_age_s` ago, and for `unbroken_s` without an absence in which
+    entries could lapse.
     """
 
+    revision: int
     answer_age_s: float
     unbroken_s: float
 
@@ -47,8 +49,6 @@
     # Requests at an upstream that no gateway knows of, and how long ago that was found.
     unknown: dict[str, tuple[int, float]]
     relay: RelayState | None = None
-    # Of the newest configuration that the sender has; 0 where it has none.
-    config_revision: int = 0
     view: StoreView | None = None
 
 
@@ -61,14 +61,13 @@
     refused_age_s: dict[str, float]
     # Set by whoever passes it on within a hall: it goes no further.
     is_passed_on: bool = False
-    # Of the newest configuration that the sender has; 0 where it has none.
-    config_revision: int = 0
     view: StoreView | None = None
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Carry all changes of the store after one revision and up to another.
 
+    After revision 0 it carries all items that there are: a key that is not among them is gone.
     `packed` holds them compressed: configurations and plans shrink to a fifth or less.
     """
 
@@ -80,9 +79,9 @@
 PeerMessage = LoadReport | HallReport | StoreChanges
 
 _CHANGES = msgspec.msgpack.Decoder(tuple[Change, ...])
-MAX_UNPACKED_BYTES = (1 << 20) + 1024
-"""What a value of the store may hold at most, and its key; a message that unpacks to more is not
-one of ours."""
+MAX_UNPACKED_BYTES = 1 << 23
+"""Eight values of the largest size that the store takes: all items of 1,000 servers, 360 gateways
+and a configuration are a third of it. A message that unpacks to more is not one of ours."""
 
 
 def pack_changes(changes: tuple[Change, ...]) -> bytes:
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -13,7 +13,7 @@
 from dalehollow import cli
 from dalehollow.aio import client
 from dalehollow.gateway import outcome, table
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.state import GatewayState
 from dalehollow.platform import follow
 
@@ -56,8 +56,8 @@
 
 
 def _fetch_no_copies() -> None:
-    """Learn of configurations from the store and the hall's relay only."""
-    ConfigCopies.note_told = lambda *args: None  # type: ignore[method-assign]
+    """Learn from the store and the hall's relay only."""
+    StoreCopies.note_told = lambda *args: None  # type: ignore[method-assign]
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -23,7 +23,7 @@
 from dalehollow.aio import AnswerHead, CallerRequest, ConnectError, CutError, Handler
 from dalehollow.aio.client import ClientConnection
 from dalehollow.aio.headers import Headers
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -160,7 +160,7 @@
     port: int
     feed: HallFeed
     reports: PeerReports
-    copies: ConfigCopies
+    copies: StoreCopies
     follower: Follower
     session: Session
     bytes_per_s: float = 2.5e6
@@ -218,7 +218,7 @@
         loop = asyncio.get_running_loop()
         rng = random.Random(f"{name}{self.rng.random()}")
         feed = HallFeed(name, loop.time, rng, lambda changes: reports.send_near(changes))
-        copies = ConfigCopies(rng, lambda address, _: self.connect_peer(name, address))
+        copies = StoreCopies(feed, rng, lambda address, _: self.connect_peer(name, address))
         reports = PeerReports(
             name,
             hall,
@@ -234,7 +234,7 @@
         era = StoreEra()
         session = Session(name, name, Member(f"{name}:{port}", hall), clock=loop.time, era=era)
         gateway = WorldGateway(name, hall, port, feed, reports, copies, None, session)  # type: ignore[arg-type]
-        gateway.follower = Follower(name, "", self._make_listener(gateway), feed, copies, era)
+        gateway.follower = Follower(name, "", self._make_listener(gateway), feed, era)
         self.gateways[name] = gateway
         if self._lease_watch is None:
             self._lease_watch = asyncio.ensure_future(self._end_leases())
--- a/tests/late_chains.py
+++ b/tests/late_chains.py
@@ -1,4 +1,4 @@
-"""Play the chains of failures that can make a configuration late at a gateway.
+"""Play the chains of failures that can make a gateway learn late.
 
 A hall of `a`, the relay, `b`, whose lag is looked at, and `c`, which nothing happens to. Each
 chain is what happens to the relay, to b's calls to the store and to b's datagrams, at the moment
@@ -26,7 +26,7 @@
 LOST_S = 0.35
 """Longer than two reports of a gateway that has nothing to do are apart."""
 SLOW_S = 0.3
-_LEAVING = "upstream-1"
+_LEAVING, _GONE = "upstream-1", "upstream-2"
 
 
 class Relay(enum.StrEnum):
@@ -78,10 +78,11 @@
 
 @dataclass(frozen=True)
 class Lags:
-    """Hold how late b learned of a configuration, and that an upstream leaves."""
+    """Hold how late b learned of a configuration, that an upstream leaves, and that one is gone."""
 
     config_s: float
     leaving_s: float
+    gone_s: float
 
 
 CHAINS = tuple(itertools.starmap(Chain, itertools.product(Relay, Own, Datagrams, (0.0, 0.3))))
@@ -105,7 +106,8 @@
 
     async def main() -> Lags:
         world.apply()
-        world.write_upstream(_LEAVING, "ready")
+        for incarnation in (_LEAVING, _GONE):
+            world.write_upstream(incarnation, "ready")
         for name in "abc":
             world.start(name)
             await asyncio.sleep(0.05)
@@ -145,11 +147,13 @@
     begun_s = world.now_s()
     world.apply()
     world.write_upstream(_LEAVING, "draining")
+    world.delete_upstream(_GONE)
     applying = asyncio.ensure_future(_apply_later(world, chain.gap_s))
     longest = await world.watch_lag("b", PLAYED_S)
     applying.cancel()
-    known_at_s = world.gateways["b"].leaving_at_s.get(_LEAVING, begun_s + PLAYED_S)
-    return Lags(longest["b"], known_at_s - begun_s)
+    b, never_s = world.gateways["b"], begun_s + PLAYED_S
+    leaving_s = b.leaving_at_s.get(_LEAVING, never_s) - begun_s
+    return Lags(longest["b"], leaving_s, b.gone_at_s.get(_GONE, never_s) - begun_s)
 
 
 async def _apply_later(world: HallWorld, gap_s: float) -> None:
--- a/tests/test_config_in_time.py
+++ b/tests/test_config_in_time.py
@@ -17,11 +17,11 @@
 import pytest
 
 from dalehollow.gateway import copies, feed, reports
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.platform import follow
 from tests.hall_world import HallWorld, Path, run_beside, use_world
-from tests.late_chains import BOUND_S, CHAINS, PHASES_S, Chain, Own, play_chain
+from tests.late_chains import BOUND_S, CHAINS, PHASES_S, Chain, play_chain
 from tests.late_schedules import play_schedule
 from tests.virtual_time import run_virtual
 
@@ -150,14 +150,11 @@
 
 
 @pytest.mark.parametrize("chain", CHAINS, ids=Chain.describe)
-def test_no_chain_of_failures_makes_a_configuration_late(
+def test_no_chain_of_failures_makes_a_gateway_learn_late(
     chain: Chain, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     lags = [play_chain(chain, phase_s, monkeypatch) for phase_s in PHASES_S]
-    assert max(lag.config_s for lag in lags) < BOUND_S, lags
-    if chain.own not in (Own.SILENT, Own.REFUSED):
-        # Nothing but the store tells for sure that an upstream leaves.
-        assert max(lag.leaving_s for lag in lags) < BOUND_S, lags
+    assert max(max(lag.config_s, lag.leaving_s, lag.gone_s) for lag in lags) < BOUND_S, lags
 
 
 @pytest.mark.parametrize("seed", range(1, 41))
@@ -168,7 +165,7 @@
 
 
 def _fetch_no_copies(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(ConfigCopies, "note_told", lambda *args: None)
+    monkeypatch.setattr(StoreCopies, "note_told", lambda *args: None)
 
 
 def _rely_on_old_knowledge(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from dalehollow.gateway import reports
-from dalehollow.gateway.copies import ConfigCopies
+from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -70,7 +70,7 @@
             lambda: None,
             far_bytes_per_s=1e9,
             feed=feed,
-            copies=ConfigCopies(random.Random(1)),
+            copies=StoreCopies(feed, random.Random(1)),
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -16,7 +16,6 @@
 from dalehollow.gateway import contact
 from dalehollow.gateway import feed as feed_module
 from dalehollow.gateway.contact import StoreContact
-from dalehollow.gateway.copies import ConfigCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
@@ -78,8 +77,7 @@
         heard = _Heard()
         feed = HallFeed("a", time.monotonic, random.Random(1), lambda changes: None, heard.contact)
         feed.is_first = lambda: is_first  # type: ignore[method-assign]
-        copies = ConfigCopies(random.Random(1))
-        follower = Follower(address, "", heard.listener(), feed, copies)
+        follower = Follower(address, "", heard.listener(), feed)
         task = asyncio.ensure_future(follower.run())
         try:
             async with asyncio.timeout(TIMEOUT_S):
