Count who is heard as a member, listed or not

Cause: the gateways that are told and asked were those of the store's list. Whom the store turned away for longer than its entry's lease lost the entry, and with it all ways by which others stand in for the store. Class: a way that stands in for the store and depends on it.

Change: a gateway is there while it is listed or heard, and whoever is heard for the first time is told from then on. A hall of which the store answers no gateway is spoken for by its first by name, so that other halls go on telling it. The chains of failures start their relay before the others.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -110,6 +110,17 @@
         age_s = round(self.contact.answer_age_s(), 3)
         return StoreView(self.revision, age_s, self.contact.unbroken_s())
 
+    def speaks_for_hall(self) -> bool:
+        """Return whether this gateway tells other halls of its own.
+
+        The relay does. A hall of which the store answers no gateway has none, and then the first
+        by name does: else other halls would not know whom to tell what they know.
+        """
+        if self.relay_state() is not None:
+            return True
+        listens_until_s = max(self._relays_from_s, self._relay_heard_until_s)
+        return self._clock() > listens_until_s and self.is_first()
+
     def relay_state(self) -> RelayState | None:
         """Return what the relay tells of itself, or None for any other gateway."""
         age_s = self._clock() - self._read_at_s
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -16,6 +16,7 @@
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
+from dalehollow.gateway.members import Members
 from dalehollow.gateway.outcome import refuse
 from dalehollow.gateway.planners import GroupPlanners
 from dalehollow.gateway.reports import PeerReports
@@ -73,7 +74,7 @@
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._members: dict[str, Member] = {}
+        self._members = Members(time.monotonic, self._note_member)
         absence_s = settings.heartbeat_ms / _MS_PER_S * LAPSE_HEARTBEATS
         self._feed = HallFeed(
             settings.name,
@@ -93,6 +94,7 @@
             settings.report_bytes_per_s,
             self._feed,
             self._copies,
+            self._members,
         )
         self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.note_change
@@ -129,7 +131,7 @@
             hall=self._settings.hall,
             state=self.state,
             planners=self._planners.by_group,
-            members=self._members,
+            members=self._members.there,
             holders=self._planners.holders,
             is_ready=self.is_ready,
             store_age_s=self._feed.age_s,
@@ -152,7 +154,7 @@
             self._take_table,
             self._take_upstream,
             state.upstreams.remove,
-            self._note_member,
+            self._take_listed,
             self._planners.note_holder,
             self._planners.note_plan,
         )
@@ -167,7 +169,9 @@
         address = await self._bind_peer_port()
         member = Member(address, self._settings.hall)
         self._session = Session(self._settings.store, self._settings.name, member, era=self._era)
-        self._planners = GroupPlanners(self._settings, self.state, self._session, self._members)
+        self._planners = GroupPlanners(
+            self._settings, self.state, self._session, self._members.there
+        )
         self._tasks.append(keep_running("reports", self._reports.run))
 
     async def _bind_peer_port(self) -> str:
@@ -213,20 +217,19 @@
         elif not listed.group_is_open and before.group_is_open:
             self.state.health.note_refused(listed.group_key, now_s)
 
-    def _note_member(self, name: str, member: Member | None) -> None:
-        if member is None:
-            self._members.pop(name, None)
-        else:
-            self._members[name] = member
-        self._reports.note_member(name, member)
+    def _take_listed(self, name: str, member: Member | None) -> None:
+        self._members.note_listed(name, member)
         if name == self._settings.name and member is None:
             self._session.note_unlisted()
-        self.state.note_gateways(len(self._members))
+
+    def _note_member(self, name: str, member: Member | None) -> None:
+        self._reports.note_member(name, member)
+        self.state.note_gateways(len(self._members.there))
         log_event(
             _LOG,
             "member_gone" if member is None else "member_up",
             name=name,
-            count=len(self._members),
+            count=len(self._members.there),
         )
 
     async def _listen(
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -1,9 +1,9 @@
 """Tell the other gateways what this one has in hand, and keep what they tell.
 
 Within a hall a load report goes to each gateway when something has changed, and a few times a
-second without a change. To every other hall the relay of a hall sends one report of all that its
-gateways have in hand; the gateway that gets it passes it on within its own. It is soft state: a
-lost datagram is made up for by the next, and who falls silent is forgotten.
+second without a change. To every other hall one gateway, as a rule the relay, sends one report of
+all that its hall has in hand; the gateway that gets it passes it on within its own. It is soft
+state: a lost datagram is made up for by the next, and who falls silent is forgotten.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import Member
+from dalehollow.gateway.members import Members
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage, StoreView
@@ -81,11 +82,12 @@
         far_bytes_per_s: float,
         feed: HallFeed,
         copies: StoreCopies,
+        members: Members,
     ) -> None:
         """Prepare; `on_change` is called after each report that was taken in.
 
         Reports to other halls stay within `far_bytes_per_s`. What they tell of the store goes to
-        `feed`, how much of it they know to `copies`.
+        `feed`, how much of it they know to `copies`, and who was heard to `members`.
         """
         self._name = name
         self._hall = hall
@@ -96,6 +98,7 @@
         self._on_change = on_change
         self._feed = feed
         self._copies = copies
+        self._members = members
         self._transport: asyncio.DatagramTransport | None = None
         self._near: dict[str, _Address] = {}
         self._far: dict[str, _FarHall] = {}
@@ -116,7 +119,7 @@
             log_event(_LOG, "report_unreadable", logging.WARNING, sender=addr[0], error=exc)
             return
         if isinstance(message, LoadReport):
-            self._take_load(message)
+            self._take_load(message, addr)
         elif isinstance(message, HallReport):
             self._take_hall(message, addr)
         else:
@@ -129,7 +132,7 @@
         log_event(_LOG, "report_undelivered", logging.DEBUG, error=exc)
 
     def note_member(self, name: str, member: Member | None) -> None:
-        """Add or forget a gateway of the store's list."""
+        """Add or forget a gateway."""
         self._near.pop(name, None)
         for hall in self._far.values():
             hall.members.pop(name, None)
@@ -162,12 +165,14 @@
             self._changed.clear()
             self._forget_silent(self._near_reports)
             self._forget_silent(self._hall_reports)
+            self._members.forget_silent()
             self._report()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    def _take_load(self, report: LoadReport) -> None:
+    def _take_load(self, report: LoadReport, addr: _Address) -> None:
         if report.sender == self._name:
             return
+        self._note_heard(report.sender, self._hall, addr)
         self._replace(self._near_reports, report.sender, report.in_hand, SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
         now_s = asyncio.get_running_loop().time()
@@ -189,12 +194,18 @@
         self._take_health(report.served_age_s, report.refused_age_s)
         self._note_view(report.view, None if report.is_passed_on else addr)
         if not report.is_passed_on:
+            self._note_heard(report.sender, report.hall, addr)
             hall = self._far.get(report.hall)
             if hall is not None:
                 hall.speaker, hall.heard_at_s = addr[:2], asyncio.get_running_loop().time()
             self.send_near(msgspec.structs.replace(report, is_passed_on=True))
         self._on_change()
 
+    def _note_heard(self, name: str, hall: str, address: _Address) -> None:
+        """Note who speaks: it listens at the port that it sends from."""
+        if name:
+            self._members.note_heard(name, Member(f"{address[0]}:{address[1]}", hall))
+
     def _note_view(self, view: StoreView | None, address: _Address | None) -> None:
         """Note what a gateway knows; it gives copies at the port of its datagrams."""
         if view is None:
@@ -228,11 +239,13 @@
         view = self._feed.view()
         report = LoadReport(self._name, in_hand, served, refused, unknown, relay, view)
         self.send_near(report)
-        if relay is not None and now_s >= self._far_from_s:
+        if self._feed.speaks_for_hall() and now_s >= self._far_from_s:
             total = Counter(in_hand)
             for reported in self._near_reports.values():
                 total.update(reported.in_hand)
-            total_report = HallReport(self._hall, dict(total), served, refused, view=view)
+            total_report = HallReport(
+                self._hall, dict(total), served, refused, sender=self._name, view=view
+            )
             self._send_halls(total_report, now_s)
 
     def _send_halls(self, report: HallReport, now_s: float) -> None:
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -61,6 +61,8 @@
     refused_age_s: dict[str, float]
     # Set by whoever passes it on within a hall: it goes no further.
     is_passed_on: bool = False
+    # The gateway that speaks for its hall.
+    sender: str = ""
     view: StoreView | None = None
 
 
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -27,6 +27,7 @@
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
+from dalehollow.gateway.members import Members
 from dalehollow.gateway.reports import PeerReports
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
@@ -161,6 +162,7 @@
     feed: HallFeed
     reports: PeerReports
     copies: StoreCopies
+    members: Members
     follower: Follower
     session: Session
     bytes_per_s: float = 2.5e6
@@ -219,6 +221,7 @@
         rng = random.Random(f"{name}{self.rng.random()}")
         feed = HallFeed(name, loop.time, rng, lambda changes: reports.send_near(changes))
         copies = StoreCopies(feed, rng, lambda address, _: self.connect_peer(name, address))
+        members = Members(loop.time, lambda name, member: reports.note_member(name, member))
         reports = PeerReports(
             name,
             hall,
@@ -228,12 +231,13 @@
             far_bytes_per_s=16e3,
             feed=feed,
             copies=copies,
+            members=members,
         )
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
         port = self._ports.setdefault(name, _PORT + len(self._ports))
         era = StoreEra()
         session = Session(name, name, Member(f"{name}:{port}", hall), clock=loop.time, era=era)
-        gateway = WorldGateway(name, hall, port, feed, reports, copies, None, session)  # type: ignore[arg-type]
+        gateway = WorldGateway(name, hall, port, feed, reports, copies, members, None, session)  # type: ignore[arg-type]
         gateway.follower = Follower(name, "", self._make_listener(gateway), feed, era)
         self.gateways[name] = gateway
         if self._lease_watch is None:
@@ -323,7 +327,7 @@
         if self.rng.random() < max(source.loss, target.loss):
             return
         loop = asyncio.get_running_loop()
-        from_address = (source.name, source.port)
+        from_address = (sender, source.port)
         delay_s = DELAY_S + source.send_delay_s
         loop.call_later(delay_s, target.reports.datagram_received, data, from_address)
 
@@ -395,7 +399,7 @@
             gateway.gone_at_s.setdefault(incarnation, self.now_s())
 
         def take_member(name: str, member: Member | None) -> None:
-            gateway.reports.note_member(name, member)
+            gateway.members.note_listed(name, member)
             if name == gateway.name and member is None:
                 gateway.session.note_unlisted()
 
--- a/tests/late_chains.py
+++ b/tests/late_chains.py
@@ -19,6 +19,7 @@
 
 BOUND_S = 1.8
 """The stated bound; the shortest time that a deployment gives a confirmed configuration is 2 s."""
+RELAY_S = 2.0
 SETTLE_S = 5.0
 PLAYED_S = 4.0
 PHASES_S = (0.0, 0.17, 0.34, 0.51)
@@ -110,7 +111,8 @@
             world.write_upstream(incarnation, "ready")
         for name in "abc":
             world.start(name)
-            await asyncio.sleep(0.05)
+            # The first relays before the others come.
+            await asyncio.sleep(RELAY_S if name == "a" else 0.05)
         await asyncio.sleep(SETTLE_S + phase_s)
         assert world.gateways["a"].feed.relay_state() is not None
         try:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -14,6 +14,7 @@
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
+from dalehollow.gateway.members import HEARD_LIFE_S, Members
 from dalehollow.gateway.reports import PeerReports
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
@@ -40,6 +41,7 @@
     feed: HallFeed
     socket: _Sent
     clock: ManualClock
+    members: Members
 
     def receive(self, message: PeerMessage, address: tuple[str, int] = NEAR) -> None:
         self.reports.datagram_received(msgspec.msgpack.encode(message), address)
@@ -62,6 +64,7 @@
         upstreams = UpstreamSet(random.Random(1), "hall-1")
         clock = ManualClock()
         feed = HallFeed("gw", clock, random.Random(1), lambda c: peer_reports.send_near(c))
+        members = Members(clock, lambda name, member: peer_reports.note_member(name, member))
         peer_reports = PeerReports(
             "gw",
             "hall-1",
@@ -71,17 +74,18 @@
             far_bytes_per_s=1e9,
             feed=feed,
             copies=StoreCopies(feed, random.Random(1)),
+            members=members,
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
-        bench = _Bench(peer_reports, upstreams, feed, socket, clock)
+        bench = _Bench(peer_reports, upstreams, feed, socket, clock, members)
         for name, address, hall in (
             ("near", NEAR, "hall-1"),
             ("near-2", NEAR_2, "hall-1"),
             ("far", FAR, "hall-2"),
             ("far-2", FAR_2, "hall-2"),
         ):
-            peer_reports.note_member(name, Member(f"{address[0]}:{address[1]}", hall))
+            members.note_listed(name, Member(f"{address[0]}:{address[1]}", hall))
         await scenario(bench)
 
     asyncio.run(run())
@@ -115,7 +119,8 @@
         bench.socket.sent.clear()
         bench.reports._report()
         told = [m for m, address in bench.socket.sent if address in (FAR, FAR_2)]
-        assert told == [HallReport("hall-1", {"s1": 3}, {}, {}, view=bench.feed.view())]
+        report = HallReport("hall-1", {"s1": 3}, {}, {}, sender="gw", view=bench.feed.view())
+        assert told == [report]
 
     _run(scenario)
 
@@ -174,3 +179,51 @@
 
     def time(self) -> float:
         return float("inf")
+
+
+def test_a_gateway_that_is_heard_is_told_though_the_store_lists_it_no_more() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.receive(_load("near"), NEAR)
+        bench.members.note_listed("near", None)
+        bench.members.note_listed("near-2", None)
+        bench.reports._report()
+        assert [address for _, address in bench.socket.sent] == [NEAR]
+        # Silence takes it out of those that are told.
+        bench.socket.sent.clear()
+        bench.clock.now_s += HEARD_LIFE_S + 0.1
+        bench.members.forget_silent()
+        bench.reports._report()
+        assert {address for _, address in bench.socket.sent} <= {FAR, FAR_2}
+
+    _run(scenario)
+
+
+def test_a_gateway_that_the_store_never_listed_is_told_once_it_is_heard() -> None:
+    async def scenario(bench: _Bench) -> None:
+        newcomer, speaker = ("127.0.0.1", 8), ("127.0.0.1", 9)
+        bench.receive(_load("newcomer"), newcomer)
+        bench.receive(HallReport("hall-3", {}, {}, {}, sender="speaker"), speaker)
+        bench.become_relay()
+        bench.socket.sent.clear()
+        bench.reports._report()
+        told = {address for _, address in bench.socket.sent}
+        assert {newcomer, speaker} <= told
+        assert set(bench.members.there) >= {"newcomer", "speaker"}
+
+    _run(scenario)
+
+
+def test_a_hall_without_a_relay_is_spoken_for_by_its_first() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.clock.now_s += 10.0
+        bench.receive(_load("near"), NEAR)
+        bench.reports._report()
+        assert any(isinstance(m, HallReport) for m, _ in bench.socket.sent)
+        # Another whose name comes earlier does it where one is heard.
+        bench.socket.sent.clear()
+        bench.receive(_load("a-first"), NEAR)
+        bench.reports._far_from_s = 0.0
+        bench.reports._report()
+        assert not any(isinstance(m, HallReport) for m, _ in bench.socket.sent)
+
+    _run(scenario)
