--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -39,6 +39,7 @@
 from tests.gateway_bench import make_config
 
 CONFIG_KEY = "op/config"
+SERVICE = "desk"
 DELAY_S = 0.001
 """One way, to the store and between gateways."""
 PIECE_BYTES = 16_384
@@ -163,6 +164,7 @@
     reports: PeerReports
     copies: StoreCopies
     members: Members
+    upstreams: UpstreamSet
     follower: Follower
     session: Session
     bytes_per_s: float = 2.5e6
@@ -184,6 +186,11 @@
     # Added to each datagram that it sends.
     send_delay_s: float = 0.0
 
+    def may_use(self, incarnation: str) -> bool:
+        """Return whether it may send requests to an upstream."""
+        usable = self.upstreams.of_service(SERVICE)
+        return incarnation in {u.listed.incarnation for u in usable}
+
 
 @dataclass
 class _Socket:
@@ -221,11 +228,12 @@
         rng = random.Random(f"{name}{self.rng.random()}")
         feed = HallFeed(name, loop.time, rng, lambda changes: reports.send_near(changes))
         copies = StoreCopies(feed, rng, lambda address, _: self.connect_peer(name, address))
+        upstreams = UpstreamSet(rng, hall)
         members = Members(loop.time, lambda name, member: reports.note_member(name, member))
         reports = PeerReports(
             name,
             hall,
-            UpstreamSet(rng, hall),
+            upstreams,
             GroupHealth(),
             lambda: None,
             far_bytes_per_s=16e3,
@@ -237,7 +245,18 @@
         port = self._ports.setdefault(name, _PORT + len(self._ports))
         era = StoreEra()
         session = Session(name, name, Member(f"{name}:{port}", hall), clock=loop.time, era=era)
-        gateway = WorldGateway(name, hall, port, feed, reports, copies, members, None, session)  # type: ignore[arg-type]
+        gateway = WorldGateway(
+            name,
+            hall,
+            port,
+            feed,
+            reports,
+            copies,
+            members,
+            upstreams,
+            None,  # type: ignore[arg-type]
+            session,
+        )
         gateway.follower = Follower(name, "", self._make_listener(gateway), feed, era)
         self.gateways[name] = gateway
         if self._lease_watch is None:
@@ -275,7 +294,7 @@
 
     def write_upstream(self, incarnation: str, state: str) -> None:
         """Have an upstream write its entry."""
-        entry = {"service": "desk", "address": "127.0.0.1:9", "zone": "hall", "slots": 2}
+        entry = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "hall", "slots": 2}
         self._write(f"servers/{incarnation}", msgspec.json.encode({**entry, "state": state}))
 
     def restore_store(self) -> None:
@@ -391,11 +410,13 @@
                 gateway.in_force_at_s[table.version] = self.now_s()
 
         def take_upstream(listed: ListedUpstream) -> None:
+            gateway.upstreams.put(listed)
             gateway.gone_at_s.pop(listed.incarnation, None)
             if listed.is_leaving:
                 gateway.leaving_at_s.setdefault(listed.incarnation, self.now_s())
 
         def take_gone(incarnation: str) -> None:
+            gateway.upstreams.remove(incarnation)
             gateway.gone_at_s.setdefault(incarnation, self.now_s())
 
         def take_member(name: str, member: Member | None) -> None:
