Refuse entries that do not say what an upstream must

Cause: any state but one counted as ready, and ids, addresses, slots and ranks were taken as they stood; an entry that could not be read left standing what it had named before.

Change: an entry of another writer names no upstream, and what it named before is gone; the others hold.

--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True)
 class ListedUpstream:
-    """Hold one listed upstream; `incarnation` differs after each of its restarts."""
+    """Hold one listed upstream.
+
+    It may start again under the `incarnation` that it had: then it knows nothing of before.
+    """
 
     incarnation: str
     service: str
@@ -21,6 +24,8 @@
     group_size: int = 0
     group_epoch: int = 0
     group_is_open: bool = True
+    # By its own clock; 0 where it does not tell.
+    started_at_ms: int = 0
 
     @cached_property
     def group_key(self) -> str:
--- a/dalehollow/platform/follow.py
+++ b/dalehollow/platform/follow.py
@@ -224,6 +224,8 @@
                 self._known.add(key)
         except ValueError as exc:
             _note_unusable(key, exc)
+            # It names nothing now, whatever it named before.
+            self._note_missing(key)
 
     def _note_missing(self, key: str) -> None:
         """Drop an upstream, or wait a little for it where its entry may only have lapsed."""
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -210,7 +210,7 @@
 def test_ejection_never_takes_most_of_a_service() -> None:
     upstreams = UpstreamSet(random.Random(1))
     for number in range(6):
-        entry = {"service": "d", "address": "a", "zone": "h", "slots": 2, "state": "ready"}
+        entry = {"service": "d", "address": "10.0.0.1:1", "zone": "h", "slots": 2, "state": "ready"}
         upstreams.put(decode_upstream(f"servers/u{number}", msgspec.json.encode(entry)))
     for upstream in upstreams:
         for _ in range(10):
--- a/tests/test_rank_groups.py
+++ b/tests/test_rank_groups.py
@@ -183,8 +183,8 @@
         await bench.until(lambda: len(bench.gateway.state.upstreams.of_group("desk/g1")) == 2)
         gateway = bench.gateway
         for number in range(4):
-            gateway._note_member(f"near-{number}", Member("127.0.0.1:9", "hall"))
-            gateway._note_member(f"far-{number}", Member("127.0.0.1:9", "elsewhere"))
+            gateway._take_listed(f"near-{number}", Member("127.0.0.1:9", "hall"))
+            gateway._take_listed(f"far-{number}", Member("127.0.0.1:9", "elsewhere"))
         assert gateway._planners._count_duty_turn("desk/g1") <= 4
         for rank in range(2):
             entry = {"name": "g1", "epoch": 1, "rank": rank, "state": "open"}
