Take an upstream that starts again under its id for a new one

Cause: an upstream was known by its id alone, which held for one start. Under the same id the requests in hand, the ejection and the leaving of the earlier start counted on.

Change: entries tell when their upstream started. A later start replaces what was known, and requests at the earlier one that may go on elsewhere do so at once, for no answer of it can come any more; an earlier start changes nothing.

Measured: test_an_upstream_that_starts_again_is_known_as_new passes, with the tests of groups, gateway and parts.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -119,7 +119,7 @@
             if isinstance(result, NotRun):
                 progress.may_have_run = was_unsure
             if move.is_asked and not isinstance(result, Answered):
-                self._note_attempt(upstream, "attempt_moved", "slow_rank")
+                self._note_attempt(upstream, "attempt_moved", move.why)
                 return False
             self._note_result(upstream, result)
             if not isinstance(result, Answered):
@@ -134,7 +134,7 @@
             return await self._relay(upstream, answered)
         except CutError as exc:
             if move.is_asked:
-                self._note_attempt(upstream, "attempt_moved", "slow_rank")
+                self._note_attempt(upstream, "attempt_moved", move.why)
             else:
                 self._state.upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
                 self._note_attempt(upstream, "answer_broken", str(exc))
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -156,7 +156,7 @@
         if moves:
             log_event(_LOG, "requests_moved", group=group_key, count=len(moves[:room]), room=room)
         for move in moves[:room]:
-            move.ask()
+            move.ask("slow_rank")
 
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change that may have made some."""
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -32,14 +32,19 @@
 
 @dataclass(eq=False)
 class Move:
-    """Hold a try that can go on at another upstream, and whether it was asked to."""
+    """Hold a try that can go on at another upstream, and why it was asked to."""
 
     connection: ClientConnection | None = None
-    is_asked: bool = False
+    why: str = ""
 
-    def ask(self) -> None:
+    @property
+    def is_asked(self) -> bool:
+        """Return whether it was asked to go on."""
+        return bool(self.why)
+
+    def ask(self, why: str) -> None:
         """Break the try off; the request goes on elsewhere from where it is."""
-        self.is_asked = True
+        self.why = why
         if self.connection is not None:
             self.connection.abort()
 
@@ -119,6 +124,11 @@
     def put(self, listed: ListedUpstream) -> None:
         """Add an upstream, or take what is newly said of it."""
         known = self._known.get(listed.incarnation)
+        if known is not None and listed.started_at_ms < known.listed.started_at_ms:
+            return
+        if known is not None and listed.started_at_ms > known.listed.started_at_ms:
+            self._end_earlier_start(known)
+            known = None
         if known is None:
             known = Upstream(listed, others_in_hand=self._others_in_hand[listed.incarnation])
             self._known[listed.incarnation] = known
@@ -142,6 +152,19 @@
         self._by_service.setdefault(listed.service, {})[listed.incarnation] = known
         self._by_group.setdefault(listed.group_key, {})[listed.incarnation] = known
 
+    def _end_earlier_start(self, upstream: Upstream) -> None:
+        """Forget all of an upstream that has started again; what ran there can be no answer."""
+        log_event(
+            _LOG,
+            "upstream_restarted",
+            incarnation=upstream.listed.incarnation,
+            in_hand=upstream.in_hand,
+            moved=len(upstream.moves),
+        )
+        self.remove(upstream.listed.incarnation)
+        for move in upstream.moves:
+            move.ask("upstream_restarted")
+
     def find(self, incarnation: str) -> ListedUpstream | None:
         """Return what the list last said of an upstream."""
         known = self._known.get(incarnation)
