Take back nothing of an upstream that a restored store shows as it was

Cause: the copy that a store is restored from may be older than what an upstream said or the end of its entry; gateways believed it and used an upstream again that leaves.

Change: of one start of an upstream, leaving is never taken back and no epoch of its group comes again.

--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import cached_property
 
 
@@ -32,6 +32,16 @@
         """Return what names its rank group among all; its service where it stands alone."""
         return f"{self.service}/{self.group}" if self.group else self.service
 
+    def replace_with(self, told: ListedUpstream) -> ListedUpstream:
+        """Return what holds after an entry of the same start was read.
+
+        A store that was restored may show an entry as it was: leaving is never taken back, and no
+        epoch of a group comes again.
+        """
+        if told.group_epoch < self.group_epoch:
+            told = replace(told, group_epoch=self.group_epoch, group_is_open=self.group_is_open)
+        return replace(told, is_leaving=True) if self.is_leaving else told
+
 
 def read_service(group_key: str) -> str:
     """Return the service that a group's key names."""
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -124,6 +124,8 @@
     def put(self, listed: ListedUpstream) -> None:
         """Add an upstream, or take what is newly said of it."""
         known = self._known.get(listed.incarnation)
+        if known is not None and listed.started_at_ms == known.listed.started_at_ms:
+            listed = known.listed.replace_with(listed)
         if known is not None and listed.started_at_ms < known.listed.started_at_ms:
             return
         if known is not None and listed.started_at_ms > known.listed.started_at_ms:
