Split what items say off the follower that reads them

follow.py decides when and how the store is read, items.py what its items mean and when one that is missing is gone.

Measured: formatter, linter, types; tests of entries, store client, restored store and of what gateways learn pass.

--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -26,7 +26,8 @@
 from dalehollow.gateway.table import CallerLimits, RoutingTable
 from dalehollow.gateway.tasks import keep_running
 from dalehollow.gateway.upstreams import UpstreamSet
-from dalehollow.platform.follow import Follower, Listener
+from dalehollow.platform.follow import Follower
+from dalehollow.platform.items import Listener
 from dalehollow.platform.names import ALL_KEYS, HEADERS
 from dalehollow.platform.session import Session
 from dalehollow.platform.store import StoreEra
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -32,7 +32,8 @@
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform import store as store_module
-from dalehollow.platform.follow import Follower, Listener
+from dalehollow.platform.follow import Follower
+from dalehollow.platform.items import Listener
 from dalehollow.platform.session import Session
 from dalehollow.platform.store import StoreEra
 from standins.metadata import MetadataStandIn
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -20,7 +20,8 @@
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.platform import follow, session
-from dalehollow.platform.follow import Follower, Listener
+from dalehollow.platform.follow import Follower
+from dalehollow.platform.items import Listener
 from dalehollow.platform.session import Lease, Session
 from dalehollow.platform.store import LeaseGoneError, StoreEra
 from standins.metadata import MetadataStandIn
