Log as of which revision and by whom it was learned that an upstream leaves or is gone

The lines upstream_leaving and upstream_gone did not say when the store took that, nor on whom the gateway relied. The dump tells the same of the gateway as it is.

--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby
@@ -250,7 +251,8 @@
         return {
             "relies_on": relied_on,
             "revision": show_revision(self.revision),
-            "store_age_s": round(self.age_s(), 3),
+            "store_age_s": _round_age(self.age_s()),
+            "answer_age_s": _round_age(self.contact.answer_age_s()),
         }
 
     def _move_on(self, revision: int) -> None:
@@ -330,5 +332,10 @@
         yield chunk
 
 
+def _round_age(age_s: float) -> float | None:
+    """Return an age for a log line, None for what never was."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def _read_revision(change: Change) -> int:
     return change.revision
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -63,6 +63,7 @@
         "is_ready": sources.is_ready(),
         "config_version": state.table.version if state.table is not None else None,
         "store_heard_age_s": age_s if math.isfinite(age_s := sources.store_age_s()) else None,
+        "store": state.describe_store(),
         "gateways": {name: member.address for name, member in sources.members.items()},
         "duties": dict(sources.holders),
         "services": {
--- a/dalehollow/platform/items.py
+++ b/dalehollow/platform/items.py
@@ -24,7 +24,7 @@
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream, read_incarnation
 from dalehollow.protocol.reports import Change
-from dalehollow.protocol.revisions import read_era
+from dalehollow.protocol.revisions import read_era, show_revision
 from dalehollow.telemetry.logs import log_event
 
 RESTORED_GRACE_S = 5.0
@@ -79,7 +79,7 @@
         feed.on_all = self.take_all
         feed.contact.on_refuted = self._drop_lapsed
         self._known: set[str] = set()
-        # The newest era of the store that was heard of, and when a later one was for the first time.
+        # The newest era of the store that was heard of, and when that was for the first time.
         self._era = 0
         self._era_noted_at_s = float("-inf")
         # When each upstream that is known started, and which are gone.
@@ -141,6 +141,8 @@
             return
         self._gone.pop(change.key, None)
         self._lapsing.discard(change.key)
+        if listed.is_leaving:
+            self._log_learned("entry_leaving", change.key, change.revision)
         self._started_at_ms[change.key] = listed.started_at_ms
         self._listener.on_upstream(listed)
 
@@ -186,6 +188,10 @@
             return False
         return True
 
+    def _log_learned(self, event: str, key: str, as_of: int) -> None:
+        """Log what was learned, as of which revision, and whom this gateway relies on just now."""
+        log_event(_LOG, event, key=key, as_of=show_revision(as_of), **self._feed.describe())
+
     def _may_have_lapsed(self) -> bool:
         """Return whether a missing entry may only have lapsed, or be lost by a restore."""
         return self._feed.contact.may_have_lapsed() or self._restored_grace_s() > 0.0
@@ -221,6 +227,7 @@
     def _drop(self, key: str, revision: int) -> None:
         self._known.discard(key)
         self._lapsing.discard(key)
+        self._log_learned("entry_gone", key, revision)
         restored = self._restored.pop(key, None)
         if restored is not None:
             restored.timer.cancel()
