Have the soak play restored stores, lost and restarted servers, and entries of others

New faults: a store that comes back from a copy, a server whose entry goes without notice, one that starts again under its name; entries of another writer lead to a trap that no request may reach. Four chains more: a gateway turned away for longer than its lease, a hall turned away while servers leave, an entry that goes after the relay's own failure, a restored store. That no request goes to a leaving server holds now where any gateway that is heard reaches the store, not only the asking one.

--- a/soak/defects.py
+++ b/soak/defects.py
@@ -14,8 +14,10 @@
 from dalehollow.aio import client
 from dalehollow.gateway import outcome, table
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.members import Members
 from dalehollow.gateway.state import GatewayState
-from dalehollow.platform import follow
+from dalehollow.platform import follow, servers
+from dalehollow.platform.store import StoreEra
 
 GO_BACK_S = 0.5
 
@@ -60,14 +62,33 @@
     StoreCopies.note_told = lambda *args: None  # type: ignore[method-assign]
 
 
+def _know_no_eras() -> None:
+    """Order what the store tells by its revisions alone."""
+    StoreEra.take = lambda *args: 0  # type: ignore[method-assign]
+    _fetch_no_copies()
+
+
+def _tell_listed_gateways_only() -> None:
+    """Forget a gateway with its entry in the store, though it is heard."""
+    Members.note_heard = lambda *args: None  # type: ignore[method-assign]
+
+
+def _trust_any_entry() -> None:
+    """Take entries of other writers for upstreams."""
+    servers._find_mistakes = lambda *args: []
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "false_refusals": _refuse_what_may_have_run,
     "runs_twice": _repeat_everything,
     "older_configuration": _go_back_a_version,
     "history_in_a_hurry": _read_history_in_a_hurry,
     "no_copies": _fetch_no_copies,
+    "no_eras": _know_no_eras,
+    "listed_gateways_only": _tell_listed_gateways_only,
+    "any_entry": _trust_any_entry,
 }
-LATE = frozenset({"history_in_a_hurry", "no_copies"})
+LATE = frozenset({"history_in_a_hurry", "no_copies", "no_eras", "listed_gateways_only"})
 """Those that only the bounds in time can show."""
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -214,7 +214,34 @@
     world.ledger.leaving_at_s[name] = world.now_s()
     world.write_entry(name, "draining")
     await asyncio.sleep(SERVES_ON_S)
-    world.store.delete(f"servers/{name}")
+    world.delete_entry(name)
+
+
+async def _lose_server(world: World, fault: Fault) -> None:
+    """Have a server's entry go without notice; it serves on."""
+    name = _choose_server(world, fault)
+    await world.add_server()
+    world.ledger.leaving_at_s[name] = world.now_s()
+    world.delete_entry(name)
+
+
+async def _restart_server(world: World, fault: Fault) -> None:
+    """Have a server start again under the name that it had."""
+    name = _choose_server(world, fault)
+    world.proxies[name].set_mode(Mode.RESET)
+    await _disturb(world, name, fault)
+    world.proxies[name].set_mode(Mode.PASS)
+    world.born_ms[name] += 1
+    if name not in world.ledger.leaving_at_s:
+        world.write_entry(name, "ready")
+
+
+async def _restore_store(world: World, fault: Fault) -> None:
+    """Have the store go away and come back from a copy."""
+    world.store.fault = "busy"
+    await _disturb(world, "store", fault)
+    world.restore_store()
+    world.store.fault = "none"
 
 
 async def _apply(world: World, fault: Fault) -> None:
@@ -237,6 +264,9 @@
     "server path": _break_server_path,
     "server": _break_server,
     "replace server": _replace_server,
+    "lose server": _lose_server,
+    "restart server": _restart_server,
+    "restore": _restore_store,
     "configuration": _apply,
 }
 
@@ -276,6 +306,27 @@
         Fault(0.5, 0.1, "configuration", MANY_CHANGES),
         Fault(6.5, 0.1, "configuration", MANY_CHANGES),
     ),
+    "a gateway turned away for longer than its lease": (
+        Fault(0.5, 16.0, "store path", _aim(1, Mode.RESET)),
+        *(Fault(13.5 + gap, 0.1, "configuration", ONE_CHANGE) for gap in (0.0, 1.0, 2.0)),
+        Fault(13.5, 0.1, "replace server", 0),
+    ),
+    "a hall turned away while servers leave": (
+        Fault(0.5, 8.0, "store path of a hall", _aim(0, Mode.RESET)),
+        Fault(4.0, 0.1, "replace server", 0),
+        Fault(5.0, 0.1, "lose server", 1),
+    ),
+    "an entry that goes after the relay's own failure": (
+        Fault(1.0, 0.4, "store path", _aim(0, Mode.SILENT)),
+        Fault(1.6, 0.1, "lose server", 0),
+    ),
+    "a store restored from a copy": (
+        Fault(1.0, 0.1, "configuration", MANY_CHANGES),
+        Fault(3.5, 1.0, "restore", 0),
+        Fault(4.6, 0.1, "configuration", ONE_CHANGE),
+        Fault(4.7, 0.1, "replace server", 0),
+        Fault(8.5, 0.1, "configuration", ONE_CHANGE),
+    ),
 }
-"""The chains that make a configuration late (docs/PLATFORM.md), with real processes; the first
+"""The chains that make a gateway learn late (docs/PLATFORM.md), with real processes; the first
 gateway is the relay of its hall."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,6 +8,8 @@
 
 from standins.server import whole_stream
 
+TRAP = "trap"
+"""The server behind entries that name none."""
 REFUSALS = frozenset({408, 421, 429, 503})
 OK = 200
 UNKNOWN_ROUTE = 404
@@ -84,6 +86,7 @@
         *_check_once(ledger),
         *_check_versions(ledger.asked),
         *_check_stops(ledger),
+        *_check_trap(ledger),
     ]
     if checks_bounds:
         found += [
@@ -149,6 +152,11 @@
                 yield Violation("planned stop", f"{a.request_id} was cut by {gateway}'s stop")
 
 
+def _check_trap(ledger: Ledger) -> Iterator[Violation]:
+    for arrival in ledger.arrivals[TRAP]:
+        yield Violation("no foreign entry used", f"{arrival.request_id} reached the trap")
+
+
 def _check_config_bound(ledger: Ledger) -> Iterator[Violation]:
     for a in ledger.asked:
         if a.kind != "version" or a.status != OK:
@@ -185,7 +193,7 @@
             late_s = arrival.at_s - left_at_s - DRAIN_BOUND_S
             if a is None or late_s <= MARGIN_S or a.sent_at_s < left_at_s:
                 continue
-            if _reaches_store(ledger, a.gateway, a) and ledger.is_calm(
+            if _can_know(ledger, a) and ledger.is_calm(
                 incarnation, left_at_s - CONTACT_S, arrival.at_s
             ):
                 detail = f"{a.request_id} by {a.gateway} {late_s:.1f} s late at {incarnation}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,7 +13,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest
 from soak.peers import PeerNetwork, SoakStore
-from soak.promises import Arrival, Ledger
+from soak.promises import TRAP, Arrival, Ledger
 from soak.proxy import Proxy
 from standins.platform import GatewayProcess, launch_gateway, listen
 from standins.server import ServerStandIn, Way
@@ -23,6 +23,8 @@
 SLOTS = 8
 PACE_S = 0.02
 LEASE_CHECK_S = 0.1
+COPY_EACH_S = 4.0
+"""A store that is restored lacks what was written since the last copy."""
 HALLS = ("hall", "hall", "hall", "other")
 """Of the gateways in turn: a hall with a relay and two that hear it, and one beside it."""
 STORE_BYTES_PER_S = 2.5e6
@@ -102,9 +104,13 @@
     network: PeerNetwork = field(init=False)
     store: SoakStore = field(init=False)
     store_address: str = ""
+    # What the operator and the servers wrote last, and who stands behind entries of others.
+    written: dict[str, bytes] = field(default_factory=dict)
+    trap: SoakServer = field(init=False)
     gateways: dict[str, Gateway] = field(default_factory=dict)
     servers: dict[str, SoakServer] = field(default_factory=dict)
     proxies: dict[str, Proxy] = field(default_factory=dict)
+    born_ms: dict[str, int] = field(default_factory=dict)
     version: int = 0
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _server_count: int = 0
@@ -113,6 +119,7 @@
         """Make the store and what stands between the gateways."""
         self.network = PeerNetwork(self.rng)
         self.store = SoakStore(self.network)
+        self.trap = SoakServer(TRAP, ledger=self.ledger, rng=self.rng)
 
     def now_s(self) -> float:
         """Return the time on the driver's steady clock."""
@@ -122,6 +129,7 @@
         """Start everything and wait until all gateways listen."""
         self.store_address = await listen(self.store.handle)
         self.apply_next()
+        await self._write_foreign_entries()
         for _ in range(servers):
             await self.add_server()
         for number in range(gateways):
@@ -131,6 +139,7 @@
             self.gateways[name] = Gateway(name, proxy, HALLS[number % len(HALLS)])
         await asyncio.gather(*(self.start(gateway) for gateway in self.gateways.values()))
         self._tasks.append(asyncio.ensure_future(self._end_leases()))
+        self._tasks.append(asyncio.ensure_future(self._take_copies()))
 
     async def close(self) -> None:
         """End what was started, by its own handles."""
@@ -176,15 +185,48 @@
     def write_entry(self, name: str, state: str) -> None:
         """Write a server's entry as the server would."""
         entry = {"service": "desk", "address": self.proxies[name].address, "zone": "hall"}
-        entry |= {"slots": SLOTS, "state": state}
-        self.store.put(f"servers/{name}", msgspec.json.encode(entry))
+        entry |= {"slots": SLOTS, "state": state, "born": self.born_ms.setdefault(name, 1)}
+        self._write(f"servers/{name}", msgspec.json.encode(entry))
+
+    def delete_entry(self, name: str) -> None:
+        """Take a server's entry away."""
+        self.written.pop(f"servers/{name}", None)
+        self.store.delete(f"servers/{name}")
+
+    def restore_store(self) -> None:
+        """Restore the store; what the operator and the servers wrote is written again."""
+        self.store.restore()
+        for key in [k for k in self.store.items if k.startswith("servers/")]:
+            if key not in self.written:
+                self.store.delete(key)
+        for key, value in self.written.items():
+            if key not in self.store.items or self.store.items[key].value != value:
+                self.store.put(key, value)
 
     def apply_next(self) -> None:
         """Put the next configuration into the store."""
         self.version += self.rng.randint(1, 3)
-        self.store.put("op/config", make_configuration(self.version))
+        self._write("op/config", make_configuration(self.version))
         self.ledger.applied_at_s[self.version] = self.now_s()
 
+    def _write(self, key: str, value: bytes) -> None:
+        self.written[key] = value
+        self.store.put(key, value)
+
+    async def _write_foreign_entries(self) -> None:
+        """Write entries of another writer, which name no server to use."""
+        address = await listen(self.trap.handle)
+        entry = {"service": "desk", "address": address, "zone": "hall", "slots": 99}
+        bad = ({"state": "idle"}, {}, {"state": 1}, {"state": "ready", "slots": "many"})
+        for number, change in enumerate(bad):
+            self._write(f"servers/{TRAP}-{number}", msgspec.json.encode(entry | change))
+        self._write(f"servers/{TRAP}-bytes", b"\xff\x00")
+
+    async def _take_copies(self) -> None:
+        while True:
+            self.store.take_copy()
+            await asyncio.sleep(COPY_EACH_S)
+
     async def _end_leases(self) -> None:
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 
 from soak.__main__ import play
 from soak.faults import BROKEN_MODES, LATE_CHAINS, PLAYS, draw_faults
-from soak.promises import PLAIN_BODY, Arrival, Asked, Ledger, find_violations
+from soak.promises import PLAIN_BODY, TRAP, Arrival, Asked, Ledger, find_violations
 from soak.proxy import Mode
 
 GOOD = Asked("r1", "read", "gw", 1, 10.0, 10.1, 200, True, PLAIN_BODY, "r1")
@@ -38,6 +38,12 @@
     return ledger
 
 
+def _trapped() -> Ledger:
+    ledger = _ledger(GOOD)
+    ledger.arrivals[TRAP].append(Arrival(10.0, "r1"))
+    return ledger
+
+
 def _applied(sent_at_s: float) -> Ledger:
     ledger = _ledger(replace(VERSION, sent_at_s=sent_at_s, ended_at_s=sent_at_s + 0.1))
     ledger.applied_at_s.update({2: 1.0, 3: 10.0})
@@ -79,6 +85,7 @@
         (_stopped(replace(GOOD, status=200)), []),
         (_left(13.0, 12.9), ["no new work when leaving"]),
         (_left(11.0, 10.9), []),
+        (_trapped(), ["no foreign entry used"]),
         (_applied(13.0), ["configuration in time"]),
         (_applied(11.0), []),
         (_refused(13.0), ["configuration in time"]),
