Count the grace of missing entries from when any gateway heard of the store's return

Change: gateways tell since when they know the era, and who learns that an absence or a restore ended earlier judges at once what it still keeps.

--- a/dalehollow/gateway/contact.py
+++ b/dalehollow/gateway/contact.py
@@ -37,8 +37,12 @@
         # read all items since, so what goes after that has not lapsed in an absence before.
         self._away_from_s = float("-inf")
         self._returned_at_s = float("-inf")
-        # Called when it turns out that the store was not away.
-        self.on_refuted: Callable[[], None] = lambda: None
+        # The newest era that was heard of, since when it was, and since when it may be; a gateway
+        # that has just started takes nothing of it for lost.
+        self._era = -1
+        self._era_heard_at_s = self._restored_at_s = float("-inf")
+        # Called when what may have lapsed is to be judged anew, sooner than it was due.
+        self.on_news: Callable[[], None] = lambda: None
 
     def note_answered(self, at_s: float | None = None) -> None:
         """Take in that the store answered this gateway now, or another one at `at_s`."""
@@ -54,6 +58,18 @@
                 log_event(_LOG, "store_was_away", logging.WARNING, for_s=round(silence_s, 3))
         self._answered_at_s = at_s
 
+    def note_era(self, era: int, heard_s: float = 0.0) -> None:
+        """Take in an era of the store, which another gateway heard of `heard_s` ago."""
+        at_s = self._clock() - heard_s
+        if era > self._era:
+            self._restored_at_s = at_s if self._era >= 0 else float("-inf")
+            self._era, self._era_heard_at_s = era, at_s
+        elif era == self._era and at_s < self._era_heard_at_s:
+            self._era_heard_at_s = at_s
+            if at_s < self._restored_at_s:
+                self._restored_at_s = at_s
+                self.on_news()
+
     def note_told(self, answer_age_s: float, unbroken_s: float) -> None:
         """Take in how long ago the store answered another gateway, and for how long it had."""
         if answer_age_s > self._absence_s:
@@ -63,28 +79,43 @@
         self.note_answered(now_s - answer_age_s)
         since_s = now_s - unbroken_s
         self._unbroken_since_s = min(self._unbroken_since_s, since_s)
-        self._returned_at_s = min(self._returned_at_s, since_s)
-        if self._returned_at_s - self._away_from_s <= self._absence_s:
+        if since_s >= self._returned_at_s:
+            return
+        self._returned_at_s = since_s
+        if since_s - self._away_from_s <= self._absence_s:
             self._away_from_s = self._returned_at_s = float("-inf")
             log_event(_LOG, "store_was_there", unbroken_s=round(unbroken_s, 3))
-            self.on_refuted()
+        self.on_news()
 
     def answer_age_s(self) -> float:
         """Return how long ago the store last answered any gateway that is heard."""
         return self._clock() - self._answered_at_s
 
     def unbroken_s(self) -> float:
-        """Return for how long the store has answered without an absence, rounded down.
+        """Return for how long the store has answered without an absence."""
+        return self._count_s(self._unbroken_since_s)
 
-        What gateways tell each other of it must not grow on its way from one to the next.
-        """
-        unbroken_s = self._clock() - self._unbroken_since_s
-        return math.floor(unbroken_s * 1000) / 1000 if math.isfinite(unbroken_s) else 0.0
+    def era_heard_s(self) -> float:
+        """Return how long ago the newest era was heard of."""
+        return self._count_s(self._era_heard_at_s)
 
     def may_have_lapsed(self) -> bool:
         """Return whether a missing entry may only have lapsed."""
         return self.answer_age_s() > self._absence_s or self.settles_in_s() > 0.0
 
     def settles_in_s(self) -> float:
-        """Return in how long what is missing counts as gone, counted from the last return."""
-        return self._returned_at_s + LAPSE_GRACE_S - self._clock()
+        """Return in how long what is missing counts as gone.
+
+        That is counted from the store's last return, or from its last restore: what a copy lacks
+        is written again like what lapsed.
+        """
+        since_s = max(self._returned_at_s, self._restored_at_s)
+        return since_s + LAPSE_GRACE_S - self._clock()
+
+    def _count_s(self, since_s: float) -> float:
+        """Return the time since a moment, rounded down, 0 where there was none.
+
+        What gateways tell each other of it must not grow on its way from one to the next.
+        """
+        passed_s = self._clock() - since_s
+        return math.floor(passed_s * 1000) / 1000 if math.isfinite(passed_s) else 0.0
--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -109,7 +109,8 @@
     def view(self) -> StoreView:
         """Return what this gateway tells others of the store."""
         age_s = round(self.contact.answer_age_s(), 3)
-        return StoreView(self.revision, age_s, self.contact.unbroken_s())
+        contact = self.contact
+        return StoreView(self.revision, age_s, contact.unbroken_s(), contact.era_heard_s())
 
     def speaks_for_hall(self) -> bool:
         """Return whether this gateway tells other halls of its own.
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -25,6 +25,7 @@
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage, StoreView
+from dalehollow.protocol.revisions import read_era
 from dalehollow.telemetry.logs import log_event
 
 REPORT_INTERVAL_S = 0.05
@@ -210,6 +211,8 @@
         """Note what a gateway knows; it gives copies at the port of its datagrams."""
         if view is None:
             return
+        if view.revision:
+            self._feed.contact.note_era(read_era(view.revision), view.era_heard_s)
         self._feed.contact.note_told(view.answer_age_s, view.unbroken_s)
         if address is not None:
             self._copies.note_told(f"{address[0]}:{address[1]}", view.revision)
--- a/dalehollow/platform/items.py
+++ b/dalehollow/platform/items.py
@@ -77,11 +77,8 @@
         self._feed = feed
         feed.on_changes = self.take_changes
         feed.on_all = self.take_all
-        feed.contact.on_refuted = self._drop_lapsed
+        feed.contact.on_news = self._drop_lapsed
         self._known: set[str] = set()
-        # The newest era of the store that was heard of, and when that was for the first time.
-        self._era = 0
-        self._era_noted_at_s = float("-inf")
         # When each upstream that is known started, and which are gone.
         self._started_at_ms: dict[str, int] = {}
         self._gone: dict[str, _Gone] = {}
@@ -92,7 +89,7 @@
 
     def take_all(self, changes: tuple[Change, ...], revision: int) -> None:
         """Take all items in; what is known and not among them is gone, unless it came later."""
-        self._note_era(revision)
+        self._feed.contact.note_era(read_era(revision))
         self.take_changes(self._feed.select_fresh(changes))
         present = {change.key for change in changes}
         for key in self._known - present:
@@ -102,7 +99,8 @@
 
     def take_changes(self, changes: tuple[Change, ...]) -> None:
         """Take single changes in, each a whole value or the end of its key."""
-        self._note_era(max((change.revision for change in changes), default=0))
+        for era in {read_era(change.revision) for change in changes}:
+            self._feed.contact.note_era(era)
         for change in changes:
             if change.value is None:
                 self._note_missing(change.key, change.revision)
@@ -170,7 +168,7 @@
         if self._tell_gateway_key(key, None):
             self._known.discard(key)
             return
-        if key not in self._restored and self._may_have_lapsed():
+        if key not in self._restored and self._feed.contact.may_have_lapsed():
             self._lapsing.add(key)
             self._drop_lapsed_later()
         else:
@@ -192,33 +190,17 @@
         """Log what was learned, as of which revision, and whom this gateway relies on just now."""
         log_event(_LOG, event, key=key, as_of=show_revision(as_of), **self._feed.describe())
 
-    def _may_have_lapsed(self) -> bool:
-        """Return whether a missing entry may only have lapsed, or be lost by a restore."""
-        return self._feed.contact.may_have_lapsed() or self._restored_grace_s() > 0.0
-
-    def _restored_grace_s(self) -> float:
-        """Return how much longer entries that a restore lost have time to be written again."""
-        return self._era_noted_at_s + LAPSE_GRACE_S - asyncio.get_running_loop().time()
-
-    def _note_era(self, revision: int) -> None:
-        era = read_era(revision)
-        if era > self._era:
-            if self._known:
-                self._era_noted_at_s = asyncio.get_running_loop().time()
-            self._era = era
-
     def _drop_lapsed_later(self) -> None:
         """Judge what may have lapsed again as soon as the store has been back for long enough."""
         if self._lapse_timer is not None:
             self._lapse_timer.cancel()
-        settles_in_s = max(self._feed.contact.settles_in_s(), self._restored_grace_s())
-        pause_s = min(LAPSE_GRACE_S, max(LAPSE_LOOK_S, settles_in_s))
+        pause_s = min(LAPSE_GRACE_S, max(LAPSE_LOOK_S, self._feed.contact.settles_in_s()))
         loop = asyncio.get_running_loop()
         self._lapse_timer = loop.call_later(pause_s, self._drop_lapsed)
 
     def _drop_lapsed(self) -> None:
         """Drop what is still missing, unless it may still only have lapsed."""
-        if self._lapsing and self._may_have_lapsed():
+        if self._lapsing and self._feed.contact.may_have_lapsed():
             self._drop_lapsed_later()
             return
         for key in sorted(self._lapsing):
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -27,12 +27,13 @@
 
     Nothing up to `revision` is missing, 0 where nothing is known. The store answered some gateway
     that the sender hears `answer_age_s` ago, and for `unbroken_s` without an absence in which
-    entries could lapse.
+    entries could lapse. The era of the revision was heard of `era_heard_s` ago.
     """
 
     revision: int
     answer_age_s: float
     unbroken_s: float
+    era_heard_s: float
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -218,6 +218,11 @@
         self._ports: dict[str, int] = {}
         # What the operator and the upstreams wrote last.
         self._written: dict[str, bytes] = {}
+        # When each upstream said that it leaves, or its entry went; and of the latter alone.
+        self.left_at_s: dict[str, float] = {}
+        self.gone_at_s: dict[str, float] = {}
+        # When the store was restored last.
+        self.store_back_at_s = float("-inf")
         self._lease_watch: asyncio.Task[None] | None = None
 
     def now_s(self) -> float:
@@ -295,12 +300,15 @@
 
     def write_upstream(self, incarnation: str, state: str) -> None:
         """Have an upstream write its entry."""
+        if state != "ready":
+            self.left_at_s.setdefault(incarnation, self.now_s())
         entry = {"service": SERVICE, "address": "127.0.0.1:9", "zone": "hall", "slots": 2}
         self._write(f"servers/{incarnation}", msgspec.json.encode({**entry, "state": state}))
 
     def restore_store(self) -> None:
         """Restore the store; operator and upstreams write again what they had written."""
         self.store.restore()
+        self.store_back_at_s = self.now_s()
         for key in list(self.store.items):
             if key.startswith("servers/") and key not in self._written:
                 self.store.delete(key)
@@ -311,6 +319,8 @@
 
     def delete_upstream(self, incarnation: str) -> None:
         """Have the entry of an upstream go, without notice."""
+        self.left_at_s.setdefault(incarnation, self.now_s())
+        self.gone_at_s[incarnation] = self.now_s()
         key = f"servers/{incarnation}"
         self._written.pop(key, None)
         self.store.delete(key)
--- a/tests/late_schedules.py
+++ b/tests/late_schedules.py
@@ -1,8 +1,10 @@
-"""Play random schedules of failures and look for a gateway that lacks a configuration for too long.
+"""Play random schedules of failures and look for a gateway that lacks knowledge for too long.
 
 The promise: while the store answers a gateway's calls, or another gateway of its hall reaches it,
-it lacks no configuration that the store, or that gateway, has had for longer than the bound. Each
-source is counted by itself, from when it had the version and was reachable without a break.
+it lacks nothing that the store, or that gateway, has had for longer than the bound: no
+configuration, and not that an upstream leaves or is gone. Each source is counted by itself, from
+when it had it and was reachable without a break. Entries that an absence or restore of the store
+may have taken have their grace beside the bound.
 """
 
 from __future__ import annotations
@@ -14,12 +16,14 @@
 
 import pytest
 
+from dalehollow.gateway.contact import LAPSE_GRACE_S
 from tests.hall_world import HallWorld, Path, WorldGateway, use_world
 from tests.virtual_time import run_virtual
 
 SETTLE_S = 3.0
-LENGTH_S = 15.0
-EVENTS = 14
+LENGTH_S = 24.0
+EVENTS = 20
+UPSTREAMS = tuple(f"upstream-{number}" for number in range(8))
 LOOK_S = 0.05
 HALLS = {"near": "abcd", "far": "xy"}
 RESTART_S = 0.5
@@ -29,10 +33,10 @@
 
 @dataclass(frozen=True)
 class Miss:
-    """Hold a version that a gateway lacked for too long although a source had it."""
+    """Hold what a gateway lacked for too long although a source had it."""
 
     gateway: str
-    version: int
+    fact: int | str
     source: str
     lacked_s: float
 
@@ -44,9 +48,17 @@
     world: HallWorld
     since_s: dict[tuple[str, str], float] = field(default_factory=dict)
     lives: dict[str, WorldGateway] = field(default_factory=dict)
+    # Since when each gateway does not use an upstream that left.
+    spared_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def look(self, bound_s: float) -> list[Miss]:
         """Note what is reachable now; return what is lacked for too long."""
+        for name, gateway in self.world.gateways.items():
+            for upstream in self.world.left_at_s:
+                if gateway.version and not gateway.may_use(upstream):
+                    self.spared_s.setdefault((name, upstream), self.world.now_s())
+                else:
+                    self.spared_s.pop((name, upstream), None)
         return [
             miss
             for gateway in self.world.gateways.values()
@@ -58,24 +70,47 @@
             self.lives[gateway.name] = gateway
             self._forget(gateway.name)
         now_s = self.world.now_s()
-        lacked = gateway.version + 1
+        used = [upstream for upstream in self.world.left_at_s if gateway.may_use(upstream)]
         misses = []
-        for source, had_at_s in self._list_sources(gateway, lacked).items():
-            if had_at_s is None:
-                self.since_s.pop((gateway.name, source), None)
-                continue
-            since_s = self.since_s.setdefault((gateway.name, source), now_s)
-            lacked_s = now_s - max(since_s, had_at_s)
-            if lacked_s > bound_s:
-                misses.append(Miss(gateway.name, lacked, source, round(lacked_s, 2)))
+        for fact in (gateway.version + 1, *used):
+            for source, had_at_s in self._list_sources(gateway, fact).items():
+                if had_at_s is None:
+                    self.since_s.pop((gateway.name, source), None)
+                    continue
+                since_s = self.since_s.setdefault((gateway.name, source), now_s)
+                lacked_s = now_s - max(since_s, had_at_s)
+                if lacked_s > bound_s:
+                    misses.append(Miss(gateway.name, fact, source, round(lacked_s, 2)))
         return misses
 
-    def _list_sources(self, gateway: WorldGateway, version: int) -> dict[str, float | None]:
-        """Return when each source had a version, None for what cannot be used now."""
+    def _store_had_at_s(self, fact: int | str) -> float:
+        """Return since when the store tells a fact; its last return began that anew."""
+        back_at_s = self.world.store_back_at_s
+        if isinstance(fact, int):
+            return max(back_at_s, self.world.confirmed_at_s.get(fact, float("inf")))
+        return max(back_at_s, self._grace_ends_at_s(fact), self.world.left_at_s[fact])
+
+    def _grace_ends_at_s(self, upstream: str) -> float:
+        """Return until when an entry that is missing may have lapsed or be lost by a restore.
+
+        A gateway that was cut off over both cannot tell which it is, whoever else knows.
+        """
+        is_gone = upstream in self.world.gone_at_s
+        return self.world.store_back_at_s + LAPSE_GRACE_S if is_gone else float("-inf")
+
+    def _peer_had_at_s(self, peer: WorldGateway, fact: int | str) -> float:
         never_s = float("inf")
+        if isinstance(fact, str):
+            spared_s = self.spared_s.get((peer.name, fact), never_s)
+            return max(spared_s, self._grace_ends_at_s(fact))
+        return min((at for v, at in peer.in_force_at_s.items() if v >= fact), default=never_s)
+
+    def _list_sources(self, gateway: WorldGateway, fact: int | str) -> dict[str, float | None]:
+        """Return when each source had a fact, None for what cannot be used now."""
         sources: dict[str, float | None] = {"store": None}
-        if gateway.path is Path.PASS and not gateway.slowness_s:
-            sources["store"] = self.world.confirmed_at_s.get(version, never_s)
+        is_there = self.world.store.fault == "none"
+        if is_there and gateway.path is Path.PASS and not gateway.slowness_s:
+            sources["store"] = self._store_had_at_s(fact)
         for name in HALLS[gateway.hall]:
             peer = self.world.gateways.get(name)
             if peer is gateway:
@@ -85,12 +120,12 @@
                 continue
             is_near = gateway.name not in peer.deaf and name not in gateway.deaf
             if is_near and not (peer.loss or gateway.loss or peer.send_delay_s):
-                had = [at for v, at in peer.in_force_at_s.items() if v >= version]
-                sources[name] = min(had, default=never_s)
+                sources[name] = self._peer_had_at_s(peer, fact)
         return sources
 
     def _forget(self, name: str) -> None:
         self.since_s = {pair: at for pair, at in self.since_s.items() if name not in pair}
+        self.spared_s = {pair: at for pair, at in self.spared_s.items() if name != pair[0]}
 
 
 Play = Callable[[HallWorld, str, random.Random], Awaitable[None]]
@@ -153,6 +188,42 @@
     world.store.forget_history()
 
 
+async def _refuse_long(world: HallWorld, name: str, rng: random.Random) -> None:
+    """Turn a gateway, or a whole hall, away for longer than each lease and time constant."""
+    hall = world.gateways[name].hall if name in world.gateways else ""
+    names = list(HALLS.get(hall, "")) if rng.random() < 0.5 else [name]
+    for each in names:
+        if each in world.gateways:
+            world.set_path(each, Path.REFUSE)
+    await asyncio.sleep(rng.uniform(13.0, 18.0))
+    for each in names:
+        if each in world.gateways:
+            world.set_path(each, Path.PASS)
+
+
+async def _restore(world: HallWorld, name: str, rng: random.Random) -> None:
+    """Have the store go away and come back from a copy some seconds old."""
+    if world.store.fault != "none":
+        return
+    world.store.take_copy()
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    world.store.fault = "busy"
+    await asyncio.sleep(rng.uniform(0.2, 4.0))
+    world.restore_store()
+    world.store.fault = "none"
+
+
+async def _leave(world: HallWorld, name: str, rng: random.Random) -> None:
+    """Have an upstream leave, with notice or without."""
+    staying = sorted(set(UPSTREAMS) - set(world.left_at_s))
+    if not staying:
+        return
+    if rng.random() < 0.5:
+        world.write_upstream(rng.choice(staying), "draining")
+    else:
+        world.delete_upstream(rng.choice(staying))
+
+
 async def _hurry(world: HallWorld, name: str, rng: random.Random) -> None:
     for _ in range(rng.randint(3, 12)):
         world.apply()
@@ -168,6 +239,10 @@
     _lose,
     _slow,
     _forget_history,
+    _refuse_long,
+    _restore,
+    _leave,
+    _leave,
     _hurry,
 )
 
@@ -180,6 +255,8 @@
 
     async def main() -> list[Miss]:
         world.apply()
+        for upstream in UPSTREAMS:
+            world.write_upstream(upstream, "ready")
         for hall, names in HALLS.items():
             for name in names:
                 world.start(name, hall)
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -42,7 +42,7 @@
     clock = ManualClock()
     contact = _make_contact(clock)
     refuted = []
-    contact.on_refuted = lambda: refuted.append(clock.now_s)
+    contact.on_news = lambda: refuted.append(clock.now_s)
     clock.now_s += 5.0
     contact.note_answered()
     assert contact.may_have_lapsed()
@@ -101,3 +101,35 @@
         second.note_told(first.answer_age_s(), first.unbroken_s())
         first.note_told(second.answer_age_s(), second.unbroken_s())
     assert first.unbroken_s() <= clock.now_s - begun_s
+
+
+def test_an_absence_that_ended_earlier_than_it_was_noted_settles_earlier() -> None:
+    """A gateway was cut off beyond the absence: what it may keep is counted from the return."""
+    clock = ManualClock()
+    contact = _make_contact(clock)
+    news = []
+    contact.on_news = lambda: news.append(contact.settles_in_s())
+    clock.now_s += 6.0
+    contact.note_answered()
+    assert contact.settles_in_s() == LAPSE_GRACE_S
+    contact.note_told(0.1, 1.5)
+    assert news == [pytest.approx(LAPSE_GRACE_S - 1.5)]
+
+
+def test_what_a_restore_lost_has_its_grace_from_when_any_gateway_heard_of_it() -> None:
+    clock = ManualClock()
+    contact = _make_contact(clock)
+    contact.note_era(1)
+    assert not contact.may_have_lapsed()
+    contact.note_era(2)
+    assert contact.may_have_lapsed()
+    contact.note_era(1, 100.0)
+    assert contact.may_have_lapsed()
+    contact.note_era(2, LAPSE_GRACE_S)
+    assert not contact.may_have_lapsed()
+    # Who starts in an era takes nothing for lost by it, and tells no other that it is old.
+    newcomer = StoreContact(clock, ABSENCE_S)
+    newcomer.note_answered()
+    newcomer.note_era(3)
+    assert not newcomer.may_have_lapsed()
+    assert newcomer.era_heard_s() == 0.0
