Allow the grace after a time in which the store answered no gateway at all

The trace shows that no gateway heard the store in between: none of them can tell that from an absence of the store, in which entries lapse, so the grace is due.

--- a/tests/late_schedules.py
+++ b/tests/late_schedules.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from dalehollow.gateway.contact import LAPSE_GRACE_S
+from dalehollow.gateway.contact import DEFAULT_ABSENCE_S, LAPSE_GRACE_S
 from tests.hall_world import HallWorld, Path, WorldGateway, use_world
 from tests.virtual_time import run_virtual
 
@@ -48,11 +48,13 @@
     world: HallWorld
     since_s: dict[tuple[str, str], float] = field(default_factory=dict)
     lives: dict[str, WorldGateway] = field(default_factory=dict)
+    heard_at_s: float = 0.0
     # Since when each gateway does not use an upstream that left.
     spared_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def look(self, bound_s: float) -> list[Miss]:
         """Note what is reachable now; return what is lacked for too long."""
+        self._note_silence()
         for name, gateway in self.world.gateways.items():
             for upstream in self.world.left_at_s:
                 if gateway.version and not gateway.may_use(upstream):
@@ -65,6 +67,16 @@
             for miss in self._look_at(gateway, bound_s)
         ]
 
+    def _note_silence(self) -> None:
+        """Take a time in which the store answered no gateway at all for an absence of it."""
+        gateways = self.world.gateways.values()
+        is_heard = self.world.store.fault == "none" and any(g.path is Path.PASS for g in gateways)
+        now_s = self.world.now_s()
+        if is_heard and now_s - self.heard_at_s > DEFAULT_ABSENCE_S:
+            self.world.store_back_at_s = now_s
+        if is_heard:
+            self.heard_at_s = now_s
+
     def _look_at(self, gateway: WorldGateway, bound_s: float) -> list[Miss]:
         if self.lives.get(gateway.name) is not gateway:
             self.lives[gateway.name] = gateway
