--- a/dalehollow/gateway/feed.py
+++ b/dalehollow/gateway/feed.py
@@ -62,10 +62,12 @@
         self._rng = rng
         self._send = send
         self.contact = contact or StoreContact(clock)
-        # Both are set by whoever makes use of what comes: single changes, or all items that there
-        # are as of a revision.
+        # Set by whoever makes use of what comes: single changes, or all items that there are as of
+        # a revision.
         self.on_changes: Callable[[tuple[Change, ...]], None] = lambda changes: None
         self.on_all: Callable[[tuple[Change, ...], int], None] = lambda changes, revision: None
+        # Called when this gateway can give others more than before.
+        self.on_moved: Callable[[], None] = lambda: None
         # Nothing up to here is missing; single newer changes may be known too.
         self.revision = 0
         # The newest change of each key that was ever told of, also of those that are gone.
@@ -263,6 +265,7 @@
         if revision > self.revision:
             self.revision = revision
             self.taken += 1
+            self.on_moved()
 
     def _note_older_relay(self, sender: str, state: RelayState) -> None:
         """Log once that a relay knows less than this gateway does."""
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -98,6 +98,7 @@
         self._health = health
         self._on_change = on_change
         self._feed = feed
+        feed.on_moved = self.note_change
         self._copies = copies
         self._members = members
         self._transport: asyncio.DatagramTransport | None = None
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -292,3 +292,15 @@
     feed = _make_hall("b", ManualClock())["b"].feed
     assert feed.select_fresh((Change("k", None, 12),)) == (Change("k", None, 12),)
     assert feed.select_fresh((Change("k", b"old", 11),)) == ()
+
+
+def test_the_peers_are_told_when_more_is_known() -> None:
+    feed = _make_hall("b", ManualClock())["b"].feed
+    told: list[int] = []
+    feed.on_moved = lambda: told.append(feed.revision)
+    feed.note_read(0, (), 3)
+    feed.note_read(3, (), 3)
+    feed.take_changes(StoreChanges(3, 5, pack_changes((_change(5),))))
+    feed.take_changes(StoreChanges(6, 7, pack_changes((_change(7),))))
+    feed.take_changes(StoreChanges(2, 4, pack_changes((_change(4),))))
+    assert told == [3, 5]
