--- a/tests/late_schedules.py
+++ b/tests/late_schedules.py
@@ -138,8 +138,9 @@
         return sources
 
     def _hears_any(self, gateway: WorldGateway) -> bool:
-        others = (g for g in self.world.gateways.values() if g is not gateway)
-        return any(_hears(gateway, other) for other in others)
+        """Return whether a gateway hears another of its hall; of other halls it need hear none."""
+        others = (self.world.gateways.get(n) for n in HALLS[gateway.hall] if n != gateway.name)
+        return any(_hears(gateway, other) for other in others if other is not None)
 
     def _forget(self, name: str) -> None:
         self.since_s = {pair: at for pair, at in self.since_s.items() if name not in pair}
