--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -12,7 +12,7 @@
 import enum
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -38,6 +38,7 @@
 from dalehollow.platform.store import StoreEra
 from standins.metadata import MetadataStandIn
 from tests.gateway_bench import make_config
+from tests.virtual_time import run_virtual
 
 CONFIG_KEY = "op/config"
 SERVICE = "desk"
@@ -450,6 +451,38 @@
     monkeypatch.setattr(store_module, "connect", world.connect)
 
 
+SETTLE_S = 5.0
+Scenario = Callable[[HallWorld], Awaitable[None]]
+
+
+def play_halls(
+    monkeypatch: pytest.MonkeyPatch,
+    scenario: Scenario,
+    halls: Mapping[str, str],
+    *,
+    upstreams: Iterable[str] = (),
+    padding_bytes: int = 0,
+) -> None:
+    """Start the gateways of halls, each named by a letter, let them settle, and play a scenario."""
+    world = HallWorld(padding_bytes=padding_bytes)
+    use_world(world, monkeypatch)
+
+    async def main() -> None:
+        world.apply()
+        for incarnation in upstreams:
+            world.write_upstream(incarnation, "ready")
+        for hall, names in halls.items():
+            for name in names:
+                world.start(name, hall)
+        await asyncio.sleep(SETTLE_S)
+        try:
+            await scenario(world)
+        finally:
+            await world.close()
+
+    run_virtual(main())
+
+
 async def run_beside(work: Any, main: Any) -> Any:
     """Run a coroutine while another goes on, and end that one with it."""
     task = asyncio.ensure_future(work)
--- a/tests/test_config_in_time.py
+++ b/tests/test_config_in_time.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -20,36 +20,19 @@
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.platform import follow
-from tests.hall_world import HallWorld, Path, run_beside, use_world
+from tests.hall_world import SETTLE_S, HallWorld, Path, Scenario, play_halls, run_beside
 from tests.late_chains import BOUND_S, CHAINS, PHASES_S, Chain, play_chain
 from tests.late_schedules import play_schedule
-from tests.virtual_time import run_virtual
 
 CONTACT_S = 3.0
 """The bound holds for a gateway that was left alone for so long."""
-SETTLE_S = 5.0
-
-Scenario = Callable[[HallWorld], Coroutine[Any, Any, None]]
 
 
 def _play(
     monkeypatch: pytest.MonkeyPatch, scenario: Scenario, names: str = "abc", padding_bytes: int = 0
 ) -> None:
-    """Start a hall, let it settle, and play a scenario."""
-    world = HallWorld(padding_bytes=padding_bytes)
-    use_world(world, monkeypatch)
-
-    async def main() -> None:
-        world.apply()
-        for name in names:
-            world.start(name)
-        await asyncio.sleep(SETTLE_S)
-        try:
-            await scenario(world)
-        finally:
-            await world.close()
-
-    run_virtual(main())
+    """Play a scenario of one hall."""
+    play_halls(monkeypatch, scenario, {"hall": names}, padding_bytes=padding_bytes)
 
 
 def test_after_a_cut_a_gateway_catches_up_while_configurations_go_on_coming(
--- a/tests/test_what_gateways_learn.py
+++ b/tests/test_what_gateways_learn.py
@@ -13,41 +13,20 @@
 import asyncio
 import functools
 import itertools
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from dalehollow.gateway.contact import LAPSE_GRACE_S
-from tests.hall_world import HallWorld, Path, run_beside, use_world
+from tests.hall_world import HallWorld, Path, Scenario, play_halls, run_beside
 from tests.late_chains import BOUND_S
-from tests.virtual_time import run_virtual
 
-SETTLE_S = 5.0
 NEAR, FAR = "abc", "xyz"
 UPSTREAM = "upstream-1"
 
-Scenario = Callable[[HallWorld], Awaitable[None]]
-
 
 def _play(monkeypatch: pytest.MonkeyPatch, scenario: Scenario) -> None:
-    """Start two halls, let them settle, and play a scenario."""
-    world = HallWorld()
-    use_world(world, monkeypatch)
-
-    async def main() -> None:
-        world.apply()
-        world.write_upstream(UPSTREAM, "ready")
-        for name in NEAR:
-            world.start(name)
-        for name in FAR:
-            world.start(name, hall="other")
-        await asyncio.sleep(SETTLE_S)
-        try:
-            await scenario(world)
-        finally:
-            await world.close()
-
-    run_virtual(main())
+    """Play a scenario of two halls and one upstream."""
+    play_halls(monkeypatch, scenario, {"hall": NEAR, "other": FAR}, upstreams=(UPSTREAM,))
 
 
 async def _refuse(world: HallWorld, names: str, for_s: float) -> None:
