--- a/soak/defects.py
+++ b/soak/defects.py
@@ -14,7 +14,6 @@
 from dalehollow.aio import client
 from dalehollow.gateway import outcome, table
 from dalehollow.gateway.copies import StoreCopies
-from dalehollow.gateway.members import Members
 from dalehollow.gateway.state import GatewayState
 from dalehollow.platform import follow, servers
 from dalehollow.platform.store import StoreEra
@@ -68,11 +67,6 @@
     _fetch_no_copies()
 
 
-def _tell_listed_gateways_only() -> None:
-    """Forget a gateway with its entry in the store, though it is heard."""
-    Members.note_heard = lambda *args: None  # type: ignore[method-assign]
-
-
 def _trust_any_entry() -> None:
     """Take entries of other writers for upstreams."""
     servers._find_mistakes = lambda *args: []
@@ -85,10 +79,9 @@
     "history_in_a_hurry": _read_history_in_a_hurry,
     "no_copies": _fetch_no_copies,
     "no_eras": _know_no_eras,
-    "listed_gateways_only": _tell_listed_gateways_only,
     "any_entry": _trust_any_entry,
 }
-LATE = frozenset({"history_in_a_hurry", "no_copies", "no_eras", "listed_gateways_only"})
+LATE = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
 """Those that only the bounds in time can show."""
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -307,7 +307,7 @@
         Fault(6.5, 0.1, "configuration", MANY_CHANGES),
     ),
     "a gateway turned away for longer than its lease": (
-        Fault(0.5, 16.0, "store path", _aim(1, Mode.RESET)),
+        Fault(0.5, 22.0, "store path", _aim(1, Mode.RESET)),
         *(Fault(13.5 + gap, 0.1, "configuration", ONE_CHANGE) for gap in (0.0, 1.0, 2.0)),
         Fault(13.5, 0.1, "replace server", 0),
     ),
