Show what rest upstreams ask for, and what was left of it when one was chosen

The record could not tell whether a refusal named a time of rest, nor whether an upstream was chosen while it was to rest. Nothing decides by it yet.

--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -8,6 +8,7 @@
 from dalehollow.aio import AnswerHead, ClientConnection, ConnectError, CutError, connect
 from dalehollow.gateway.admit import Job
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
+from dalehollow.gateway.signals import NO_SIGNALS, Signals, read_signals
 from dalehollow.gateway.upstreams import Move, Upstream
 
 _MS_PER_S = 1000
@@ -20,6 +21,7 @@
 
     connection: ClientConnection
     head: AnswerHead
+    signals: Signals = NO_SIGNALS
 
 
 @dataclass(frozen=True)
@@ -33,6 +35,7 @@
     is_unreachable: bool = False
     is_other_upstream: bool = False
     is_group_broken: bool = False
+    signals: Signals = NO_SIGNALS
 
 
 @dataclass(frozen=True)
@@ -40,6 +43,7 @@
     """Hold that nobody can tell whether the request ran."""
 
     reason: str
+    signals: Signals = NO_SIGNALS
 
 
 AttemptResult = Answered | NotRun | MayHaveRun
@@ -97,7 +101,7 @@
         if not_run is not None:
             return not_run
         is_handed_over = True
-        return Answered(connection, head)
+        return Answered(connection, head, read_signals(head, names))
     except CutError as exc:
         return MayHaveRun(str(exc))
     finally:
@@ -120,7 +124,8 @@
     if head.get(names.not_run) is None:
         return None
     is_broken = head.get(names.faulty_upstream) is not None
-    return NotRun(f"refused_{head.status}", is_group_broken=is_broken)
+    signals = read_signals(head, names)
+    return NotRun(f"refused_{head.status}", is_group_broken=is_broken, signals=signals)
 
 
 def _note_load(upstream: Upstream, head: AnswerHead, names: HeaderNames, now_s: float) -> None:
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -31,8 +31,10 @@
     tried: list[str] = field(default_factory=list)
     may_have_run: bool = False
     waited_s: float = 0.0
-    # Of the last upstream tried: its load when it was chosen, and whether it is of another hall.
+    # Of the last upstream tried when it was chosen: its load, what was left of a rest that it had
+    # asked for, and whether it is of another hall.
     load: float = 0.0
+    rest_left_s: float = 0.0
     is_far: bool = False
     first_piece_at_s: float = 0.0
     longest_pause_s: float = 0.0
@@ -155,7 +157,14 @@
 
 
 def note_attempt(
-    state: GatewayState, job: Job, upstream: Upstream, event: str, reason: str, *, load: float
+    state: GatewayState,
+    job: Job,
+    upstream: Upstream,
+    event: str,
+    reason: str,
+    *,
+    load: float,
+    rest_left_s: float,
 ) -> None:
     """Record a try that did not end in a whole answer."""
     state.metrics.count("attempts_failed", service=job.service, event=event)
@@ -166,6 +175,7 @@
         incarnation=upstream.listed.incarnation,
         reason=reason,
         load=round(load, 2),
+        rest_left_s=round(rest_left_s, 3),
         config_version=job.table_version,
     )
 
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -47,6 +47,7 @@
     metrics.watch_gauge("gateways_listed", lambda: len(sources.members))
     metrics.watch_gauge("upstreams_listed", lambda: sum(1 for _ in state.upstreams))
     metrics.watch_gauge("in_hand", lambda: sum(u.in_hand for u in state.upstreams))
+    metrics.watch_gauge("upstreams_resting", lambda: _count_resting(state, loop.time()))
     metrics.watch_gauge("waiting", lambda: sum(len(a.waiting) for a in state.admissions.values()))
     metrics.watch_gauge("log_lines_left_out", sources.lines_left_out)
     metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
@@ -85,12 +86,17 @@
                 "in_hand": u.in_hand,
                 "others_in_hand": u.others_in_hand,
                 "is_ejected": u.ejected_until_s > now_s,
+                "rest_left_s": round(u.rest_left_s(now_s), 3),
             }
             for u in state.upstreams
         },
     }
 
 
+def _count_resting(state: GatewayState, now_s: float) -> int:
+    return sum(1 for u in state.upstreams if u.rest_left_s(now_s))
+
+
 def make_status_handler(sources: StatusSources) -> Handler:
     """Return the handler of the metrics address."""
 
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -59,6 +59,8 @@
     unknown: int = 0
     unknown_at_s: float = float("-inf")
     ejected_until_s: float = 0.0
+    # It asked this gateway for rest until then.
+    rests_until_s: float = float("-inf")
     # Tries in hand that may go on elsewhere.
     moves: set[Move] = field(default_factory=set)
     _ejections: int = 0
@@ -83,6 +85,14 @@
         if at_s > self.unknown_at_s:
             self.unknown, self.unknown_at_s = unknown, at_s
 
+    def note_rest(self, rest_s: float, now_s: float) -> None:
+        """Take in that it wants no request from this gateway for a while."""
+        self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
+
+    def rest_left_s(self, now_s: float) -> float:
+        """Return for how long it still wants no request, 0 if it takes them."""
+        return max(0.0, self.rests_until_s - now_s)
+
     def note_answer(self, *, failed: bool) -> None:
         """Count an answer, or a request that got none."""
         self._samples += 1
