Show that upstreams which ask for rest get none

Three tests, red on the code as it is and listed: a resting upstream gets requests while others are idle, where it is the only one, and after its entry was written anew or came again. Beside them, green: a rest ends, a new start has none, what is unusable or said by another answer binds nobody.

Ruled out as causes: late tries and full others (the tests have neither).

--- a/standins/server.py
+++ b/standins/server.py
@@ -27,6 +27,7 @@
     CUT_IN_EVENT = "cut_in_event"
     CUT_BODY = "cut_body"
     OTHERS_ANSWER_FIRST = "others_answer_first"
+    OTHERS_REFUSAL_FIRST = "others_refusal_first"
     SURPLUS = "surplus"
     HANG = "hang"
 
@@ -47,6 +48,8 @@
 
     incarnation: str
     ways: list[Way] = field(default_factory=list)
+    # Headers of all its answers, for what it says of itself.
+    says: list[tuple[bytes, bytes]] = field(default_factory=list)
     # Pause before each event of a stream, and before a plain answer.
     pace_s: float = 0.0
     seen: list[CallerRequest] = field(default_factory=list)
@@ -62,12 +65,13 @@
         request_id = (request.get(b"x-request-id") or b"").decode()
         if request.get(b"x-expect-instance") != self.incarnation.encode():
             way = Way.OTHER_SERVER
-        head = [(b"x-request-id", request_id.encode()), (b"x-response-seal", b"seal")]
+        head = [(b"x-request-id", request_id.encode()), (b"x-response-seal", b"seal"), *self.says]
         if way is Way.OTHER_SERVER:
-            caller.send_whole(421, [(b"x-instance-id", self.incarnation.encode())], b"")
+            named = (b"x-instance-id", self.incarnation.encode())
+            caller.send_whole(421, [named, *self.says], b"")
             return
         if way in (Way.REFUSE, Way.REFUSE_BROKEN):
-            refused = [(b"x-not-executed", b"1")]
+            refused = [(b"x-not-executed", b"1"), *self.says]
             if way is Way.REFUSE_BROKEN:
                 refused.append((b"at-server", b"another"))
             caller.send_whole(503, refused, b"")
@@ -95,6 +99,10 @@
         if way is Way.OTHERS_ANSWER_FIRST:
             other = [(b"x-request-id", b"other"), (b"x-response-seal", b"other")]
             caller.send_whole(200, other, b"another caller's")
+        if way is Way.OTHERS_REFUSAL_FIRST:
+            refused = [(b"x-request-id", b"other"), (b"x-not-executed", b"1"), *self.says]
+            caller.send_whole(503, refused, b"")
+            head = head[:2]
         if way is Way.CUT_BODY:
             caller.begin_stream(200, head, length=100)
             await caller.send_piece(b"half")
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,63 @@
+"""Check what is read of the words of upstreams, usable or not."""
+
+from __future__ import annotations
+
+import pytest
+
+from dalehollow.aio import AnswerHead
+from dalehollow.gateway.signals import MAX_REST_S, NO_SIGNALS, read_signals
+from dalehollow.platform.names import HEADERS
+
+UNUSABLE = (
+    "",
+    "-1",
+    "nan",
+    "inf",
+    "1e309",
+    "1e3",
+    "soon",
+    "0x10",
+    "+5",
+    "5.",
+    "٣",
+    "9" * 400,
+    "Wed; 21 Oct 2026 07:28:00 GMT",
+)
+
+
+def _head(*lines: tuple[str, str], status: int = 503) -> AnswerHead:
+    return AnswerHead(status, tuple((name.encode(), value.encode()) for name, value in lines))
+
+
+@pytest.mark.parametrize("value", UNUSABLE)
+def test_an_unusable_rest_says_nothing(value: str) -> None:
+    signals = read_signals(_head(("retry-after", value)), HEADERS)
+    assert signals.rest_s == 0.0
+    assert signals.unusable == (value.encode(),)
+
+
+def test_a_date_says_nothing() -> None:
+    head = _head(("retry-after", "Wed, 21 Oct 2026 07:28:00 GMT"))
+    assert read_signals(head, HEADERS).rest_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("values", "rest_s"),
+    [
+        (["3"], 3.0),
+        (["0.25"], 0.25),
+        (["0"], 0.0),
+        (["1", "3", "2"], 3.0),
+        (["1, 3"], 3.0),
+        (["soon", "2"], 2.0),
+        (["999999999999"], MAX_REST_S),
+    ],
+)
+def test_of_several_rests_the_longest_usable_holds(values: list[str], rest_s: float) -> None:
+    head = _head(*(("retry-after", value) for value in values))
+    assert read_signals(head, HEADERS).rest_s == rest_s
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_refusal_for_the_upstreams_own_sake_asks_for_rest(status: int) -> None:
+    assert read_signals(_head(("retry-after", "3"), status=status), HEADERS) == NO_SIGNALS
--- /dev/null
+++ b/tests/test_upstream_rests.py
@@ -0,0 +1,151 @@
+"""Check that an upstream which asks for rest gets it.
+
+Seen: upstreams turned requests away with 503 and `Retry-After: 3`, and the gateways that had been
+told sent them up to 13 more within that time. Five of 16 ranks refused everything and got 73 in 100
+of what was sent; callers were refused while the other ranks had places free.
+How: a refusal is over within a few ms, so that who refuses has nothing in hand, is the least loaded
+and is chosen again. Second tries went from one such upstream to the next.
+Cause: what an upstream says of itself ended with the try that it was said to; only lists and loads
+decided who may get a request.
+Proof: the log line of a try says what was left of the rest when its upstream was chosen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from dalehollow.gateway.listed import ListedUpstream
+from standins.server import Way
+from tests.gateway_bench import Answer, GatewayBench, make_config, run_bench
+
+REST_S = 50
+ASKED = 20
+
+
+async def _make_rest(bench: GatewayBench, others: int, *, value: str = str(REST_S)) -> Answer:
+    """Have the first of some upstreams refuse one request and ask for rest."""
+    await bench.apply(make_config())
+    resting = await bench.add_server("s0", Way.REFUSE)
+    resting.says = [(b"retry-after", value.encode())]
+    answer = await bench.ask("/read/0")
+    for number in range(others):
+        await bench.add_server(f"s{number + 1}")
+    return answer
+
+
+async def _ask_often(bench: GatewayBench, path: str = "/read/1") -> list[Answer]:
+    return [await bench.ask(path) for _ in range(ASKED)]
+
+
+def test_a_resting_upstream_gets_nothing_while_others_serve() -> None:
+    for path, others in itertools.product(("/read/1", "/pay/1", "/stream/1"), (3, 1)):
+
+        async def scenario(bench: GatewayBench, path: str = path, others: int = others) -> None:
+            await _make_rest(bench, others)
+            answers = await _ask_often(bench, path)
+            assert [a.status for a in answers] == [200] * ASKED
+            assert len(bench.servers["s0"].seen) == 1
+
+        run_bench(scenario)
+
+
+def test_a_rest_binds_where_no_other_upstream_is_there() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _make_rest(bench, 0)
+        answers = await _ask_often(bench)
+        assert [a.status for a in answers] == [503] * ASKED
+        assert len(bench.servers["s0"].seen) == 1
+        waits_s = [float(a.head.get(b"retry-after") or b"0") for a in answers]
+        assert min(waits_s) > REST_S / 2
+
+    run_bench(scenario)
+
+
+def test_a_rest_ends() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _make_rest(bench, 0, value="0.2")
+        (resting,) = bench.gateway.state.upstreams
+        now_s = asyncio.get_running_loop().time
+        await bench.until(lambda: not resting.rest_left_s(now_s()))
+        assert (await bench.ask("/read/1")).status == 200
+
+    run_bench(scenario)
+
+
+async def _say_ready_again(bench: GatewayBench) -> None:
+    entry = _read_entry(bench)
+    bench.list_server("s0", str(entry["address"]), sequence=2, slots=3)
+    await bench.until(lambda: _listed(bench).slots == 3)
+
+
+async def _lapse_and_return(bench: GatewayBench) -> None:
+    entry = _read_entry(bench)
+    bench.store.delete("servers/s0")
+    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is None)
+    bench.list_server("s0", str(entry["address"]))
+    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is not None)
+
+
+def _read_entry(bench: GatewayBench) -> dict[str, object]:
+    entry: dict[str, object] = msgspec.json.decode(bench.store.items["servers/s0"].value)
+    return entry
+
+
+def _listed(bench: GatewayBench) -> ListedUpstream:
+    listed = bench.gateway.state.upstreams.find("s0")
+    assert listed is not None
+    return listed
+
+
+def test_a_rest_outlives_what_the_list_says() -> None:
+    """The list tells whether an upstream is there, not what it asked of this gateway."""
+    for happens in (_say_ready_again, _lapse_and_return):
+
+        async def scenario(
+            bench: GatewayBench, happens: Callable[[GatewayBench], Awaitable[None]] = happens
+        ) -> None:
+            await _make_rest(bench, 1)
+            await happens(bench)
+            assert {a.status for a in await _ask_often(bench)} == {200}
+            assert len(bench.servers["s0"].seen) == 1
+
+        run_bench(scenario)
+
+
+def test_a_new_start_has_asked_for_no_rest() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _make_rest(bench, 0)
+        bench.list_server("s0", str(_read_entry(bench)["address"]), born=7)
+        await bench.until(lambda: _listed(bench).started_at_ms == 7)
+        assert (await bench.ask("/read/1")).status == 200
+
+    run_bench(scenario)
+
+
+@pytest.mark.parametrize("value", ["nan", "1e309", "-1"])
+def test_an_unusable_rest_is_none(value: str) -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _make_rest(bench, 0, value=value)
+        assert (await bench.ask("/read/1")).status == 200
+
+    run_bench(scenario)
+
+
+@pytest.mark.parametrize("way", [Way.OTHERS_REFUSAL_FIRST, Way.OTHER_SERVER])
+def test_what_another_answer_says_binds_nobody(way: Way) -> None:
+    """A surplus answer, and one of what stands at the address now, are not this upstream's."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        server = await bench.add_server("s0", way)
+        server.says = [(b"retry-after", b"50")]
+        await bench.ask("/read/0")
+        (upstream,) = bench.gateway.state.upstreams
+        assert upstream.rest_left_s(asyncio.get_running_loop().time()) == 0.0
+
+    run_bench(scenario)
