--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -15,7 +15,8 @@
 from dataclasses import dataclass, field
 
 from dalehollow.gateway.health import GroupHealth
-from dalehollow.gateway.upstreams import Upstream, UpstreamSet
+from dalehollow.gateway.upstream import Upstream
+from dalehollow.gateway.upstreams import UpstreamSet
 
 BEGIN_WEIGHT = 0.1
 """Weight of the newest of the times until answers began: the last ten of them count most."""
--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -9,7 +9,7 @@
 from dalehollow.gateway.admit import Job
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
 from dalehollow.gateway.signals import NO_SIGNALS, Signals, read_signals
-from dalehollow.gateway.upstreams import Move, Upstream
+from dalehollow.gateway.upstream import Move, Upstream
 
 _MS_PER_S = 1000
 _MISDIRECTED_STATUS = 421
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -17,7 +17,7 @@
 from dalehollow.gateway.signals import Signals
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
-from dalehollow.gateway.upstreams import Move, Upstream
+from dalehollow.gateway.upstream import Move, Upstream
 from dalehollow.telemetry.logs import log_event
 
 _FIRST_FAILED_STATUS = 500
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -14,7 +14,7 @@
 from dalehollow.gateway.admit import Job, Refusal
 from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.state import GatewayState
-from dalehollow.gateway.upstreams import Upstream
+from dalehollow.gateway.upstream import Upstream
 from dalehollow.telemetry.logs import log_event
 
 SAMPLED_SHARE = 1 / 16
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -23,7 +23,8 @@
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.members import Members
 from dalehollow.gateway.tasks import wait_set
-from dalehollow.gateway.upstreams import TOLD_LIFE_S, UpstreamSet
+from dalehollow.gateway.upstream import TOLD_LIFE_S
+from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage, StoreView
 from dalehollow.protocol.revisions import read_era
 from dalehollow.telemetry.logs import log_event
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -1,4 +1,4 @@
-"""Keep what a gateway knows of each upstream, and choose one for a request."""
+"""Keep the upstreams that are listed, and choose one for a request."""
 
 from __future__ import annotations
 
@@ -8,111 +8,17 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
-from dalehollow.aio import ClientConnection
 from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.upstream import Move, Upstream
 from dalehollow.telemetry.logs import log_event
 
-EJECT_BASE_S = 0.5
-EJECT_MAX_S = 4.0
-"""Ejections double from the base, which is a few round trips, to a bound after which a server
-that came back is still found within the time that a caller waits."""
-FAILURE_WEIGHT = 0.2
-EJECT_FAILURE_SHARE = 0.5
-MIN_SAMPLES = 4
-"""An upstream is ejected when half of its last few answers failed; plain services fail up to a
-seventh of their requests in ordinary operation, which stays far below."""
 MAX_EJECTED_SHARE = 0.34
 FAR_SLOTS = 2.0
 """An upstream of another hall must have so many more slots free: what is known of its load is older
 than that of the own hall, and of every four requests sent there one found no slot."""
-TOLD_LIFE_S = 2.0
-"""A load told with an answer counts so long: about the time that a stream runs."""
 _LOG = logging.getLogger(__name__)
 
 
-@dataclass(eq=False)
-class Move:
-    """Hold a try that can go on at another upstream, and why it was asked to."""
-
-    connection: ClientConnection | None = None
-    why: str = ""
-
-    @property
-    def is_asked(self) -> bool:
-        """Return whether it was asked to go on."""
-        return bool(self.why)
-
-    def ask(self, why: str) -> None:
-        """Break the try off; the request goes on elsewhere from where it is."""
-        self.why = why
-        if self.connection is not None:
-            self.connection.abort()
-
-
-@dataclass
-class Upstream:
-    """Hold the state of one upstream as this gateway sees it."""
-
-    listed: ListedUpstream
-    in_hand: int = 0
-    others_in_hand: int = 0
-    unknown: int = 0
-    unknown_at_s: float = float("-inf")
-    ejected_until_s: float = 0.0
-    # It asked this gateway for rest until then.
-    rests_until_s: float = float("-inf")
-    # Tries in hand that may go on elsewhere.
-    moves: set[Move] = field(default_factory=set)
-    _ejections: int = 0
-    _failure_share: float = 0.0
-    _samples: int = 0
-
-    def load(self, now_s: float) -> float:
-        """Return the requests that are known or told to be there, for each slot."""
-        unknown = self.unknown if now_s - self.unknown_at_s < TOLD_LIFE_S else 0
-        return (self.known_in_hand() + unknown) / max(1, self.listed.slots)
-
-    def known_in_hand(self) -> int:
-        """Return the requests that this and the other gateways have there."""
-        return self.in_hand + max(0, self.others_in_hand)
-
-    def note_told(self, told: int, now_s: float) -> None:
-        """Take the load that an answer told; what no gateway knows of is left by a lost one."""
-        self.note_unknown(max(0, told - self.known_in_hand()), now_s)
-
-    def note_unknown(self, unknown: int, at_s: float) -> None:
-        """Take how many requests nobody knows of, if that is newer than what is known."""
-        if at_s > self.unknown_at_s:
-            self.unknown, self.unknown_at_s = unknown, at_s
-
-    def note_rest(self, rest_s: float, now_s: float) -> None:
-        """Take in that it wants no request from this gateway for a while."""
-        self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
-
-    def rest_left_s(self, now_s: float) -> float:
-        """Return for how long it still wants no request, 0 if it takes them."""
-        return max(0.0, self.rests_until_s - now_s)
-
-    def note_answer(self, *, failed: bool) -> None:
-        """Count an answer, or a request that got none."""
-        self._samples += 1
-        self._failure_share += FAILURE_WEIGHT * (failed - self._failure_share)
-        if not failed:
-            self._ejections = 0
-
-    def is_failing(self) -> bool:
-        """Return whether too many of the last requests failed."""
-        return self._samples >= MIN_SAMPLES and self._failure_share > EJECT_FAILURE_SHARE
-
-    def eject(self, now_s: float) -> None:
-        """Keep requests away for a while, longer each time."""
-        pause_s = min(EJECT_MAX_S, EJECT_BASE_S * 2**self._ejections)
-        self._ejections += 1
-        self.ejected_until_s = now_s + pause_s
-        # Judge it anew by what it does after the pause.
-        self._failure_share, self._samples = 0.0, 0
-
-
 @dataclass
 class UpstreamSet:
     """Hold all upstreams by incarnation; those that leave get no new request."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,7 +12,8 @@
 from dalehollow.gateway.admission import Admission, NoPlace, Turn
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream
-from dalehollow.gateway.upstreams import Upstream, UpstreamSet
+from dalehollow.gateway.upstream import Upstream
+from dalehollow.gateway.upstreams import UpstreamSet
 
 SLOTS = 2
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,7 +14,8 @@
 import msgspec
 import pytest
 
-from dalehollow.gateway.upstreams import Move, UpstreamSet
+from dalehollow.gateway.upstream import Move
+from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform.servers import decode_upstream
 from tests.hall_world import HallWorld, use_world
 from tests.late_chains import BOUND_S
--- a/tests/test_rank_groups.py
+++ b/tests/test_rank_groups.py
@@ -12,7 +12,8 @@
 from dalehollow.gateway.groups import GroupRanks
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
-from dalehollow.gateway.upstreams import Upstream, UpstreamSet
+from dalehollow.gateway.upstream import Upstream
+from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.groups.ranks import KeptPlan
 from dalehollow.rendezvous import count_before
 from tests.gateway_bench import GatewayBench, make_config, run_bench
