Give upstreams the rest that they ask for

Callers saw: refusals, while other upstreams had places free, from upstreams that had asked for rest and were sent request after request.

Cause: a refusal's Retry-After ended with the try that it answered; who may get a request was decided by lists and loads alone, and who refuses at once looks idle.

Change: what an upstream says of itself is kept with it, for its whole start and also while its entry is away. One predicate of that state (`takes_requests`) decides for choosing, waiting, times to come back and loads; it knows no exception, unlike an ejection, which is a guess. Where all rest, or all were tried, the refusal is at once and names the first end; what waits is judged anew as a rest begins or ends. A second try that finds no place holds up nobody behind it any more.

Ruled out: treating it as a longer ejection, which is passed over where all are.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -35,6 +35,8 @@
 """Callers honour a time to come back up to a third of what they have left."""
 RETURN_RATE_SHARE = 0.5
 """Of the places that become free, this share is promised to callers told to come back."""
+REST_SPREAD_S = 0.5
+"""Returns after a rest are spread over this, so that they do not bring on the next one."""
 PROBE_INTERVAL_S = 0.25
 """A broken group is offered one request so often from each gateway, to learn that it opened."""
 ASK_AGAIN_S = 2.0
@@ -69,8 +71,9 @@
 @dataclass
 class _Waiter:
     order_s: float
+    turn: Turn
     tried: Collection[str]
-    granted: asyncio.Future[Upstream]
+    granted: asyncio.Future[Upstream | NoPlace]
 
 
 @dataclass
@@ -109,6 +112,8 @@
             upstream = self._find(tried)
             if upstream is not None:
                 return self._count(upstream)
+        if self._is_hopeless(tried):
+            return self._refuse_hopeless(turn)
         patience_s = self._patience_s(turn, is_return)
         if self._expected_wait_s() > patience_s:
             return NoPlace("no_place_in_time", self._retry_after_s(turn))
@@ -145,14 +150,29 @@
         """Give places that have become free to those whose turn it is."""
         if not self.waiting or self.is_broken():
             return
-        while self.waiting:
-            waiter = min(self.waiting, key=lambda w: w.order_s)
+        for waiter in sorted(self.waiting, key=lambda w: w.order_s):
             upstream = self._find(waiter.tried)
-            if upstream is None:
+            if upstream is not None:
+                self._end_wait(waiter, self._count(upstream))
+            elif self._is_hopeless(waiter.tried):
+                self._end_wait(waiter, self._refuse_hopeless(waiter.turn))
+            elif not waiter.tried:
+                # Where nothing is free for a first try, nothing is for the others.
                 return
-            self.waiting.remove(waiter)
-            if not waiter.granted.done():
-                waiter.granted.set_result(self._count(upstream))
+
+    def _end_wait(self, waiter: _Waiter, outcome: Upstream | NoPlace) -> None:
+        self.waiting.remove(waiter)
+        if not waiter.granted.done():
+            waiter.granted.set_result(outcome)
+
+    def _is_hopeless(self, tried: Collection[str]) -> bool:
+        """Return whether no upstream is left for a request, however long it waits."""
+        closed = self._list_closed()
+        return not self.upstreams.list_candidates(self.service, tried, self.clock(), closed)
+
+    def _refuse_hopeless(self, turn: Turn) -> NoPlace:
+        is_resting = self.upstreams.rest_left_s(self.service, self.clock()) > 0
+        return NoPlace("all_resting" if is_resting else "all_tried", self._retry_after_s(turn))
 
     async def _wait(
         self, turn: Turn, tried: Collection[str], is_return: bool, patience_s: float
@@ -160,7 +180,7 @@
         order_s = self.clock() + turn.priority * PRIORITY_HEAD_START_S
         if is_return:
             order_s -= RETURN_HEAD_START_S
-        waiter = _Waiter(order_s, tried, asyncio.get_running_loop().create_future())
+        waiter = _Waiter(order_s, turn, tried, asyncio.get_running_loop().create_future())
         self.waiting.append(waiter)
         try:
             async with asyncio.timeout(patience_s):
@@ -169,7 +189,9 @@
             return NoPlace("no_place", self._retry_after_s(turn))
         except asyncio.CancelledError:
             if waiter.granted.done() and not waiter.granted.cancelled():
-                self.give_back(waiter.granted.result())
+                granted = waiter.granted.result()
+                if isinstance(granted, Upstream):
+                    self.give_back(granted)
             raise
         finally:
             if waiter in self.waiting:
@@ -226,13 +248,18 @@
         return min(RETRY_AFTER_MAX_S, LEFT_SHARE * turn.left_s)
 
     def _retry_after_s(self, turn: Turn) -> float:
-        """Return when a place is expected: after those that were promised one before."""
+        """Return when a place is expected: after those that were promised one before.
+
+        While all upstreams rest that is when the first rest ends, whether callers wait so long or
+        not: what comes sooner is refused for sure.
+        """
         now_s = self.clock()
-        longest_s = self._longest_retry_after_s(turn)
+        rest_s = self.upstreams.rest_left_s(self.service, now_s)
+        longest_s = max(self._longest_retry_after_s(turn), rest_s and rest_s + REST_SPREAD_S)
         interval_s = self._done_interval_s / RETURN_RATE_SHARE
-        self._promised_until_s = max(self._promised_until_s, now_s) + interval_s
+        self._promised_until_s = max(self._promised_until_s, now_s + rest_s) + interval_s
         wait_s = RETRY_AFTER_MIN_S + self._promised_until_s - now_s
         if wait_s <= longest_s:
             return wait_s
         self._promised_until_s = now_s + longest_s
-        return self.rng.uniform(min(RETRY_AFTER_MIN_S, longest_s), longest_s)
+        return self.rng.uniform(max(rest_s, min(RETRY_AFTER_MIN_S, longest_s)), longest_s)
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -14,7 +14,6 @@
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
-from dalehollow.gateway.signals import Signals
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstream import Move, Upstream
@@ -120,7 +119,7 @@
             )
             if isinstance(result, NotRun):
                 progress.may_have_run = was_unsure
-            self._note_signals(upstream, result.signals)
+            state.note_signals(upstream, result.signals)
             if move.is_asked and not isinstance(result, Answered):
                 self._note_attempt(upstream, "attempt_moved", move.why)
                 return False
@@ -151,17 +150,6 @@
         route = self._job.route
         return route.is_repeatable and len(self._progress.tried) < route.max_tries
 
-    def _note_signals(self, upstream: Upstream, signals: Signals) -> None:
-        """Take in what an upstream said of itself."""
-        incarnation = upstream.listed.incarnation
-        for value in signals.unusable:
-            log_event(
-                _LOG, "signal_unusable", incarnation=incarnation, value=value.decode("latin-1")
-            )
-        if signals.rest_s:
-            upstream.note_rest(signals.rest_s, self._clock())
-            log_event(_LOG, "upstream_rests", incarnation=incarnation, for_s=signals.rest_s)
-
     def _note_result(self, upstream: Upstream, result: AttemptResult) -> None:
         state, now_s = self._state, self._clock()
         if isinstance(result, Answered):
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -14,7 +14,9 @@
 from dalehollow.gateway.listed import ListedUpstream, read_service
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.signals import Signals
 from dalehollow.gateway.table import EngineFigures, RoutingTable
+from dalehollow.gateway.upstream import Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.telemetry.logs import log_event
 from dalehollow.telemetry.metrics import Metrics
@@ -145,6 +147,19 @@
         ]
         return min(objectives_ms, default=0) / _MS_PER_S
 
+    def note_signals(self, upstream: Upstream, signals: Signals) -> None:
+        """Take in what an upstream said of itself, and have all that wait judged by it."""
+        loop = asyncio.get_running_loop()
+        incarnation = upstream.listed.incarnation
+        for value in signals.unusable:
+            text = value.decode("latin-1")
+            log_event(_LOG, "signal_unusable", incarnation=incarnation, value=text)
+        if signals.rest_s:
+            upstream.note_rest(signals.rest_s, loop.time())
+            log_event(_LOG, "upstream_rests", incarnation=incarnation, for_s=signals.rest_s)
+            self.grant_all()
+            loop.call_later(signals.rest_s, self.grant_all)
+
     def move_from_slow_ranks(self, group_key: str) -> None:
         """Have requests at slow ranks go on elsewhere: each holds its whole group up.
 
@@ -159,7 +174,7 @@
             move.ask("slow_rank")
 
     def grant_all(self) -> None:
-        """Give free places to those that wait, after a change that may have made some."""
+        """Give free places to those that wait, after a change of what upstreams take."""
         for admission in self.admissions.values():
             admission.grant()
 
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -71,7 +71,7 @@
             service: {
                 "is_group_broken": admission.is_broken(),
                 "waiting": len(admission.waiting),
-                "load": round(state.upstreams.load_of(service), 3),
+                "load": round(state.upstreams.load_of(service, now_s), 3),
             }
             for service, admission in state.admissions.items()
         },
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -39,24 +39,39 @@
             self.connection.abort()
 
 
+@dataclass
+class Said:
+    """Hold what an upstream said of itself in its answers, of one start of it."""
+
+    started_at_ms: int
+    # It wants no request from this gateway until then.
+    rests_until_s: float = float("-inf")
+
+
 @dataclass
 class Upstream:
     """Hold the state of one upstream as this gateway sees it."""
 
     listed: ListedUpstream
+    said: Said
     in_hand: int = 0
     others_in_hand: int = 0
     unknown: int = 0
     unknown_at_s: float = float("-inf")
     ejected_until_s: float = 0.0
-    # It asked this gateway for rest until then.
-    rests_until_s: float = float("-inf")
     # Tries in hand that may go on elsewhere.
     moves: set[Move] = field(default_factory=set)
     _ejections: int = 0
     _failure_share: float = 0.0
     _samples: int = 0
 
+    def takes_requests(self, now_s: float) -> bool:
+        """Return whether it may get a new request, once it has a free slot.
+
+        Nothing else decides this: what an upstream asks for binds also where no other is left.
+        """
+        return not self.listed.is_leaving and not self.rest_left_s(now_s)
+
     def load(self, now_s: float) -> float:
         """Return the requests that are known or told to be there, for each slot."""
         unknown = self.unknown if now_s - self.unknown_at_s < TOLD_LIFE_S else 0
@@ -77,11 +92,11 @@
 
     def note_rest(self, rest_s: float, now_s: float) -> None:
         """Take in that it wants no request from this gateway for a while."""
-        self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
+        self.said.rests_until_s = max(self.said.rests_until_s, now_s + rest_s)
 
     def rest_left_s(self, now_s: float) -> float:
         """Return for how long it still wants no request, 0 if it takes them."""
-        return max(0.0, self.rests_until_s - now_s)
+        return max(0.0, self.said.rests_until_s - now_s)
 
     def note_answer(self, *, failed: bool) -> None:
         """Count an answer, or a request that got none."""
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -9,13 +9,17 @@
 from dataclasses import dataclass, field
 
 from dalehollow.gateway.listed import ListedUpstream
-from dalehollow.gateway.upstream import Move, Upstream
+from dalehollow.gateway.upstream import Move, Said, Upstream
 from dalehollow.telemetry.logs import log_event
 
 MAX_EJECTED_SHARE = 0.34
 FAR_SLOTS = 2.0
 """An upstream of another hall must have so many more slots free: what is known of its load is older
 than that of the own hall, and of every four requests sent there one found no slot."""
+MAX_SAID_GONE = 1_000
+"""What so many upstreams said is kept once they are listed no more: an entry that lapsed comes
+again, and takes nothing of it back."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -32,6 +36,7 @@
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
     # Kept also of upstreams that are not known yet: reports and lists come on different ways.
     _others_in_hand: Counter[str] = field(default_factory=Counter)
+    _said: dict[str, Said] = field(default_factory=dict)
 
     def __iter__(self) -> Iterator[Upstream]:
         """Go through all upstreams."""
@@ -48,7 +53,8 @@
             self._end_earlier_start(known)
             known = None
         if known is None:
-            known = Upstream(listed, others_in_hand=self._others_in_hand[listed.incarnation])
+            others_in_hand = self._others_in_hand[listed.incarnation]
+            known = Upstream(listed, self._recall(listed), others_in_hand=others_in_hand)
             self._known[listed.incarnation] = known
             log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
         elif listed.is_leaving and not known.listed.is_leaving:
@@ -70,6 +76,13 @@
         self._by_service.setdefault(listed.service, {})[listed.incarnation] = known
         self._by_group.setdefault(listed.group_key, {})[listed.incarnation] = known
 
+    def _recall(self, listed: ListedUpstream) -> Said:
+        """Return what an upstream said since it started, also before its entry lapsed."""
+        said = self._said.get(listed.incarnation)
+        if said is None or said.started_at_ms != listed.started_at_ms:
+            said = self._said[listed.incarnation] = Said(listed.started_at_ms)
+        return said
+
     def _end_earlier_start(self, upstream: Upstream) -> None:
         """Forget all of an upstream that has started again; what ran there can be no answer."""
         log_event(
@@ -94,13 +107,15 @@
         if known is not None:
             self._drop_indexes(known.listed)
             log_event(_LOG, "upstream_gone", incarnation=incarnation)
+            if len(self._said) > len(self._known) + MAX_SAID_GONE:
+                del self._said[next(name for name in self._said if name not in self._known)]
 
     def of_service(self, service: str) -> list[Upstream]:
-        """Return a service's upstreams that may get new requests."""
+        """Return a service's upstreams that stay."""
         return [u for u in self._by_service.get(service, {}).values() if not u.listed.is_leaving]
 
     def of_group(self, group_key: str) -> list[Upstream]:
-        """Return a rank group's upstreams that may get new requests."""
+        """Return a rank group's upstreams that stay."""
         return [u for u in self._by_group.get(group_key, {}).values() if not u.listed.is_leaving]
 
     def home_hall(self, group_key: str) -> str:
@@ -139,41 +154,54 @@
         if known is not None:
             known.others_in_hand += change
 
-    def load_of(self, service: str) -> float:
-        """Return the share of a service's slots that is taken."""
-        return _share_taken(self.of_service(service))
+    def rest_left_s(self, service: str, now_s: float) -> float:
+        """Return how soon a service's first upstream takes requests, 0 where one does now."""
+        return min((u.rest_left_s(now_s) for u in self.of_service(service)), default=0.0)
+
+    def load_of(self, service: str, now_s: float) -> float:
+        """Return the share that is taken of the slots that a service's requests may get."""
+        return _share_taken([u for u in self.of_service(service) if u.takes_requests(now_s)])
 
     def load_of_group(self, group_key: str) -> float:
         """Return the share of a group's slots that is taken."""
         return _share_taken(self.of_group(group_key))
 
-    def highest_load(self) -> float:
-        """Return the load of the service whose slots are taken most."""
-        return max(map(self.load_of, self._by_service), default=0.0)
-
     def mean_batch(self, group_key: str) -> float:
         """Return the requests that a group's ranks have in hand on average."""
         upstreams = self.of_group(group_key)
         return sum(u.known_in_hand() for u in upstreams) / max(1, len(upstreams))
 
-    def choose(
+    def list_candidates(
         self,
         service: str,
         tried: Collection[str],
         now_s: float,
         closed_groups: Collection[str] = (),
-    ) -> Upstream | None:
-        """Choose the least busy upstream with a free slot, or None where none has one.
+    ) -> list[Upstream]:
+        """Return the upstreams that may get a request now or once they have a free slot.
 
         Upstreams of `closed_groups` are left aside.
         """
-        staying = [
+        return [
             u
             for u in self.of_service(service)
-            if u.listed.incarnation not in tried and u.listed.group_key not in closed_groups
+            if u.takes_requests(now_s)
+            and u.listed.incarnation not in tried
+            and u.listed.group_key not in closed_groups
         ]
+
+    def choose(
+        self,
+        service: str,
+        tried: Collection[str],
+        now_s: float,
+        closed_groups: Collection[str] = (),
+    ) -> Upstream | None:
+        """Choose the least busy candidate with a free slot, or None where none has one."""
+        staying = self.list_candidates(service, tried, now_s, closed_groups)
         # A slow rank holds its whole group up by each request that it gets: rather wait.
         staying = [u for u in staying if not self._is_slow_rank(u)] or staying
+        # Unlike a rest an ejection is a guess: where all are ejected, all are tried.
         sound = [u for u in staying if u.ejected_until_s <= now_s]
         free = [u for u in sound or staying if u.load(now_s) < 1.0]
         if not free:
@@ -199,7 +227,7 @@
         if not (is_unreachable or upstream.is_failing()):
             return
         peers = self.of_service(upstream.listed.service)
-        ejected = sum(1 for u in peers if u.ejected_until_s > now_s)
+        ejected = sum(1 for u in peers if u.ejected_until_s > now_s or u.rest_left_s(now_s))
         if not is_unreachable and ejected + 1 > MAX_EJECTED_SHARE * len(peers):
             return
         upstream.eject(now_s)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -178,3 +178,50 @@
         assert desk.admission._patience_s(turn, False) == pytest.approx(0.015, abs=0.001)
 
     _run(scenario)
+
+
+def test_what_waits_is_refused_once_all_upstreams_rest() -> None:
+    async def scenario(desk: _Desk) -> None:
+        for _ in range(2 * SLOTS):
+            await desk.take()
+        waiting = [await desk.wait() for _ in range(3)]
+        first, second = desk.upstreams
+        first.note_rest(3.0, desk.now_s)
+        desk.admission.grant()
+        assert len(desk.admission.waiting) == 3
+        second.note_rest(1.0, desk.now_s)
+        desk.admission.grant()
+        for task in waiting:
+            refused = await task
+            assert isinstance(refused, NoPlace)
+            assert refused.reason == "all_resting"
+            # The first rest to end is named, to each caller a moment of its own.
+            assert refused.retry_after_s >= 1.0
+        assert desk.admission.waiting == []
+
+    _run(scenario, upstreams=2)
+
+
+def test_what_has_tried_all_others_is_refused_at_once() -> None:
+    async def scenario(desk: _Desk) -> None:
+        refused = await desk.admission.take(_turn(), ("u0", "u1"))
+        assert isinstance(refused, NoPlace)
+        assert refused.reason == "all_tried"
+
+    _run(scenario, upstreams=2)
+
+
+def test_a_second_try_that_finds_no_place_holds_nobody_up() -> None:
+    async def scenario(desk: _Desk) -> None:
+        places = [await desk.take() for _ in range(2 * SLOTS)]
+        again = asyncio.ensure_future(desk.admission.take(_turn(priority=0), ("u0",)))
+        await asyncio.sleep(0)
+        first = await desk.wait(priority=9)
+        place = next(p for p in places if isinstance(p, Upstream) and p.listed.incarnation == "u0")
+        desk.admission.give_back(place)
+        granted = await first
+        assert isinstance(granted, Upstream) and granted.listed.incarnation == "u0"
+        assert not again.done()
+        again.cancel()
+
+    _run(scenario, upstreams=2)
--- a/tests/test_upstream_rests.py
+++ b/tests/test_upstream_rests.py
@@ -21,7 +21,7 @@
 
 from dalehollow.gateway.listed import ListedUpstream
 from standins.server import Way
-from tests.gateway_bench import Answer, GatewayBench, make_config, run_bench
+from tests.gateway_bench import HOST, Answer, GatewayBench, make_config, run_bench
 
 REST_S = 50
 ASKED = 20
@@ -127,6 +127,32 @@
     run_bench(scenario)
 
 
+def test_what_waits_is_granted_as_a_rest_ends() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        route = {"host": HOST, "service": "desk", "name": "read", "pathPrefix": "/read/"}
+        patient = {**route, "kind": "safe", "timeoutMs": 60_000, "targetLatencyMs": 40_000}
+        await _make_rest(bench, 0, value="1")
+        await bench.apply(make_config(2, routes=[patient]))
+        busy = await bench.add_server("s1", slots=1)
+        bench.gateway.state.upstreams.add_others("s1", 1)
+        assert (await bench.ask("/read/2", left_ms=60_000)).status == 200
+        assert busy.seen == []
+
+    run_bench(scenario)
+
+
+def test_of_two_rests_in_one_answer_the_longer_holds() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        resting = await bench.add_server("s0", Way.REFUSE)
+        resting.says = [(b"retry-after", b"0"), (b"retry-after", b"50"), (b"retry-after", b"x")]
+        await bench.ask("/read/0")
+        assert (await bench.ask("/read/1")).status == 503
+        assert len(resting.seen) == 1
+
+    run_bench(scenario)
+
+
 @pytest.mark.parametrize("value", ["nan", "1e309", "-1"])
 def test_an_unusable_rest_is_none(value: str) -> None:
     async def scenario(bench: GatewayBench) -> None:
