--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dalehollow.aio import AnswerHead, ClientConnection, CutError, connect
+from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.settings import GatewaySettings
 from standins.metadata import MetadataStandIn
@@ -98,6 +99,18 @@
         }
         self.store.put(f"servers/{incarnation}", msgspec.json.encode(entry))
 
+    def read_entry(self, incarnation: str) -> dict[str, object]:
+        """Return a server's entry as it stands in the store."""
+        value = self.store.items[f"servers/{incarnation}"].value
+        entry: dict[str, object] = msgspec.json.decode(value)
+        return entry
+
+    def listed(self, incarnation: str) -> ListedUpstream:
+        """Return what the gateway knows of a server by the list."""
+        listed = self.gateway.state.upstreams.find(incarnation)
+        assert listed is not None
+        return listed
+
     async def apply(self, config: Mapping[str, object]) -> None:
         """Put a configuration into the store and wait until it is in force."""
         self.store.put("op/config", msgspec.json.encode(config))
@@ -141,6 +154,21 @@
         return head.status == 200
 
 
+async def say_ready_again(bench: GatewayBench) -> None:
+    """Have the entry of s0 written anew."""
+    bench.list_server("s0", str(bench.read_entry("s0")["address"]), sequence=2, slots=3)
+    await bench.until(lambda: bench.listed("s0").slots == 3)
+
+
+async def lapse_and_return(bench: GatewayBench) -> None:
+    """Have the entry of s0 go and come again."""
+    address = str(bench.read_entry("s0")["address"])
+    bench.store.delete("servers/s0")
+    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is None)
+    bench.list_server("s0", address)
+    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is not None)
+
+
 def make_request(
     path: str,
     number: int,
--- a/tests/test_upstream_rests.py
+++ b/tests/test_upstream_rests.py
@@ -16,12 +16,18 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import pytest
 
-from dalehollow.gateway.listed import ListedUpstream
 from standins.server import Way
-from tests.gateway_bench import HOST, Answer, GatewayBench, make_config, run_bench
+from tests.gateway_bench import (
+    HOST,
+    Answer,
+    GatewayBench,
+    lapse_and_return,
+    make_config,
+    run_bench,
+    say_ready_again,
+)
 
 REST_S = 50
 ASKED = 20
@@ -77,34 +83,9 @@
     run_bench(scenario)
 
 
-async def _say_ready_again(bench: GatewayBench) -> None:
-    entry = _read_entry(bench)
-    bench.list_server("s0", str(entry["address"]), sequence=2, slots=3)
-    await bench.until(lambda: _listed(bench).slots == 3)
-
-
-async def _lapse_and_return(bench: GatewayBench) -> None:
-    entry = _read_entry(bench)
-    bench.store.delete("servers/s0")
-    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is None)
-    bench.list_server("s0", str(entry["address"]))
-    await bench.until(lambda: bench.gateway.state.upstreams.find("s0") is not None)
-
-
-def _read_entry(bench: GatewayBench) -> dict[str, object]:
-    entry: dict[str, object] = msgspec.json.decode(bench.store.items["servers/s0"].value)
-    return entry
-
-
-def _listed(bench: GatewayBench) -> ListedUpstream:
-    listed = bench.gateway.state.upstreams.find("s0")
-    assert listed is not None
-    return listed
-
-
 def test_a_rest_outlives_what_the_list_says() -> None:
     """The list tells whether an upstream is there, not what it asked of this gateway."""
-    for happens in (_say_ready_again, _lapse_and_return):
+    for happens in (say_ready_again, lapse_and_return):
 
         async def scenario(
             bench: GatewayBench, happens: Callable[[GatewayBench], Awaitable[None]] = happens
@@ -120,8 +101,8 @@
 def test_a_new_start_has_asked_for_no_rest() -> None:
     async def scenario(bench: GatewayBench) -> None:
         await _make_rest(bench, 0)
-        bench.list_server("s0", str(_read_entry(bench)["address"]), born=7)
-        await bench.until(lambda: _listed(bench).started_at_ms == 7)
+        bench.list_server("s0", str(bench.read_entry("s0")["address"]), born=7)
+        await bench.until(lambda: bench.listed("s0").started_at_ms == 7)
         assert (await bench.ask("/read/1")).status == 200
 
     run_bench(scenario)
