Take upstreams at their word that they leave

Callers saw: requests that reached an upstream seconds after it had said, in an answer that went through the same gateway, that it leaves.

Cause: the class of the rest: words of upstreams in answers were not kept.

Change: `Server-Leaving: 1` in any answer of the upstream itself marks that start of it as leaving, for good, whatever the list goes on to say; the one predicate of who may get a request covers it. A new start begins anew.

Ruled out: writing it into the listed entry; an entry that lapsed and came would forget.

--- a/dalehollow/gateway/headers.py
+++ b/dalehollow/gateway/headers.py
@@ -23,6 +23,7 @@
     last_event_id: bytes
     retry_after_s: bytes
     faulty_upstream: bytes
+    leaving: bytes
 
     def set_here(self) -> frozenset[bytes]:
         """Return the headers of a caller that never reach an upstream as the caller sent them."""
--- a/dalehollow/gateway/signals.py
+++ b/dalehollow/gateway/signals.py
@@ -13,6 +13,7 @@
 MAX_REST_S = 3600.0
 """A longer rest counts as this: an upstream that still wants it then says so again, and one that
 misspoke is not lost for good."""
+_IS_LEAVING = b"1"
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -21,6 +22,7 @@
     """Hold what one answer says of its upstream; `unusable` are values that say nothing."""
 
     rest_s: float = 0.0
+    is_leaving: bool = False
     unusable: tuple[bytes, ...] = ()
 
 
@@ -38,7 +40,8 @@
     rests_s = [parse_decimal(value) for value in rest_values]
     unusable = tuple(v for v, parsed in zip(rest_values, rests_s, strict=True) if parsed is None)
     rest_s = max(_drop_none(rests_s), default=0.0)
-    return Signals(min(MAX_REST_S, rest_s), unusable)
+    is_leaving = _IS_LEAVING in _list_values(head, names.leaving)
+    return Signals(min(MAX_REST_S, rest_s), is_leaving, unusable)
 
 
 def parse_decimal(value: bytes) -> float | None:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -154,6 +154,10 @@
         for value in signals.unusable:
             text = value.decode("latin-1")
             log_event(_LOG, "signal_unusable", incarnation=incarnation, value=text)
+        if signals.is_leaving and not upstream.is_leaving():
+            upstream.said.is_leaving = True
+            log_event(_LOG, "upstream_leaving", incarnation=incarnation, by="answer")
+            self.grant_all()
         if signals.rest_s:
             upstream.note_rest(signals.rest_s, loop.time())
             log_event(_LOG, "upstream_rests", incarnation=incarnation, for_s=signals.rest_s)
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -82,7 +82,7 @@
             u.listed.incarnation: {
                 "service": u.listed.service,
                 "address": u.listed.address,
-                "is_leaving": u.listed.is_leaving,
+                "is_leaving": u.is_leaving(),
                 "in_hand": u.in_hand,
                 "others_in_hand": u.others_in_hand,
                 "is_ejected": u.ejected_until_s > now_s,
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -46,6 +46,7 @@
     started_at_ms: int
     # It wants no request from this gateway until then.
     rests_until_s: float = float("-inf")
+    is_leaving: bool = False
 
 
 @dataclass
@@ -70,7 +71,14 @@
 
         Nothing else decides this: what an upstream asks for binds also where no other is left.
         """
-        return not self.listed.is_leaving and not self.rest_left_s(now_s)
+        return not self.is_leaving() and not self.rest_left_s(now_s)
+
+    def is_leaving(self) -> bool:
+        """Return whether the list or an answer of its own said that it leaves.
+
+        Neither takes back what the other said: an answer is often sooner than the list.
+        """
+        return self.listed.is_leaving or self.said.is_leaving
 
     def load(self, now_s: float) -> float:
         """Return the requests that are known or told to be there, for each slot."""
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -58,7 +58,7 @@
             self._known[listed.incarnation] = known
             log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
         elif listed.is_leaving and not known.listed.is_leaving:
-            log_event(_LOG, "upstream_leaving", incarnation=listed.incarnation)
+            log_event(_LOG, "upstream_leaving", incarnation=listed.incarnation, by="list")
         if (known.listed.group_epoch, known.listed.group_is_open) != (
             listed.group_epoch,
             listed.group_is_open,
@@ -112,11 +112,11 @@
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return a service's upstreams that stay."""
-        return [u for u in self._by_service.get(service, {}).values() if not u.listed.is_leaving]
+        return [u for u in self._by_service.get(service, {}).values() if not u.is_leaving()]
 
     def of_group(self, group_key: str) -> list[Upstream]:
         """Return a rank group's upstreams that stay."""
-        return [u for u in self._by_group.get(group_key, {}).values() if not u.listed.is_leaving]
+        return [u for u in self._by_group.get(group_key, {}).values() if not u.is_leaving()]
 
     def home_hall(self, group_key: str) -> str:
         """Return the hall with the most of a group's upstreams, the first by name of several."""
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -32,6 +32,8 @@
     retry_after_s=b"retry-after",
     # The upstream that a refusal is about, which need not be the one that sends it.
     faulty_upstream=b"at-server",
+    # 1 in all answers of an upstream that leaves; no other value means anything.
+    leaving=b"server-leaving",
 )
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
