Keep all gateways together to the limits that upstreams name

Callers saw: an upstream in need that got hundreds of requests where it had named a limit of a few a second.

Cause: the class of the rest; and no gateway knows what the others send.

Change: a limit that an answer names is told to all gateways with the load reports, the newest holds, and an answer without it ends it. Nobody sends to a limited upstream without a token. One gateway of the upstream's hall, the first in rendezvous order that is heard there, deals tokens out at the named rate: to who asks, when a request wants one; one each in turn; void after 1 s. A request goes elsewhere or waits 0.1 s at most where a token is all that is missing.

Ruled out, by arithmetic: even shares (31 gateways with room for one request each pass 31 in 4 s where a limit of 1 allows 11); shares by what halls tell each other (they add up to several times the limit where halls do not hear each other); counting what others report (as many too many as gateways send within a report).

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from dalehollow.gateway.health import GroupHealth
+from dalehollow.gateway.limit_tokens import ASK_LIFE_S, MAX_WANTED
 from dalehollow.gateway.upstream import Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
 
@@ -109,14 +110,18 @@
             # When it opens cannot be told before it does: a wait would mostly be for nothing.
             return NoPlace("group_broken", self._longest_retry_after_s(turn))
         if not self.waiting or is_broken:
-            upstream = self._find(tried)
+            upstream = self._find(tried, wants_tokens=True)
             if upstream is not None:
                 return self._count(upstream)
-        if self._is_hopeless(tried):
+        candidates = self._list_candidates(tried)
+        if not candidates:
             return self._refuse_hopeless(turn)
         patience_s = self._patience_s(turn, is_return)
         if self._expected_wait_s() > patience_s:
-            return NoPlace("no_place_in_time", self._retry_after_s(turn))
+            lacks_tokens = self.upstreams.lacks_tokens(candidates, self.clock())
+            if not lacks_tokens or len(self.waiting) >= MAX_WANTED:
+                return NoPlace("no_place_in_time", self._retry_after_s(turn))
+            patience_s = min(patience_s, ASK_LIFE_S)
         return await self._wait(turn, tried, is_return, patience_s)
 
     def give_back(self, upstream: Upstream) -> None:
@@ -154,7 +159,7 @@
             upstream = self._find(waiter.tried)
             if upstream is not None:
                 self._end_wait(waiter, self._count(upstream))
-            elif self._is_hopeless(waiter.tried):
+            elif not self._list_candidates(waiter.tried):
                 self._end_wait(waiter, self._refuse_hopeless(waiter.turn))
             elif not waiter.tried:
                 # Where nothing is free for a first try, nothing is for the others.
@@ -165,10 +170,10 @@
         if not waiter.granted.done():
             waiter.granted.set_result(outcome)
 
-    def _is_hopeless(self, tried: Collection[str]) -> bool:
-        """Return whether no upstream is left for a request, however long it waits."""
+    def _list_candidates(self, tried: Collection[str]) -> list[Upstream]:
+        """Return the upstreams that are left for a request, however long it waits."""
         closed = self._list_closed()
-        return not self.upstreams.list_candidates(self.service, tried, self.clock(), closed)
+        return self.upstreams.list_candidates(self.service, tried, self.clock(), closed)
 
     def _refuse_hopeless(self, turn: Turn) -> NoPlace:
         is_resting = self.upstreams.rest_left_s(self.service, self.clock()) > 0
@@ -208,8 +213,10 @@
         since_done_s = self.clock() - self._done_at_s if self._done_at_s else 0.0
         return (len(self.waiting) + 1) * max(self._done_interval_s, since_done_s)
 
-    def _find(self, tried: Collection[str]) -> Upstream | None:
-        return self.upstreams.choose(self.service, tried, self.clock(), self._list_closed())
+    def _find(self, tried: Collection[str], *, wants_tokens: bool = False) -> Upstream | None:
+        return self.upstreams.choose(
+            self.service, tried, self.clock(), self._list_closed(), wants_tokens=wants_tokens
+        )
 
     def _list_closed(self) -> list[str]:
         """Return the broken groups that are not due to be asked again; none if none serves."""
@@ -226,7 +233,7 @@
         return max(self.health.refused_at_s[group_key], asked_at_s) + pause_s
 
     def _count(self, upstream: Upstream) -> Upstream:
-        upstream.in_hand += 1
+        self.upstreams.take(upstream)
         if self.health.is_broken(upstream.listed.group_key):
             self._asked_at_s[upstream.listed.group_key] = self.clock()
         return upstream
--- a/dalehollow/gateway/headers.py
+++ b/dalehollow/gateway/headers.py
@@ -24,6 +24,7 @@
     retry_after_s: bytes
     faulty_upstream: bytes
     leaving: bytes
+    limit_per_s: bytes
 
     def set_here(self) -> frozenset[bytes]:
         """Return the headers of a caller that never reach an upstream as the caller sent them."""
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -15,6 +15,7 @@
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
+from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.members import Members
 from dalehollow.gateway.outcome import refuse
@@ -97,6 +98,15 @@
             self._copies,
             self._members,
         )
+        tokens = LimitTokens(
+            settings.name,
+            settings.hall,
+            time.monotonic,
+            self._reports.list_peers,
+            self._reports.send,
+            self.state.grant_all,
+        )
+        self._tokens = self._reports.tokens = self.state.upstreams.tokens = tokens
         self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.note_change
 
@@ -174,6 +184,7 @@
             self._settings, self.state, self._session, self._members.there
         )
         self._tasks.append(keep_running("reports", self._reports.run))
+        self._tasks.append(keep_running("tokens", self._tokens.run))
 
     async def _bind_peer_port(self) -> str:
         """Take datagrams and connections of other gateways at one port; return the address.
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -20,12 +20,21 @@
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
+from dalehollow.gateway.limit_tokens import LimitTokens, Peer
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.members import Members
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.gateway.upstream import TOLD_LIFE_S
 from dalehollow.gateway.upstreams import UpstreamSet
-from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage, StoreView
+from dalehollow.protocol.reports import (
+    HallReport,
+    Limit,
+    LoadReport,
+    PeerMessage,
+    StoreView,
+    TokenAsk,
+    TokenGrant,
+)
 from dalehollow.protocol.revisions import read_era
 from dalehollow.telemetry.logs import log_event
 
@@ -38,6 +47,8 @@
 """Six idle intervals: the load of a gateway that is gone must not bind others for long."""
 HALL_SILENT_AFTER_S = 3.0
 """Reports of halls are kept within a budget of bytes, so they come more seldom."""
+LIMIT_END_TOLD_S = 10.0
+"""That an upstream has no limit any more is told for so long: other halls hear of it in time."""
 SPEAKER_SILENT_S = 1.0
 """A gateway of another hall that was not heard for so long is no more the one to send to."""
 
@@ -102,6 +113,8 @@
         feed.on_moved = self.note_change
         self._copies = copies
         self._members = members
+        # Set by whoever shares limits of upstreams.
+        self.tokens: LimitTokens | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._near: dict[str, _Address] = {}
         self._far: dict[str, _FarHall] = {}
@@ -125,6 +138,12 @@
             self._take_load(message, addr)
         elif isinstance(message, HallReport):
             self._take_hall(message, addr)
+        elif isinstance(message, TokenAsk):
+            if self.tokens is not None:
+                self.tokens.take_ask(message, addr[:2])
+        elif isinstance(message, TokenGrant):
+            if self.tokens is not None:
+                self.tokens.take_grant(message)
         else:
             # A relay passes on at once what the store answered.
             self._feed.contact.note_answered()
@@ -155,6 +174,21 @@
         """Ask for a report to go out soon."""
         self._changed.set()
 
+    def list_peers(self) -> list[Peer]:
+        """Return the other gateways that are there."""
+        heard = self._near_reports
+        near = [Peer(n, self._hall, address, n in heard) for n, address in self._near.items()]
+        far = [
+            Peer(name, hall, address, False)
+            for hall, known in self._far.items()
+            for name, address in known.members.items()
+        ]
+        return near + far
+
+    def send(self, message: PeerMessage, address: _Address) -> None:
+        """Send a message to one gateway."""
+        self._send(msgspec.msgpack.encode(message), address)
+
     def send_near(self, message: PeerMessage) -> None:
         """Send a message to each other gateway of the hall."""
         data = msgspec.msgpack.encode(message)
@@ -181,6 +215,7 @@
         now_s = asyncio.get_running_loop().time()
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.note_unknown(incarnation, unknown, now_s - age_s)
+        self._take_limits(report.limits)
         self._feed.note_peer(report.sender)
         self._note_view(report.view, self._near.get(report.sender))
         if report.relay is not None:
@@ -195,6 +230,7 @@
             return
         self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
+        self._take_limits(report.limits)
         self._note_view(report.view, None if report.is_passed_on else addr)
         if not report.is_passed_on:
             self._note_heard(report.sender, report.hall, addr)
@@ -228,6 +264,20 @@
         for service, age_s in refused_age_s.items():
             self._health.note_refused(service, now_s - age_s)
 
+    def _take_limits(self, limits: Mapping[str, Limit]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for incarnation, limit in limits.items():
+            self._upstreams.note_limit_told(incarnation, limit.rate_per_s, now_s - limit.age_s)
+
+    def _list_limits(self, now_s: float) -> dict[str, Limit]:
+        """Return the limits of upstreams, and for a while that there is none any more."""
+        limits = {}
+        for upstream in self._upstreams:
+            rate_per_s, age_s = upstream.said.limit_per_s, now_s - upstream.said.limit_told_at_s
+            if rate_per_s is not None or age_s < LIMIT_END_TOLD_S:
+                limits[upstream.listed.incarnation] = Limit(rate_per_s, round(age_s, 3))
+        return limits
+
     def _report(self) -> None:
         if self._transport is None or not (self._near or self._far):
             return
@@ -242,14 +292,21 @@
             if now_s - u.unknown_at_s < TOLD_LIFE_S
         }
         view = self._feed.view()
-        report = LoadReport(self._name, in_hand, served, refused, unknown, relay, view)
+        limits = self._list_limits(now_s)
+        report = LoadReport(self._name, in_hand, served, refused, unknown, relay, view, limits)
         self.send_near(report)
         if self._feed.speaks_for_hall() and now_s >= self._far_from_s:
             total = Counter(in_hand)
             for reported in self._near_reports.values():
                 total.update(reported.in_hand)
             total_report = HallReport(
-                self._hall, dict(total), served, refused, sender=self._name, view=view
+                self._hall,
+                dict(total),
+                served,
+                refused,
+                sender=self._name,
+                view=view,
+                limits=limits,
             )
             self._send_halls(total_report, now_s)
 
--- a/dalehollow/gateway/signals.py
+++ b/dalehollow/gateway/signals.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -23,6 +22,10 @@
 
     rest_s: float = 0.0
     is_leaving: bool = False
+    # Requests a second from all gateways together, None where the answer names no limit; one that
+    # cannot be read neither sets a limit nor ends one.
+    limit_per_s: float | None = None
+    is_limit_unusable: bool = False
     unusable: tuple[bytes, ...] = ()
 
 
@@ -34,14 +37,17 @@
 
     Of several values of one header the one that asks for most holds.
     """
-    rest_values = []
+    rests = _Values(())
     if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        rest_values = _list_values(head, names.retry_after_s)
-    rests_s = [parse_decimal(value) for value in rest_values]
-    unusable = tuple(v for v, parsed in zip(rest_values, rests_s, strict=True) if parsed is None)
-    rest_s = max(_drop_none(rests_s), default=0.0)
-    is_leaving = _IS_LEAVING in _list_values(head, names.leaving)
-    return Signals(min(MAX_REST_S, rest_s), is_leaving, unusable)
+        rests = _parse_values(head, names.retry_after_s)
+    limits = _parse_values(head, names.limit_per_s)
+    return Signals(
+        rest_s=min(MAX_REST_S, max(rests.usable, default=0.0)),
+        is_leaving=_IS_LEAVING in _list_values(head, names.leaving),
+        limit_per_s=min(limits.usable, default=None),
+        is_limit_unusable=bool(limits.unusable) and not limits.usable,
+        unusable=rests.unusable + limits.unusable,
+    )
 
 
 def parse_decimal(value: bytes) -> float | None:
@@ -55,5 +61,16 @@
     return [part.strip() for line in lines for part in line.split(b",")]
 
 
-def _drop_none(values: Iterable[float | None]) -> list[float]:
-    return [value for value in values if value is not None]
+@dataclass(frozen=True)
+class _Values:
+    usable: tuple[float, ...]
+    unusable: tuple[bytes, ...] = ()
+
+
+def _parse_values(head: AnswerHead, name: bytes) -> _Values:
+    values = _list_values(head, name)
+    parsed = [(value, parse_decimal(value)) for value in values]
+    return _Values(
+        tuple(number for _, number in parsed if number is not None),
+        tuple(value for value, number in parsed if number is None),
+    )
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -158,6 +158,10 @@
             upstream.said.is_leaving = True
             log_event(_LOG, "upstream_leaving", incarnation=incarnation, by="answer")
             self.grant_all()
+        has_limit = upstream.said.limit_per_s is not None
+        if (has_limit or signals.limit_per_s is not None) and not signals.is_limit_unusable:
+            self.upstreams.note_limit(upstream, signals.limit_per_s, loop.time())
+            self.on_change()
         if signals.rest_s:
             upstream.note_rest(signals.rest_s, loop.time())
             log_event(_LOG, "upstream_rests", incarnation=incarnation, for_s=signals.rest_s)
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -47,6 +47,10 @@
     # It wants no request from this gateway until then.
     rests_until_s: float = float("-inf")
     is_leaving: bool = False
+    # Requests a second that it takes from all gateways together, None for any number, and when an
+    # answer of it last said so to any gateway.
+    limit_per_s: float | None = None
+    limit_told_at_s: float = float("-inf")
 
 
 @dataclass
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
+from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, Said, Upstream
 from dalehollow.telemetry.logs import log_event
@@ -16,6 +17,8 @@
 FAR_SLOTS = 2.0
 """An upstream of another hall must have so many more slots free: what is known of its load is older
 than that of the own hall, and of every four requests sent there one found no slot."""
+LIMIT_WAY_S = 0.1
+"""Longer than a report is on its way as a rule."""
 MAX_SAID_GONE = 1_000
 """What so many upstreams said is kept once they are listed no more: an entry that lapsed comes
 again, and takes nothing of it back."""
@@ -29,6 +32,8 @@
 
     rng: random.Random
     hall: str = ""
+    # Set where other gateways may be there: what holds all of them to an upstream's limit.
+    tokens: LimitTokens | None = None
     _known: dict[str, Upstream] = field(default_factory=dict)
     _by_service: dict[str, dict[str, Upstream]] = field(default_factory=dict)
     # By the key of the rank group, or by service for upstreams that stand alone.
@@ -55,6 +60,7 @@
         if known is None:
             others_in_hand = self._others_in_hand[listed.incarnation]
             known = Upstream(listed, self._recall(listed), others_in_hand=others_in_hand)
+            self._tell_limit(known)
             self._known[listed.incarnation] = known
             log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
         elif listed.is_leaving and not known.listed.is_leaving:
@@ -83,6 +89,30 @@
             said = self._said[listed.incarnation] = Said(listed.started_at_ms)
         return said
 
+    def note_limit(self, upstream: Upstream, limit_per_s: float | None, at_s: float) -> None:
+        """Take in the limit that an answer of an upstream named, None where it named none."""
+        said = upstream.said
+        if limit_per_s != said.limit_per_s:
+            incarnation = upstream.listed.incarnation
+            log_event(_LOG, "upstream_limit", incarnation=incarnation, limit_per_s=limit_per_s)
+            said.limit_per_s = limit_per_s
+            self._tell_limit(upstream)
+        said.limit_told_at_s = at_s
+
+    def note_limit_told(self, incarnation: str, limit_per_s: float | None, at_s: float) -> None:
+        """Take in what another gateway knows of an upstream's limit, if that is newer.
+
+        What is told grows younger by its way, so that it must be newer by more than that.
+        """
+        known = self._known.get(incarnation)
+        if known is not None and at_s > known.said.limit_told_at_s + LIMIT_WAY_S:
+            self.note_limit(known, limit_per_s, at_s)
+
+    def _tell_limit(self, upstream: Upstream) -> None:
+        if self.tokens is not None:
+            listed = upstream.listed
+            self.tokens.note_limit(listed.incarnation, listed.hall, upstream.said.limit_per_s)
+
     def _end_earlier_start(self, upstream: Upstream) -> None:
         """Forget all of an upstream that has started again; what ran there can be no answer."""
         log_event(
@@ -107,6 +137,8 @@
         if known is not None:
             self._drop_indexes(known.listed)
             log_event(_LOG, "upstream_gone", incarnation=incarnation)
+            if self.tokens is not None:
+                self.tokens.note_limit(incarnation, known.listed.hall, None)
             if len(self._said) > len(self._known) + MAX_SAID_GONE:
                 del self._said[next(name for name in self._said if name not in self._known)]
 
@@ -196,17 +228,43 @@
         tried: Collection[str],
         now_s: float,
         closed_groups: Collection[str] = (),
+        *,
+        wants_tokens: bool = False,
     ) -> Upstream | None:
-        """Choose the least busy candidate with a free slot, or None where none has one."""
+        """Choose the least busy candidate with a free slot, or None where none has one.
+
+        With `wants_tokens` a token is asked for where it is all that an upstream lacks.
+        """
         staying = self.list_candidates(service, tried, now_s, closed_groups)
         # A slow rank holds its whole group up by each request that it gets: rather wait.
         staying = [u for u in staying if not self._is_slow_rank(u)] or staying
         # Unlike a rest an ejection is a guess: where all are ejected, all are tried.
         sound = [u for u in staying if u.ejected_until_s <= now_s]
         free = [u for u in sound or staying if u.load(now_s) < 1.0]
-        if not free:
-            return None
-        return min(free, key=lambda u: (self._rank_by_load(u, now_s), self.rng.random()))
+        while free:
+            best = min(free, key=lambda u: (self._rank_by_load(u, now_s), self.rng.random()))
+            if self._may_send(best):
+                return best
+            if wants_tokens and self.tokens is not None:
+                # Where the dealer may not answer, the next best is wanted too.
+                wants_tokens = not self.tokens.want(best.listed.incarnation)
+                if self._may_send(best):
+                    return best
+            free.remove(best)
+        return None
+
+    def take(self, upstream: Upstream) -> None:
+        """Count a request that goes to an upstream."""
+        upstream.in_hand += 1
+        if self.tokens is not None:
+            self.tokens.spend(upstream.listed.incarnation)
+
+    def lacks_tokens(self, candidates: Collection[Upstream], now_s: float) -> bool:
+        """Return whether some candidate has free slots and only lacks a token."""
+        return any(u.load(now_s) < 1.0 and not self._may_send(u) for u in candidates)
+
+    def _may_send(self, upstream: Upstream) -> bool:
+        return self.tokens is None or self.tokens.may_send(upstream.listed.incarnation)
 
     def _is_slow_rank(self, upstream: Upstream) -> bool:
         slow = self._slow_ranks.get(upstream.listed.group_key)
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -34,6 +34,8 @@
     faulty_upstream=b"at-server",
     # 1 in all answers of an upstream that leaves; no other value means anything.
     leaving=b"server-leaving",
+    # Requests a second from all gateways together; an answer without it ends the limit.
+    limit_per_s=b"server-limit",
 )
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -36,6 +36,13 @@
     era_heard_s: float
 
 
+class Limit(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how many requests a second an upstream takes, None without a limit, and since when."""
+
+    rate_per_s: float | None
+    age_s: float
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Tell the gateways of the own hall what the sender has in hand.
 
@@ -51,6 +58,7 @@
     unknown: dict[str, tuple[int, float]]
     relay: RelayState | None = None
     view: StoreView | None = None
+    limits: dict[str, Limit] = {}
 
 
 class HallReport(msgspec.Struct, frozen=True, array_like=True, tag="h"):
@@ -65,6 +73,7 @@
     # The gateway that speaks for its hall.
     sender: str = ""
     view: StoreView | None = None
+    limits: dict[str, Limit] = {}
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -79,7 +88,20 @@
     packed: bytes
 
 
-PeerMessage = LoadReport | HallReport | StoreChanges
+class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """Ask the dealer of limited upstreams for so many tokens of each."""
+
+    sender: str
+    wanted: dict[str, int]
+
+
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """Give tokens of limited upstreams; 0 says that the ask was heard."""
+
+    tokens: dict[str, int]
+
+
+PeerMessage = LoadReport | HallReport | StoreChanges | TokenAsk | TokenGrant
 
 _CHANGES = msgspec.msgpack.Decoder(tuple[Change, ...])
 MAX_UNPACKED_BYTES = 1 << 23
--- /dev/null
+++ b/tests/limit_world.py
@@ -0,0 +1,186 @@
+"""Run the admission of many gateways before limited upstreams, on virtual time.
+
+What is real: `GatewayState` with its admission, `PeerReports`, `LimitTokens`, `Members`. What
+stands in: sockets, callers, and upstreams that answer after a moment and name their limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dalehollow.gateway.admission import NoPlace, Turn
+from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.feed import HallFeed
+from dalehollow.gateway.limit_tokens import LimitTokens
+from dalehollow.gateway.listed import ListedUpstream, Member
+from dalehollow.gateway.members import Members
+from dalehollow.gateway.reports import PeerReports
+from dalehollow.gateway.signals import Signals
+from dalehollow.gateway.state import GatewayState, RetryLimits
+from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.platform.names import HEADERS
+
+SERVICE = "desk"
+WAY_S = 0.002
+ANSWER_S = 0.02
+SLOTS = 4
+_PORT = 7000
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """Hold a request as it came to an upstream, and since when its gateway knew of the limit."""
+
+    at_s: float
+    gateway: str
+    known_at_s: float
+
+
+@dataclass
+class Server:
+    """Hold one upstream: its limit, None for none, and what came."""
+
+    hall: str
+    limit_per_s: float | None = None
+    named_at_s: float | None = None
+    arrivals: list[Arrival] = field(default_factory=list)
+
+
+@dataclass
+class _Socket:
+    world: LimitWorld
+    sender: str
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.world.carry(self.sender, data, address)
+
+
+class WorldGateway:
+    """Hold one gateway and its tasks."""
+
+    def __init__(self, world: LimitWorld, name: str, hall: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        rng = random.Random(f"{name}{world.rng.random()}")
+        self.world, self.name, self.hall, self.port = world, name, hall, port
+        self.upstreams = UpstreamSet(rng, hall)
+        limits = RetryLimits(10.0, 0.2, 90.0, 8)
+        self.state = GatewayState(HEADERS, rng, self.upstreams, limits, connect_timeout_s=1.0)
+        feed = HallFeed(name, loop.time, rng, lambda changes: self.reports.send_near(changes))
+        self.members = Members(loop.time, lambda n, m: self.reports.note_member(n, m))
+        self.reports = PeerReports(
+            name,
+            hall,
+            self.upstreams,
+            self.state.health,
+            self.state.grant_all,
+            far_bytes_per_s=16e3,
+            feed=feed,
+            copies=StoreCopies(feed, rng),
+            members=self.members,
+        )
+        self.state.on_change = self.reports.note_change
+        self.tokens = LimitTokens(
+            name,
+            hall,
+            loop.time,
+            self.reports.list_peers,
+            self.reports.send,
+            self.state.grant_all,
+        )
+        self.reports.tokens = self.upstreams.tokens = self.tokens
+        self.reports._transport = _Socket(world, name)  # type: ignore[assignment]
+        # When it first passed on an answer that named the limit of an upstream.
+        self.known_at_s: dict[str, float] = {}
+        self.refused = self.served = 0
+        self.tasks = [
+            asyncio.ensure_future(self.reports.run()),
+            asyncio.ensure_future(self.tokens.run()),
+        ]
+
+    async def ask_often(self, rate_per_s: float) -> None:
+        """Have callers come at random times, for ever."""
+        while True:
+            await asyncio.sleep(self.world.rng.expovariate(rate_per_s))
+            self.tasks.append(asyncio.ensure_future(self.ask()))
+
+    async def ask(self) -> None:
+        """Carry one request of a caller."""
+        admission = self.state.admission(SERVICE)
+        place = await admission.take(Turn("read", 5, 0.4, 8.0, 8.0), ())
+        if isinstance(place, NoPlace):
+            self.refused += 1
+            return
+        loop = asyncio.get_running_loop()
+        incarnation = place.listed.incarnation
+        server = self.world.servers[incarnation]
+        await asyncio.sleep(WAY_S)
+        never_s = float("inf")
+        known_at_s = self.known_at_s.get(incarnation, never_s)
+        server.arrivals.append(Arrival(loop.time(), self.name, known_at_s))
+        await asyncio.sleep(ANSWER_S)
+        limit_per_s = server.limit_per_s
+        if limit_per_s is not None and server.named_at_s is None:
+            server.named_at_s = loop.time()
+        await asyncio.sleep(WAY_S)
+        if limit_per_s is not None:
+            self.known_at_s.setdefault(incarnation, loop.time())
+        self.state.note_signals(place, Signals(limit_per_s=limit_per_s))
+        admission.give_back(place)
+        self.served += 1
+
+
+class LimitWorld:
+    """Hold halls of gateways and the upstreams."""
+
+    def __init__(self, seed: int, halls: Mapping[str, int], servers: Mapping[str, Server]) -> None:
+        """Start gateways: `halls` says how many by hall."""
+        self.rng = random.Random(seed)
+        self.servers = dict(servers)
+        self.gateways: dict[str, WorldGateway] = {}
+        self.loss = 0.0
+        self.halls_hear_each_other = True
+        self.datagrams = self.bytes = 0
+        for hall, count in halls.items():
+            for number in range(count):
+                name = f"{hall}-{number}"
+                port = _PORT + len(self.gateways)
+                self.gateways[name] = WorldGateway(self, name, hall, port)
+        for gateway in self.gateways.values():
+            for name, server in servers.items():
+                listed = ListedUpstream(name, SERVICE, name, server.hall, SLOTS, False)
+                gateway.upstreams.put(listed)
+            for other in self.gateways.values():
+                gateway.members.note_listed(
+                    other.name, Member(f"{other.name}:{other.port}", other.hall)
+                )
+
+    def ask_often(self, rate_per_s: float, names: Sequence[str] = ()) -> None:
+        """Have callers come at some gateways, or at all."""
+        for name in names or list(self.gateways):
+            gateway = self.gateways[name]
+            gateway.tasks.append(asyncio.ensure_future(gateway.ask_often(rate_per_s)))
+
+    def carry(self, sender: str, data: bytes, address: tuple[str, int]) -> None:
+        """Carry a datagram from one gateway to another."""
+        self.datagrams += 1
+        self.bytes += len(data)
+        target, source = self.gateways.get(address[0]), self.gateways.get(sender)
+        if target is None or source is None or self.rng.random() < self.loss:
+            return
+        if target.hall != source.hall and not self.halls_hear_each_other:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(WAY_S, target.reports.datagram_received, data, (sender, source.port))
+
+    def end(self, name: str) -> None:
+        """End a gateway at once."""
+        for task in self.gateways.pop(name).tasks:
+            task.cancel()
+
+    def close(self) -> None:
+        """End all."""
+        for name in list(self.gateways):
+            self.end(name)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -61,3 +61,24 @@
 @pytest.mark.parametrize("status", [200, 429, 500])
 def test_only_a_refusal_for_the_upstreams_own_sake_asks_for_rest(status: int) -> None:
     assert read_signals(_head(("retry-after", "3"), status=status), HEADERS) == NO_SIGNALS
+
+
+@pytest.mark.parametrize("value", UNUSABLE)
+def test_an_unusable_limit_neither_sets_one_nor_ends_one(value: str) -> None:
+    signals = read_signals(_head(("server-limit", value), status=200), HEADERS)
+    assert signals.limit_per_s is None
+    assert signals.is_limit_unusable
+    assert signals.unusable == (value.encode(),)
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [([], None), (["4.0"], 4.0), (["0"], 0.0), (["4", "1.5"], 1.5), (["soon", "2"], 2.0)],
+)
+def test_of_several_limits_the_lowest_usable_holds(
+    values: list[str], limit_per_s: float | None
+) -> None:
+    head = _head(*(("server-limit", value) for value in values), status=200)
+    signals = read_signals(head, HEADERS)
+    assert signals.limit_per_s == limit_per_s
+    assert not signals.is_limit_unusable
