--- a/standins/server.py
+++ b/standins/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from dalehollow.aio import CallerConnection, CallerRequest
@@ -50,6 +51,9 @@
     ways: list[Way] = field(default_factory=list)
     # Headers of all its answers, for what it says of itself.
     says: list[tuple[bytes, bytes]] = field(default_factory=list)
+    # The body of requests that crash whoever begins to run them, and what is called then.
+    crashed_by: bytes = b""
+    on_crash: Callable[[], None] = lambda: None
     # Pause before each event of a stream, and before a plain answer.
     pace_s: float = 0.0
     seen: list[CallerRequest] = field(default_factory=list)
@@ -57,8 +61,22 @@
     cancelled: list[str] = field(default_factory=list)
     reached: asyncio.Event = field(default_factory=asyncio.Event)
     left: asyncio.Event = field(default_factory=asyncio.Event)
+    _in_hand: set[CallerConnection] = field(default_factory=set)
 
     async def handle(self, caller: CallerConnection, request: CallerRequest) -> None:
+        self._in_hand.add(caller)
+        try:
+            await self._answer(caller, request)
+        finally:
+            self._in_hand.discard(caller)
+
+    def crash(self) -> None:
+        """Cut off all that is in hand; whoever starts it again is told."""
+        for caller in list(self._in_hand):
+            caller.cut()
+        self.on_crash()
+
+    async def _answer(self, caller: CallerConnection, request: CallerRequest) -> None:
         self.seen.append(request)
         self.reached.set()
         way = self.ways.pop(0) if self.ways else Way.WELL
@@ -77,6 +95,9 @@
             caller.send_whole(503, refused, b"")
             return
         self.runs.append(request_id)
+        if self.crashed_by and request.body == self.crashed_by:
+            self.crash()
+            return
         if way is Way.HANG:
             try:
                 await asyncio.Event().wait()
