Keep requests that crash upstreams from more than a few

Callers saw: upstreams, and with a rank its whole group, lost one after the other to the same request, which earned nothing itself.

Cause: a crash looked like any lost connection, and nothing of it was kept with the request; each coming of it was new to every gateway.

Where the upstream's port then refuses, or its next start is seen, all that broke off with it is suspected, at all gateways by the reports; the first answer of success to such a request clears it everywhere.

Ruled out: counting broken connections (lost answers, resets and cuts would condemn the innocent); suspecting one of what was in hand (nobody can tell which); refusing for good.

--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -25,7 +25,15 @@
 
 
 class ConnectError(ConnectionError):
-    """Report that no connection came up; no byte of a request was sent."""
+    """Report that no connection came up; no byte of a request was sent.
+
+    `is_refused` says that the port was reached and nobody listens there.
+    """
+
+    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+        """Keep whether the port refused."""
+        super().__init__(message)
+        self.is_refused = is_refused
 
 
 class CutError(ConnectionError):
@@ -211,5 +219,6 @@
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(ClientConnection, host, int(port))
     except (OSError, TimeoutError) as exc:
-        raise ConnectError(f"no connection to {address}: {exc or 'timed out'}") from exc
+        message = f"no connection to {address}: {exc or 'timed out'}"
+        raise ConnectError(message, is_refused=isinstance(exc, ConnectionRefusedError)) from exc
     return connection
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -11,12 +11,13 @@
 from dalehollow.gateway.admission import NoPlace, Turn
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
+from dalehollow.gateway.crashes import Fingerprint, make_fingerprint
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
-from dalehollow.gateway.upstream import Move, Upstream
+from dalehollow.gateway.upstream import Move, MoveReason, Upstream
 from dalehollow.telemetry.logs import log_event
 
 _FIRST_FAILED_STATUS = 500
@@ -33,6 +34,11 @@
     if isinstance(admitted, Refusal):
         outcome.refuse(state, caller, request, admitted)
         return
+    refused_s = state.crashes.judge_request(lambda: make_fingerprint(admitted))
+    if refused_s:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        outcome.refuse(state, caller, request, Refusal(status, "crashes_upstreams", refused_s))
+        return
     progress = Progress()
     try:
         async with asyncio.timeout_at(admitted.give_up_at_s):
@@ -117,26 +123,44 @@
                 connect_timeout_s=state.connect_timeout_s,
                 move=move,
             )
+            if isinstance(result, MayHaveRun):
+                await self._note_cut(upstream, move)
             if isinstance(result, NotRun):
                 progress.may_have_run = was_unsure
             state.note_signals(upstream, result.signals)
             if move.is_asked and not isinstance(result, Answered):
-                self._note_attempt(upstream, "attempt_moved", move.why)
+                self._note_attempt(upstream, "attempt_moved", str(move.why))
                 return False
             self._note_result(upstream, result)
             if not isinstance(result, Answered):
                 return False
             return await self._relay_or_break(upstream, result, move)
+        except asyncio.CancelledError:
+            # The caller left, or its time was over; a crashed upstream may just have gone silent.
+            if not progress.first_piece_at_s:
+                state.crashes.note_cut(self._make_fingerprint, upstream)
+            raise
         finally:
             upstream.moves.discard(move)
 
+    async def _note_cut(self, upstream: Upstream, move: Move) -> None:
+        """Take in that a try broke off, and see whether the upstream crashed."""
+        if move.why is MoveReason.SLOW_RANK:
+            return
+        self._state.crashes.note_cut(self._make_fingerprint, upstream)
+        await self._state.look_for_crash(upstream.listed)
+
+    def _make_fingerprint(self) -> Fingerprint:
+        return make_fingerprint(self._job)
+
     async def _relay_or_break(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
         """Relay an answer; return False where it broke and another try may go on."""
         try:
             return await self._relay(upstream, answered)
         except CutError as exc:
+            await self._note_cut(upstream, move)
             if move.is_asked:
-                self._note_attempt(upstream, "attempt_moved", move.why)
+                self._note_attempt(upstream, "attempt_moved", str(move.why))
             else:
                 self._state.upstreams.note_failure(upstream, self._clock(), is_unreachable=False)
                 self._note_attempt(upstream, "answer_broken", str(exc))
@@ -186,6 +210,8 @@
             if self._judge_whole(upstream, head) and self._may_repeat(is_answered=True):
                 return False
             self._caller.send_whole(head.status, _end_to_end(head), body)
+        if head.status < _FIRST_FAILED_STATUS:
+            self._state.crashes.note_answered(self._make_fingerprint)
         outcome.note_done(self._state, self._job, self._progress, head.status)
         return True
 
@@ -236,6 +262,8 @@
             return False
         if (progress.may_have_run or is_answered) and not job.route.is_repeatable:
             return False
+        if not self._state.crashes.may_try_again(self._make_fingerprint):
+            return False
         if self._state.admission(job.service).is_broken():
             # Another rank of a broken group refuses too; the try would be for nothing.
             return False
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -13,6 +13,7 @@
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import LAPSE_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.limit_tokens import LimitTokens
@@ -65,6 +66,7 @@
                 gateways=settings.gateways_expected,
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
+            crashes=CrashWatch(time.monotonic, lambda: self._reports.note_change()),
         )
         # The addresses in use, once `listening` is set; a port 0 of the settings picks a free one.
         self.http = self.ready = self.metrics = ""
@@ -97,6 +99,7 @@
             self._feed,
             self._copies,
             self._members,
+            self.state.crashes,
         )
         tokens = LimitTokens(
             settings.name,
@@ -217,6 +220,8 @@
     def _take_upstream(self, listed: ListedUpstream) -> None:
         before = self.state.upstreams.find(listed.incarnation)
         self.state.upstreams.put(listed)
+        if before is None or listed.started_at_ms > before.started_at_ms:
+            self.state.crashes.note_started(listed)
         self._planners.plan_group_of(listed)
         if not listed.group or before is None or before == listed:
             return
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.limit_tokens import LimitTokens, Peer
@@ -96,11 +97,13 @@
         feed: HallFeed,
         copies: StoreCopies,
         members: Members,
+        crashes: CrashWatch,
     ) -> None:
         """Prepare; `on_change` is called after each report that was taken in.
 
         Reports to other halls stay within `far_bytes_per_s`. What they tell of the store goes to
-        `feed`, how much of it they know to `copies`, and who was heard to `members`.
+        `feed`, how much of it they know to `copies`, who was heard to `members`, and which requests
+        they suspect to `crashes`.
         """
         self._name = name
         self._hall = hall
@@ -113,6 +116,7 @@
         feed.on_moved = self.note_change
         self._copies = copies
         self._members = members
+        self._crashes = crashes
         # Set by whoever shares limits of upstreams.
         self.tokens: LimitTokens | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -216,6 +220,7 @@
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.note_unknown(incarnation, unknown, now_s - age_s)
         self._take_limits(report.limits)
+        self._crashes.take_told(report.suspects)
         self._feed.note_peer(report.sender)
         self._note_view(report.view, self._near.get(report.sender))
         if report.relay is not None:
@@ -231,6 +236,7 @@
         self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
         self._take_limits(report.limits)
+        self._crashes.take_told(report.suspects)
         self._note_view(report.view, None if report.is_passed_on else addr)
         if not report.is_passed_on:
             self._note_heard(report.sender, report.hall, addr)
@@ -293,7 +299,10 @@
         }
         view = self._feed.view()
         limits = self._list_limits(now_s)
-        report = LoadReport(self._name, in_hand, served, refused, unknown, relay, view, limits)
+        suspects = self._crashes.tell()
+        report = LoadReport(
+            self._name, in_hand, served, refused, unknown, relay, view, limits, suspects
+        )
         self.send_near(report)
         if self._feed.speaks_for_hall() and now_s >= self._far_from_s:
             total = Counter(in_hand)
@@ -307,6 +316,7 @@
                 sender=self._name,
                 view=view,
                 limits=limits,
+                suspects=suspects,
             )
             self._send_halls(total_report, now_s)
 
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from dalehollow.aio import ConnectError, connect
 from dalehollow.gateway.admission import Admission
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.headers import HeaderNames
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, read_service
@@ -16,7 +18,7 @@
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.signals import Signals
 from dalehollow.gateway.table import EngineFigures, RoutingTable
-from dalehollow.gateway.upstream import Upstream
+from dalehollow.gateway.upstream import MoveReason, Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.telemetry.logs import log_event
 from dalehollow.telemetry.metrics import Metrics
@@ -25,6 +27,9 @@
 """Of the repeats that all gateways together may send, this share is dealt out: their numbers
 differ for a moment when one comes or goes."""
 
+LOOK_WAIT_S = 0.02
+"""A few round trips to another hall: a request that broke off goes on elsewhere after this."""
+
 _MS_PER_S = 1000
 
 _LOG = logging.getLogger(__name__)
@@ -56,6 +61,7 @@
     upstreams: UpstreamSet
     retry_limits: RetryLimits
     connect_timeout_s: float
+    crashes: CrashWatch
     health: GroupHealth = field(default_factory=GroupHealth)
     metrics: Metrics = field(default_factory=Metrics)
     table: RoutingTable | None = None
@@ -67,6 +73,7 @@
     describe_store: Callable[[], dict[str, object]] = dict
     _retries: dict[str, RetryWindow] = field(default_factory=dict)
     _most_gateways: int = 1
+    _looking: set[asyncio.Task[None]] = field(default_factory=set)
 
     def take_table(self, table: RoutingTable) -> None:
         """Put a configuration in force unless a newer one is."""
@@ -168,6 +175,22 @@
             self.grant_all()
             loop.call_later(signals.rest_s, self.grant_all)
 
+    async def look_for_crash(self, listed: ListedUpstream) -> None:
+        """See by its port whether an upstream has crashed; wait as long as one that runs needs."""
+        looking = asyncio.get_running_loop().create_task(self._look_for_crash(listed))
+        self._looking.add(looking)
+        looking.add_done_callback(self._looking.discard)
+        await asyncio.wait({looking}, timeout=LOOK_WAIT_S)
+
+    async def _look_for_crash(self, listed: ListedUpstream) -> None:
+        try:
+            connection = await connect(listed.address, self.connect_timeout_s)
+        except ConnectError as exc:
+            if exc.is_refused:
+                self.crashes.note_dead(listed)
+            return
+        connection.abort()
+
     def move_from_slow_ranks(self, group_key: str) -> None:
         """Have requests at slow ranks go on elsewhere: each holds its whole group up.
 
@@ -179,7 +202,7 @@
         if moves:
             log_event(_LOG, "requests_moved", group=group_key, count=len(moves[:room]), room=room)
         for move in moves[:room]:
-            move.ask("slow_rank")
+            move.ask(MoveReason.SLOW_RANK)
 
     def grant_all(self) -> None:
         """Give free places to those that wait, after a change of what upstreams take."""
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ClientConnection
@@ -20,19 +21,26 @@
 """A load told with an answer counts so long: about the time that a stream runs."""
 
 
+class MoveReason(enum.StrEnum):
+    """Name why a try goes on at another upstream."""
+
+    SLOW_RANK = "slow_rank"
+    RESTARTED = "upstream_restarted"
+
+
 @dataclass(eq=False)
 class Move:
     """Hold a try that can go on at another upstream, and why it was asked to."""
 
     connection: ClientConnection | None = None
-    why: str = ""
+    why: MoveReason | None = None
 
     @property
     def is_asked(self) -> bool:
         """Return whether it was asked to go on."""
-        return bool(self.why)
+        return self.why is not None
 
-    def ask(self, why: str) -> None:
+    def ask(self, why: MoveReason) -> None:
         """Break the try off; the request goes on elsewhere from where it is."""
         self.why = why
         if self.connection is not None:
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -10,7 +10,7 @@
 
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream
-from dalehollow.gateway.upstream import Move, Said, Upstream
+from dalehollow.gateway.upstream import Move, MoveReason, Said, Upstream
 from dalehollow.telemetry.logs import log_event
 
 MAX_EJECTED_SHARE = 0.34
@@ -124,7 +124,7 @@
         )
         self.remove(upstream.listed.incarnation)
         for move in upstream.moves:
-            move.ask("upstream_restarted")
+            move.ask(MoveReason.RESTARTED)
 
     def find(self, incarnation: str) -> ListedUpstream | None:
         """Return what the list last said of an upstream."""
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -43,6 +43,14 @@
     age_s: float
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how long ago a request crashed which upstreams, was answered, and was tried again."""
+
+    crashes: dict[str, float]
+    cleared_age_s: float | None = None
+    trial_age_s: float | None = None
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Tell the gateways of the own hall what the sender has in hand.
 
@@ -59,6 +67,8 @@
     relay: RelayState | None = None
     view: StoreView | None = None
     limits: dict[str, Limit] = {}
+    # Of requests that may crash upstreams, by fingerprint.
+    suspects: dict[bytes, Suspicion] = {}
 
 
 class HallReport(msgspec.Struct, frozen=True, array_like=True, tag="h"):
@@ -74,6 +84,8 @@
     sender: str = ""
     view: StoreView | None = None
     limits: dict[str, Limit] = {}
+    # Of requests that may crash upstreams, by fingerprint.
+    suspects: dict[bytes, Suspicion] = {}
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -24,6 +24,7 @@
 from dalehollow.aio.client import ClientConnection
 from dalehollow.aio.headers import Headers
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -247,6 +248,7 @@
             feed=feed,
             copies=copies,
             members=members,
+            crashes=CrashWatch(lambda: 0.0, lambda: None),
         )
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
         port = self._ports.setdefault(name, _PORT + len(self._ports))
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -13,6 +13,7 @@
 
 from dalehollow.gateway.admission import NoPlace, Turn
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -67,7 +68,8 @@
         self.world, self.name, self.hall, self.port = world, name, hall, port
         self.upstreams = UpstreamSet(rng, hall)
         limits = RetryLimits(10.0, 0.2, 90.0, 8)
-        self.state = GatewayState(HEADERS, rng, self.upstreams, limits, connect_timeout_s=1.0)
+        crashes = CrashWatch(loop.time, lambda: None)
+        self.state = GatewayState(HEADERS, rng, self.upstreams, limits, 1.0, crashes)
         feed = HallFeed(name, loop.time, rng, lambda changes: self.reports.send_near(changes))
         self.members = Members(loop.time, lambda n, m: self.reports.note_member(n, m))
         self.reports = PeerReports(
@@ -80,6 +82,7 @@
             feed=feed,
             copies=StoreCopies(feed, rng),
             members=self.members,
+            crashes=crashes,
         )
         self.state.on_change = self.reports.note_change
         self.tokens = LimitTokens(
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -11,6 +11,7 @@
 import pytest
 
 from dalehollow.errors import SettingsError
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.pass_times import PassTimes
@@ -228,6 +229,7 @@
             upstreams=UpstreamSet(random.Random(1)),
             retry_limits=RetryLimits(10.0, 0.2, 90.0, 1),
             connect_timeout_s=0.1,
+            crashes=CrashWatch(lambda: 0.0, lambda: None),
         )
         engine = {"slots": 4, "step_ms": 10.0, "per_seq_ms": 0, "context_per_k": 0}
         service = {"name": "desk", "maxConnections": 9}
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -11,6 +11,7 @@
 
 from dalehollow.gateway import reports
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -75,6 +76,7 @@
             feed=feed,
             copies=StoreCopies(feed, random.Random(1)),
             members=members,
+            crashes=CrashWatch(lambda: 0.0, lambda: None),
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
