Count time by a clock that goes on while the VM is suspended

Callers saw nothing yet; by reading, a planner that was suspended gave orders under a lease that had run out, and a relay passed old knowledge on as new.

Cause: leases, ages, absences and windows ran on the steady clock, which does not count a suspension.

Change: `dalehollow/clock.py` is the one clock of all processes; the gateway's event loop runs by it too, so that what fell due in a suspension is due at its end.

Ruled out: the time of day, which may jump.

--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from result import Err
 
 from benchmarks.load import Sample, Samples, engine_stats, run_threads, send_chat
 from benchmarks.report import percentile, print_pairs
+from dalehollow.clock import read_clock
 from dalehollow.limits import Gate, GateLimits
 from dalehollow.web import HttpClient
 from standins.hall import apply_config, make_config, start_hall
@@ -51,19 +51,19 @@
     apply_config(hall, make_config(hall, slots=SLOTS, queue_limit=QUEUE_LIMIT))
     http = HttpClient(connect_timeout_s=2)
     engine = hall.engines[0]
-    gates = [Gate(GateLimits(SLOTS, 0, QUEUE_LIMIT), time.monotonic) for _ in range(entries)]
+    gates = [Gate(GateLimits(SLOTS, 0, QUEUE_LIMIT), read_clock) for _ in range(entries)]
 
     def send_direct(idx: int) -> Sample:
         return send_chat(http, engine.http, f"{idx}", tokens=TOKENS, deadline_ms=DEADLINE_MS)
 
     def send_gated(idx: int) -> Sample:
         gate = gates[idx % entries]
-        began_s = time.monotonic()
+        began_s = read_clock()
         if isinstance(gate.acquire("normal", began_s + DEADLINE_MS / 1000), Err):
-            return Sample(503, 0.0, (time.monotonic() - began_s) * 1000, 0, True)
+            return Sample(503, 0.0, (read_clock() - began_s) * 1000, 0, True)
         sample = send_direct(idx)
         gate.release(sample.whole_ms)
-        waited_ms = (time.monotonic() - began_s) * 1000
+        waited_ms = (read_clock() - began_s) * 1000
         return Sample(sample.status, sample.first_ms, waited_ms, sample.tokens, False)
 
     def send_through(idx: int) -> Sample:
@@ -75,9 +75,9 @@
     for idx in range(2 * entries):
         sends[name](idx)
     samples = Samples()
-    began_s = time.monotonic()
+    began_s = read_clock()
     run_threads(requests, lambda idx: samples.add(sends[name](idx)))
-    took_s = time.monotonic() - began_s
+    took_s = read_clock() - began_s
     _report(name, entries, samples, took_s, engine_stats(hall.engines)[0], capacity)
 
 
--- a/benchmarks/child.py
+++ b/benchmarks/child.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from dalehollow.clock import read_clock
 from dalehollow.config import check_text
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.config.model import Account, Config, Hall, Service, Upstream
@@ -114,7 +115,7 @@
 
 def _upstreams(size: int) -> object:
     holder = _hold_config(10, size)
-    pool = Pool("entry-0", "hall-0", time.monotonic, subset_size=8, peer_limit=30)
+    pool = Pool("entry-0", "hall-0", read_clock, subset_size=8, peer_limit=30)
     pool.apply(holder.in_force)  # type: ignore[attr-defined]
     return holder, pool
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -5,12 +5,12 @@
 import itertools
 import json
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err
 
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpClient
 from standins.hall import ACCOUNT_KEYS
 from standins.processes import Running
@@ -67,7 +67,7 @@
         "max_tokens": tokens,
         "messages": [{"role": "user", "content": prompt}],
     }
-    began_s = time.monotonic()
+    began_s = read_clock()
     call = client.call(
         "POST",
         address,
@@ -77,7 +77,7 @@
         timeout_s=deadline_ms / 1000 + 5,
     )
     if isinstance(call, Err):
-        return Sample(0, 0.0, (time.monotonic() - began_s) * 1000, 0, False)
+        return Sample(0, 0.0, (read_clock() - began_s) * 1000, 0, False)
     return _read_sample(call.ok_value, began_s)
 
 
@@ -86,11 +86,11 @@
     count = 0
     try:
         for chunk in answer.stream():  # type: ignore[attr-defined]
-            times_s.append(time.monotonic())
+            times_s.append(read_clock())
             count += chunk.count(b"data: {")
     except ConnectionError:
-        return Sample(0, 0.0, (time.monotonic() - began_s) * 1000, count, False)
-    ended_s = time.monotonic()
+        return Sample(0, 0.0, (read_clock() - began_s) * 1000, count, False)
+    ended_s = read_clock()
     gaps = tuple((b - a) * 1000 for a, b in itertools.pairwise(times_s))
     return Sample(
         status=answer.status,  # type: ignore[attr-defined]
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import os
-import time
 from pathlib import Path
 
 from benchmarks.load import Samples, run_threads, send_chat
 from benchmarks.report import percentile, print_pairs
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpClient
 from standins.hall import Hall, start_hall
 from standins.processes import Launcher, Running
@@ -32,9 +32,9 @@
         )
         direct = _stream([e.http for e in hall.engines])
         before_s = _cpu_s(hall.entries[0])
-        began_s = time.monotonic()
+        began_s = read_clock()
         through = _stream([hall.entries[0].http])
-        took_s = time.monotonic() - began_s
+        took_s = read_clock() - began_s
         used_s = _cpu_s(hall.entries[0]) - before_s
         _report(hall, direct, through, took_s, used_s)
 
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from benchmarks.report import percentile, print_pairs
+from dalehollow.clock import read_clock
 from dalehollow.config.model import Account, Config, Hall
 from dalehollow.entry.shares import ShareKeeper, held_shares
 from dalehollow.platform.vms import Vm
@@ -72,9 +73,9 @@
     def run_small(account: str) -> None:
         number = 0
         while not stopping.wait(SMALL_GAP_S):
-            began_s = time.monotonic()
+            began_s = read_clock()
             if send(account, number) == 200:
-                times_ms.append((time.monotonic() - began_s) * 1000)
+                times_ms.append((read_clock() - began_s) * 1000)
             number += 1
 
     def run_large(gap_s: float) -> None:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -13,6 +13,7 @@
 from benchmarks.child import config_bytes, message_bytes
 from benchmarks.load import run_threads, send_chat
 from benchmarks.report import print_pairs
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpClient
 from standins.hall import start_hall
 from standins.processes import Launcher, Running
@@ -72,10 +73,10 @@
                 used[name].append((cpu_s(process) - before[name]) * 1000)
         for name, values in used.items():
             _print_fit(f"requests_{name}", "cpu_ms", REQUESTS, values)
-        began_s, idle = time.monotonic(), cpu_s(hall.entries[0])
+        began_s, idle = read_clock(), cpu_s(hall.entries[0])
         idle_sidecar = cpu_s(hall.sidecars["model-0"])
         time.sleep(10)
-        took_s = time.monotonic() - began_s
+        took_s = read_clock() - began_s
         print_pairs(
             idle_entry_core_share=(cpu_s(hall.entries[0]) - idle) / took_s,
             idle_sidecar_core_share=(cpu_s(hall.sidecars["model-0"]) - idle_sidecar) / took_s,
--- a/benchmarks/urgent.py
+++ b/benchmarks/urgent.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import threading
-import time
 
 from benchmarks.load import Samples, engine_stats, run_threads, send_chat
 from benchmarks.report import percentile, print_pairs
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpClient
 from standins.hall import Hall, start_hall
 from standins.processes import Launcher
@@ -67,11 +67,11 @@
                 background.add(sample)
 
     before = sum(s["tokens_made"] for s in engine_stats(hall.engines))
-    began_s = time.monotonic()
+    began_s = read_clock()
     timer = threading.Timer(DURATION_S, stopping.set)
     timer.start()
     run_threads(clients + 1, work)
-    took_s = time.monotonic() - began_s
+    took_s = read_clock() - began_s
     made = sum(s["tokens_made"] for s in engine_stats(hall.engines)) - before
     return urgent, made / took_s, len(background.answered())
 
--- a/dalehollow/entry/attempt.py
+++ b/dalehollow/entry/attempt.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.entry.admit import Job
 from dalehollow.errors import Failure, Reason
 from dalehollow.membership import UpstreamView
@@ -36,7 +36,7 @@
         view.note_sent()
         is_direct = view.upstream.control is None
         tried = self.try_address(job, view.upstream.http, is_direct=is_direct)
-        now_s = time.monotonic()
+        now_s = read_clock()
         if isinstance(tried, Err):
             view.note_done()
             failure = tried.err_value
@@ -54,7 +54,7 @@
 
     def try_address(self, job: Job, address: str, *, is_direct: bool) -> Result[Answer, Failure]:
         """Send a job to an address and wait for the head of an answer."""
-        left_s = job.deadline_s - time.monotonic()
+        left_s = job.deadline_s - read_clock()
         if left_s <= 0:
             return Err(Failure(Reason.DEADLINE, Verdict.NOT_RUN, "the deadline has passed"))
         client = self.direct_client if is_direct else self.client
@@ -88,7 +88,7 @@
     send = Step.SEND_UPSTREAM if is_direct else Step.SEND_SIDECAR
     step = send if error.sent else connect
     ruling = judge_failure(step, repeatable=job.repeatable)
-    is_deadline = error.sent and error.timed_out and job.deadline_s <= time.monotonic()
+    is_deadline = error.sent and error.timed_out and job.deadline_s <= read_clock()
     reason = Reason.UPSTREAM_FAILED if error.sent else Reason.UPSTREAM_UNREACHABLE
     return Failure(
         Reason.DEADLINE if is_deadline else reason,
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.config.holder import ConfigHolder, InForce
 from dalehollow.config.model import Account
 from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
@@ -68,7 +69,7 @@
         self.pool = Pool(
             settings.name,
             settings.hall,
-            time.monotonic,
+            read_clock,
             subset_size=settings.subset_size,
             peer_limit=settings.peer_limit,
         )
@@ -136,7 +137,7 @@
             return self._answer_health()
         if req.path == "/dalehollow/metrics":
             return HttpResponse(200, {"content-type": "text/plain"}, self.metrics.expose().encode())
-        began_s = time.monotonic()
+        began_s = read_clock()
         request_id = read_request_id(req)
         served = self._admit(req, request_id, began_s).and_then(self.jobs.serve)
         if isinstance(served, Ok):
@@ -276,7 +277,7 @@
         served: Result[HttpResponse, Failure],
         began_s: float,
     ) -> None:
-        took_ms = (time.monotonic() - began_s) * _MS_PER_S
+        took_ms = (read_clock() - began_s) * _MS_PER_S
         reason = served.err_value.reason if isinstance(served, Err) else "answered"
         self.metrics.count("answers", status=str(response.status), reason=str(reason))
         self.metrics.record_ms("head", took_ms)
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -5,12 +5,12 @@
 import json
 import logging
 import threading
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.entry.admit import Job
 from dalehollow.entry.attempt import Attempt, stream_answer
@@ -80,7 +80,7 @@
             if failure.verdict is not Verdict.NOT_RUN:
                 worst = Verdict.MAY_HAVE_RUN
             self._log_failed_try(job, view.upstream.name, failure)
-            if not failure.may_retry or job.deadline_s <= time.monotonic():
+            if not failure.may_retry or job.deadline_s <= read_clock():
                 break
         if failure is None:
             return Err(_no_upstream(job))
--- a/dalehollow/entry/shares.py
+++ b/dalehollow/entry/shares.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from result import Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.config.model import Account, Config
 from dalehollow.limits import (
     Allocator,
@@ -57,7 +57,7 @@
     name: str
     hall: str
     ask_peer: AskPeer
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     _usages: dict[str, _Usage] = field(default_factory=dict)
     _allocators: dict[str, Allocator] = field(default_factory=dict)
     _entries: dict[str, str] = field(default_factory=dict)
--- a/dalehollow/gateway/__main__.py
+++ b/dalehollow/gateway/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 
+from dalehollow.clock import ClockLoop
 from dalehollow.errors import SettingsError
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.settings import GatewaySettings, read_gateway_settings, read_unknown
@@ -36,7 +37,8 @@
     writer = setup_logs(settings.name, settings.log_level, settings.log_lines_per_s)
     if unknown := read_unknown(path):
         log_event(_LOG, "settings_unknown", logging.WARNING, fields=",".join(unknown))
-    asyncio.run(_run(settings, path, writer))
+    with asyncio.Runner(loop_factory=ClockLoop) as runner:
+        runner.run(_run(settings, path, writer))
 
 
 async def _run(settings: GatewaySettings, path: str, writer: LineWriter) -> None:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
+from dalehollow.clock import read_clock
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import LAPSE_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
@@ -66,7 +67,7 @@
                 gateways=settings.gateways_expected,
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
-            crashes=CrashWatch(time.monotonic, lambda: self._reports.note_change()),
+            crashes=CrashWatch(read_clock, lambda: self._reports.note_change()),
         )
         # The addresses in use, once `listening` is set; a port 0 of the settings picks a free one.
         self.http = self.ready = self.metrics = ""
@@ -78,14 +79,14 @@
         self._callers: set[CallerConnection] = set()
         self._askers: set[CallerConnection] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._members = Members(time.monotonic, self._note_member)
+        self._members = Members(read_clock, self._note_member)
         absence_s = settings.heartbeat_ms / _MS_PER_S * LAPSE_HEARTBEATS
         self._feed = HallFeed(
             settings.name,
-            time.monotonic,
+            read_clock,
             rng,
             lambda changes: self._reports.send_near(changes),
-            StoreContact(time.monotonic, absence_s),
+            StoreContact(read_clock, absence_s),
         )
         self._copies = StoreCopies(self._feed, rng)
         self._era = StoreEra()
@@ -104,7 +105,7 @@
         tokens = LimitTokens(
             settings.name,
             settings.hall,
-            time.monotonic,
+            read_clock,
             self._reports.list_peers,
             self._reports.send,
             self.state.grant_all,
--- a/dalehollow/groups/duty.py
+++ b/dalehollow/groups/duty.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 from result import Err, Ok
 
+from dalehollow.clock import read_clock
 from dalehollow.platform.keyvalue import KeyValue
 
 LEASE_MS = 6_000
@@ -39,7 +39,7 @@
     kv: KeyValue
     key: str
     name: str
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     lease_ms: int = LEASE_MS
     margin_ms: int = MARGIN_MS
     _fence: int = 0
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
+from dalehollow.clock import read_clock
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.tasks import wait_set
@@ -113,7 +113,7 @@
     address: str
     name: str
     member: Member
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     era: StoreEra = field(default_factory=StoreEra)
     _duties: dict[str, Lease] = field(default_factory=dict)
     _renewing: dict[str, asyncio.Task[None]] = field(default_factory=dict)
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.errors import Failure, Reason
 from dalehollow.limits import Gate
 from dalehollow.once import KeptAnswer
@@ -96,7 +96,7 @@
         permit = self.gate.acquire(call.priority, call.deadline_s)
         if isinstance(permit, Err):
             return permit
-        began_s = time.monotonic()
+        began_s = read_clock()
         left_s = call.deadline_s - began_s
         if left_s <= 0 or not req.is_connected():
             self.gate.release()
@@ -127,7 +127,7 @@
                 Failure(Reason.UPSTREAM_FAILED, ruling.verdict, message, may_retry=ruling.may_retry)
             )
         finally:
-            self.gate.release((time.monotonic() - began_s) * _MS_PER_S)
+            self.gate.release((read_clock() - began_s) * _MS_PER_S)
         headers = hdr.strip_own(answer.end_to_end_headers())
         return Ok(KeptAnswer(answer.status, headers, body))
 
@@ -137,7 +137,7 @@
             yield from answer.stream()
         finally:
             answer.close()
-            self.gate.release((time.monotonic() - began_s) * _MS_PER_S)
+            self.gate.release((read_clock() - began_s) * _MS_PER_S)
 
     def _judge_call(self, call: InnerCall, error: CallError) -> Failure:
         step = Step.AWAIT_ANSWER if error.sent else Step.CONNECT_UPSTREAM
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -9,6 +9,7 @@
 
 from result import Ok, Result
 
+from dalehollow.clock import read_clock
 from dalehollow.config.holder import ConfigHolder, InForce
 from dalehollow.config.spread import Spreader, draw_poll_limit_ms, wall_ms
 from dalehollow.groups.host import HttpRankHost
@@ -62,7 +63,7 @@
         limit_ms = draw_poll_limit_ms(settings.name, settings.poll_min_ms, settings.poll_max_ms)
         self.spreader = Spreader(limit_ms, self.holder, self.kv)
         # One request at a time until a configuration says how much the upstream can take.
-        self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), time.monotonic)
+        self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), read_clock)
         host, port = split_address(settings.http)
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
         member = f"{self.upstream}@{settings.advertise_http or self.server.address}"
@@ -132,7 +133,7 @@
         """Answer one HTTP request from an entry."""
         if req.path == "/dalehollow/metrics":
             return HttpResponse(200, {"content-type": "text/plain"}, self.metrics.expose().encode())
-        called = read_call(req, self.settings.inner_key, time.monotonic())
+        called = read_call(req, self.settings.inner_key, read_clock())
         if not isinstance(called, Ok):
             return make_refusal(called.err_value, request_id="-")
         response = self.forwarder.serve(req, called.ok_value)
--- a/dalehollow/telemetry/logs.py
+++ b/dalehollow/telemetry/logs.py
@@ -16,6 +16,8 @@
 import time
 from dataclasses import dataclass
 
+from dalehollow.clock import read_clock
+
 LEVELS = ("debug", "info", "warning", "error")
 DEFAULT_LINES_PER_S = 200
 """Room for a busy process's decisions; a line costs some 30 microseconds to write."""
@@ -88,7 +90,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line, or count it as left out."""
         room = self._warnings if record.levelno >= logging.WARNING else self._ordinary
-        if not room.take(time.monotonic()) or not self._write(self.format(record)):
+        if not room.take(read_clock()) or not self._write(self.format(record)):
             self.left_out += 1
             self._untold += 1
         elif self._untold:
--- a/dalehollow/web/threads.py
+++ b/dalehollow/web/threads.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import socket
-import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from cheroot.server import HTTPServer
 
+from dalehollow.clock import read_clock
+
 MAX_THREADS = 1024
 _LINGER_S = 1.0
 _LINGER_CHUNK_BYTES = 256 * 1024
@@ -65,11 +66,11 @@
 
 def _close_gently(conn: Any) -> None:
     """Close after the peer has read what was sent: unread bytes would reset the connection."""
-    deadline_s = time.monotonic() + _LINGER_S
+    deadline_s = read_clock() + _LINGER_S
     try:
         conn.socket.shutdown(socket.SHUT_WR)
         conn.socket.settimeout(_LINGER_S)
-        while time.monotonic() < deadline_s and conn.socket.recv(_LINGER_CHUNK_BYTES):
+        while read_clock() < deadline_s and conn.socket.recv(_LINGER_CHUNK_BYTES):
             pass
     except OSError:
         pass
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 
 import fire
 
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpRequest, HttpResponse, HttpServer
 from standins.serving import serve_until_signal
 
@@ -109,15 +110,15 @@
         yield b"data: [DONE]\n\n"
 
     def _run_steps(self) -> None:
-        next_step_s = time.monotonic()
+        next_step_s = read_clock()
         while True:
             with self._changed:
                 if not self._running and not self._waiting:
                     self._changed.wait()
-                    next_step_s = time.monotonic()
+                    next_step_s = read_clock()
                 self._fill_batch()
             next_step_s += self.step_ms / 1000
-            time.sleep(max(0.0, next_step_s - time.monotonic()))
+            time.sleep(max(0.0, next_step_s - read_clock()))
             with self._changed:
                 self._step()
 
--- a/standins/hall.py
+++ b/standins/hall.py
@@ -15,6 +15,7 @@
 import fire
 from result import Err
 
+from dalehollow.clock import read_clock
 from dalehollow.config import apply_text
 from dalehollow.jsonc import parse_jsonc
 from dalehollow.platform.keyvalue import HttpKeyValue
@@ -165,9 +166,9 @@
 def wait_for_version(process: Running, version: int) -> None:
     """Wait until a process has a configuration version in force."""
     client = HttpClient(connect_timeout_s=1.0)
-    deadline_s = time.monotonic() + _READY_TIMEOUT_S
+    deadline_s = read_clock() + _READY_TIMEOUT_S
     wanted = f"dalehollow_config_version {version}"
-    while time.monotonic() < deadline_s:
+    while read_clock() < deadline_s:
         call = client.call("GET", process.http, "/dalehollow/metrics", timeout_s=2.0)
         if not isinstance(call, Err) and wanted in call.ok_value.read().decode():
             return
@@ -184,7 +185,7 @@
     }
     if "idempotency_key" in request:
         headers["idempotency-key"] = request["idempotency_key"]
-    began_s = time.monotonic()
+    began_s = read_clock()
     call = HttpClient(connect_timeout_s=1.0).call(
         request["method"],
         entry.http,
@@ -197,9 +198,9 @@
     first_s = None
     chunks = []
     for chunk in answer.stream():
-        first_s = first_s or time.monotonic()
+        first_s = first_s or read_clock()
         chunks.append(chunk)
-    ended_s = time.monotonic()
+    ended_s = read_clock()
     return {
         "account": request["account"],
         "priority": request["priority"],
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -10,13 +10,13 @@
 
 import json
 import threading
-import time
 from collections import Counter
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
 import fire
 
+from dalehollow.clock import read_clock
 from dalehollow.web import HttpRequest, HttpResponse, HttpServer
 from standins.serving import serve_until_signal
 
@@ -92,11 +92,11 @@
             return self.mode
 
     def _get(self, key: str, after: int, wait_ms: int) -> HttpResponse:
-        deadline_s = time.monotonic() + wait_ms / 1000
+        deadline_s = read_clock() + wait_ms / 1000
         with self._changed:
             while True:
                 item = self._find(key)
-                left_s = deadline_s - time.monotonic()
+                left_s = deadline_s - read_clock()
                 if (item is not None and item.revision > after) or left_s <= 0:
                     break
                 self._changed.wait(left_s)
@@ -111,7 +111,7 @@
             if found != expect:
                 return HttpResponse(409, {"kv-revision": str(found)}, b"")
             self._revision += 1
-            expires_at_s = time.monotonic() + int(ttl_ms) / 1000 if ttl_ms else None
+            expires_at_s = read_clock() + int(ttl_ms) / 1000 if ttl_ms else None
             self._items[key] = _Item(value, self._revision, expires_at_s)
             self._changed.notify_all()
             return HttpResponse(200, {"kv-revision": str(self._revision)}, b"")
@@ -119,7 +119,7 @@
     def _find(self, key: str) -> _Item | None:
         item = self._items.get(key)
         if item is not None and item.expires_at_s is not None:
-            return item if time.monotonic() < item.expires_at_s else None
+            return item if read_clock() < item.expires_at_s else None
         return item
 
 
--- a/standins/ranks.py
+++ b/standins/ranks.py
@@ -17,6 +17,7 @@
 import fire
 import msgspec
 
+from dalehollow.clock import read_clock
 from dalehollow.groups import ExpertMap, Ledger, Outcome, Proposal, decide_vote, rank_loads
 from dalehollow.groups.expert_map import make_layer
 from dalehollow.groups.host import LoadOrder, RankState
@@ -122,7 +123,7 @@
     def vote(self, number: int, proposal: Proposal) -> Vote:
         with self._changed:
             rank = self.ranks[number]
-            is_loaded = rank.loaded.get(proposal.map_digest, float("inf")) <= time.monotonic()
+            is_loaded = rank.loaded.get(proposal.map_digest, float("inf")) <= read_clock()
             rank.ledger, vote = decide_vote(rank.ledger, proposal, is_loaded=is_loaded)
             return vote
 
@@ -141,17 +142,17 @@
             planned = apply_changes(self.maps[order.base_digest], order.changes)
             self.maps[order.map_digest] = planned
             mine = sum(change[1] == number for change in order.changes)
-            ready_at_s = time.monotonic() + mine * self.load_ms_per_weight / 1000
+            ready_at_s = read_clock() + mine * self.load_ms_per_weight / 1000
             ready_at_s = rank.loaded.setdefault(order.map_digest, ready_at_s)
-            return "loaded" if ready_at_s <= time.monotonic() else "loading"
+            return "loaded" if ready_at_s <= read_clock() else "loading"
 
     def _run(self) -> None:
         while True:
             with self._changed:
                 if not self._may_step():
-                    began_s = time.monotonic()
+                    began_s = read_clock()
                     self._changed.wait_for(lambda: self._stopping or self._may_step())
-                    self.waited_ms += (time.monotonic() - began_s) * 1000
+                    self.waited_ms += (read_clock() - began_s) * 1000
                 if self._stopping:
                     return
                 step_s = self._step() / 1000
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dalehollow.aio import AnswerHead, ClientConnection, CutError, connect
+from dalehollow.clock import ClockLoop
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.settings import GatewaySettings
@@ -234,7 +235,8 @@
         finally:
             running.cancel()
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=ClockLoop) as runner:
+        runner.run(run())
 
 
 @contextmanager
--- a/tests/payment_bench.py
+++ b/tests/payment_bench.py
@@ -16,6 +16,7 @@
 
 from result import Err
 
+from dalehollow.clock import read_clock
 from dalehollow.config import Manifest, apply_text
 from dalehollow.platform.keyvalue import HttpKeyValue
 from dalehollow.web import HttpClient
@@ -35,9 +36,9 @@
 
 def wait_for(condition: Callable[[], bool], what: str) -> None:
     """Wait until a condition that the bench can see holds."""
-    deadline_s = time.monotonic() + _WAIT_S
+    deadline_s = read_clock() + _WAIT_S
     while not condition():
-        if time.monotonic() > deadline_s:
+        if read_clock() > deadline_s:
             raise AssertionError(f"never came about: {what}")
         threading.Event().wait(_POLL_S)
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass, field
 
 import msgspec
 import pytest
 
 from dalehollow.aio import CallerConnection, CallerRequest, ClientConnection, ConnectError, connect
+from dalehollow.clock import read_clock
 from dalehollow.gateway import copies as copies_module
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.feed import HallFeed
@@ -54,7 +54,7 @@
 
 def _make_gateway(revision: int = 0, dial: copies_module.Dial = connect) -> _Gateway:
     """Return one that has read an empty store at a revision, or nothing at all."""
-    feed = HallFeed("a", time.monotonic, random.Random(1), lambda changes: None)
+    feed = HallFeed("a", read_clock, random.Random(1), lambda changes: None)
     gateway = _Gateway(feed, StoreCopies(feed, random.Random(1), dial))
     feed.on_changes, feed.on_all = gateway.take, gateway.take_all
     if revision:
--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -8,13 +8,13 @@
 
 import json
 import random
-import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from result import Err
 
+from dalehollow.clock import read_clock
 from dalehollow.config import apply_text
 from dalehollow.entry import EntryProcess
 from dalehollow.platform.keyvalue import HttpKeyValue
@@ -130,9 +130,9 @@
     """Keep connections to the upstream: a late second answer goes to another caller."""
     forwarder = path.sidecar.forwarder
     object.__setattr__(forwarder, "client", HttpClient(connect_timeout_s=2))
-    deadline_s = time.monotonic() + 60
+    deadline_s = read_clock() + 60
     seed = 0
-    while time.monotonic() < deadline_s:
+    while read_clock() < deadline_s:
         seed += 1
         wrong = [
             number
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,6 +11,7 @@
 import msgspec
 import pytest
 
+from dalehollow.clock import read_clock
 from dalehollow.errors import PlatformError
 from dalehollow.gateway import contact
 from dalehollow.gateway import feed as feed_module
@@ -36,7 +36,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     holders: dict[str, str] = field(default_factory=dict)
     # With a short bound, so that outages of tests are absences of the store.
-    contact: StoreContact = field(default_factory=lambda: StoreContact(time.monotonic, 0.5))
+    contact: StoreContact = field(default_factory=lambda: StoreContact(read_clock, 0.5))
 
     def listener(self) -> Listener:
         return Listener(
@@ -76,7 +76,7 @@
         store = MetadataStandIn()
         address = await listen(store.handle)
         heard = _Heard()
-        feed = HallFeed("a", time.monotonic, random.Random(1), lambda changes: None, heard.contact)
+        feed = HallFeed("a", read_clock, random.Random(1), lambda changes: None, heard.contact)
         feed.is_first = lambda: is_first  # type: ignore[method-assign]
         follower = Follower(address, "", heard.listener(), feed)
         task = asyncio.ensure_future(follower.run())
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -1,9 +1,9 @@
 """Check that a VM which was suspended does not take the time before for now.
 
-Seen, by reading: after a suspension of seconds a planner believed that it held its duty, whose lease
-had run out long before, and a relay told the others that it knew everything as of now.
+Seen, by reading: after a suspension of seconds a planner believed that it held its duty, whose
+lease had run out long before, and a relay told the others that it knew everything as of now.
 How: a suspension is no time on the steady clock, by which leases and ages were counted.
-Cause: `time.monotonic` and the event loop's own clock, read in many places.
+Cause: `read_clock` and the event loop's own clock, read in many places.
 Proof: these tests have the two clocks part by moving on the one that counts a suspension.
 """
 
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from dalehollow.clock import ClockLoop
 from dalehollow.gateway.listed import Member
 from dalehollow.groups.duty import Duty
 from dalehollow.platform.session import Session
@@ -55,7 +56,8 @@
         async with asyncio.timeout(TIMEOUT_S):
             await run()
 
-    asyncio.run(run_bounded())
+    with asyncio.Runner(loop_factory=ClockLoop) as runner:
+        runner.run(run_bounded())
 
 
 def test_what_is_known_has_aged_after_a_suspension() -> None:
