Have the soak play rests, leaving, limits and requests that crash servers

Servers of the soak say what upstreams may say in their answers, while their entries say nothing of it, and one request crashes whoever begins to run it; four promises are checked by what gateways had been told, five chains play them by name, three defects show that each is found.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,7 +2,7 @@
 
 python -m soak run --seeds 1-50                  fifty runs, one after the other
 python -m soak run --seeds 7 --keep logs         one run whose logs are kept
-python -m soak chains                            the chains that make a configuration late
+python -m soak chains                            the chains of faults that are known by name
 python -m soak defects                           shows that each known defect is found
 """
 
@@ -19,9 +19,10 @@
 import fire
 
 from soak.callers import Callers, count_served
-from soak.defects import DEFECTS, LATE
-from soak.faults import LATE_CHAINS, Fault, draw_faults, play_fault
+from soak.defects import DEFECTS, LATE, SIGNALS
+from soak.faults import LATE_CHAINS, SIGNAL_CHAINS, Fault, draw_faults, play_fault
 from soak.promises import Violation, find_violations
+from soak.signal_promises import check_signals
 from soak.world import PROGRAM, World
 
 LENGTH_S = 10.0
@@ -68,6 +69,8 @@
         stopping.set()
         await asyncio.gather(*tasks)
         violations = find_violations(world.ledger, checks_bounds=checks_bounds)
+        if checks_bounds:
+            violations += check_signals(world.ledger)
         violations += await _check_recovery(world, asking)
     finally:
         await world.close()
@@ -99,13 +102,13 @@
 
 
 def chains(seeds: int = 2) -> None:
-    """Play each chain that makes a configuration late; end with an error if a promise broke."""
-    broken = sum(
-        bool(_play_one(seed, "", PROGRAM, True, faults).violations)
-        for faults in LATE_CHAINS.values()
-        for seed in range(1, seeds + 1)
-    )
-    print(f"{len(LATE_CHAINS)} chains, {seeds} seeds each: {broken} with a broken promise")
+    """Play each chain of faults that is known by name; end with an error if a promise broke."""
+    broken = 0
+    for name, faults in (LATE_CHAINS | SIGNAL_CHAINS).items():
+        print(name)
+        for seed in range(1, seeds + 1):
+            broken += bool(_play_one(seed, "", PROGRAM, True, faults).violations)
+    print(f"{len(LATE_CHAINS | SIGNAL_CHAINS)} chains, {seeds} seeds each: {broken} broken")
     raise SystemExit(bool(broken))
 
 
@@ -121,10 +124,13 @@
 
 def _find_defect(name: str, most: int) -> bool:
     program = ("-m", "soak.defects", name, "run")
-    schedules = LATE_CHAINS if name in LATE else {"drawn": FAULTS}
+    schedules = LATE_CHAINS if name in LATE else SIGNAL_CHAINS
+    checks_bounds = name in LATE | SIGNALS
+    if not checks_bounds:
+        schedules = {"drawn": FAULTS}
     for seed in range(1, most + 1):
         for schedule, faults in schedules.items():
-            if _play_one(seed, "", program, name in LATE, faults).violations:
+            if _play_one(seed, "", program, checks_bounds, faults).violations:
                 print(f"defect {name}: found with seed {seed}, faults: {schedule}")
                 return True
     return False
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,8 @@
     """Hold the running callers."""
 
     world: World
+    prefix: str = "r"
+    body: bytes = b""
     _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     async def run(self, stopping: asyncio.Event) -> None:
@@ -72,14 +74,14 @@
         is_kept: bool = False,
     ) -> Asked:
         kind = kind or self.world.rng.choice(KINDS)
-        request_id = f"r{next(self._ids)}"
+        request_id = f"{self.prefix}{next(self._ids)}"
         version = self._choose_version() if kind == "version" else 0
         path = f"/version-{version}/x" if kind == "version" else f"/{kind}/x"
         sent_at_s = self.world.now_s()
         status, body, answered_id, is_whole = 0, [], b"", False
         try:
             async with asyncio.timeout(CALLER_WAITS_S + 1):
-                connection.send([_make_request(path, request_id)])
+                connection.send([_make_request(path, request_id, self.body)])
                 head = await connection.read_head()
                 status, answered_id = head.status, head.get(b"x-request-id") or b""
                 while (piece := await connection.read_piece()) is not None:
@@ -114,9 +116,9 @@
     return sum(a.status == OK and a.is_whole for a in asked)
 
 
-def _make_request(path: str, request_id: str) -> bytes:
+def _make_request(path: str, request_id: str, body: bytes) -> bytes:
     left_ms = round(CALLER_WAITS_S * 1000)
     return (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: {left_ms}\r\nX-Key: {KEY}\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
+        f"X-Deadline-Ms: {left_ms}\r\nX-Key: {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -14,6 +14,8 @@
 from dalehollow.aio import client
 from dalehollow.gateway import outcome, table
 from dalehollow.gateway.copies import StoreCopies
+from dalehollow.gateway.crashes import CrashWatch
+from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.state import GatewayState
 from dalehollow.platform import follow, servers
 from dalehollow.platform.store import StoreEra
@@ -72,6 +74,22 @@
     servers._find_mistakes = lambda *args: []
 
 
+def _hear_no_signals() -> None:
+    """Leave aside what upstreams say of themselves in answers."""
+    GatewayState.note_signals = lambda *args: None  # type: ignore[method-assign]
+
+
+def _forget_crashes() -> None:
+    """Take each coming of a request for a new one."""
+    CrashWatch.judge_request = lambda *args: 0.0  # type: ignore[method-assign]
+    CrashWatch.may_try_again = lambda *args: True  # type: ignore[method-assign]
+
+
+def _deal_to_everyone() -> None:
+    """Have each gateway deal tokens out to itself."""
+    LimitTokens._choose_dealer = lambda tokens, *args: tokens._name  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "false_refusals": _refuse_what_may_have_run,
     "runs_twice": _repeat_everything,
@@ -80,9 +98,14 @@
     "no_copies": _fetch_no_copies,
     "no_eras": _know_no_eras,
     "any_entry": _trust_any_entry,
+    "no_signals": _hear_no_signals,
+    "no_crashes": _forget_crashes,
+    "own_tokens": _deal_to_everyone,
 }
 LATE = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
-"""Those that only the bounds in time can show."""
+"""Those that only the bounds in time can show, of what the store tells."""
+SIGNALS = frozenset({"no_signals", "no_crashes", "own_tokens"})
+"""Those that only the bounds in time can show, of what servers say in answers."""
 
 
 if __name__ == "__main__":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,11 +6,15 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 
+from dalehollow.aio import ConnectError
+from soak.callers import Callers
 from soak.peers import LOST_SHARE
+from soak.promises import CRASHING_ID
 from soak.proxy import Mode
-from soak.world import Gateway, World
+from soak.world import CRASHING_BODY, Gateway, World
 from standins.server import Way
 
 BAD_WAYS = (
@@ -32,6 +36,12 @@
 SERVES_ON_S = 3.0
 """A server that leaves serves on for so long after it said so."""
 STOP_GRACE_S = 8.0
+REST_S = "2"
+LIMIT_PER_S = "1.5"
+LIMIT_S = 8.0
+"""Added to the time for which a server names a limit: it binds after seconds, over seconds."""
+CRASHING_COMINGS = 32
+CRASHING_PAUSE_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -221,7 +231,11 @@
     """Have a server's entry go without notice; it serves on."""
     name = _choose_server(world, fault)
     await world.add_server()
-    world.ledger.leaving_at_s[name] = world.now_s()
+    await _lose(world, name)
+
+
+async def _lose(world: World, name: str) -> None:
+    world.ledger.leaving_at_s.setdefault(name, world.now_s())
     world.delete_entry(name)
 
 
@@ -251,6 +265,46 @@
         await asyncio.sleep(CHANGE_GAP_S)
 
 
+async def _say(world: World, fault: Fault, name: str, value: str, for_s: float) -> None:
+    """Have a server say something in all its answers for a while."""
+    speaker = _choose_server(world, fault)
+    if speaker in world.ledger.speaking:
+        return
+    world.ledger.speaking.add(speaker)
+    server = world.servers[speaker]
+    server.says, server.is_refusing = [(name.encode(), value.encode())], name == "retry-after"
+    await asyncio.sleep(for_s)
+    server.says, server.is_refusing = [], False
+    world.ledger.speaking.discard(speaker)
+
+
+async def _ask_for_rest(world: World, fault: Fault) -> None:
+    await _say(world, fault, "retry-after", REST_S, fault.for_s)
+
+
+async def _name_limit(world: World, fault: Fault) -> None:
+    await _say(world, fault, "server-limit", LIMIT_PER_S, fault.for_s + LIMIT_S)
+
+
+async def _say_leaving(world: World, fault: Fault) -> None:
+    """Have a server say that it leaves, but not in its entry, and end."""
+    await world.add_server()
+    name = _choose_server(world, fault)
+    await _say(world, fault, "server-leaving", "1", fault.for_s + SERVES_ON_S)
+    await _lose(world, name)
+
+
+async def _send_crashing(world: World, fault: Fault) -> None:
+    """Have one request come again and again that crashes whoever begins to run it."""
+    caller = Callers(world, prefix=f"{CRASHING_ID}{fault.at_s}-", body=CRASHING_BODY)
+    for _ in range(CRASHING_COMINGS):
+        gateway = world.rng.choice(list(world.gateways.values()))
+        if gateway.process is not None:
+            with suppress(ConnectError):
+                world.ledger.asked.append(await caller.ask_once(gateway, "read"))
+        await asyncio.sleep(CRASHING_PAUSE_S)
+
+
 PLAYS: dict[str, Play] = {
     "pause": _pause,
     "kill": _kill,
@@ -268,6 +322,10 @@
     "restart server": _restart_server,
     "restore": _restore_store,
     "configuration": _apply,
+    "rest": _ask_for_rest,
+    "limit": _name_limit,
+    "says it leaves": _say_leaving,
+    "crashing request": _send_crashing,
 }
 
 
@@ -330,3 +388,19 @@
 }
 """The chains that make a gateway learn late (docs/PLATFORM.md), with real processes; the first
 gateway is the relay of its hall."""
+
+SIGNAL_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "servers that ask for rest": (
+        Fault(1.0, 3.0, "rest", 0),
+        Fault(1.5, 3.0, "rest", 1),
+        Fault(5.0, 2.0, "rest", 0),
+    ),
+    "a server that names a limit, and a gateway killed": (
+        Fault(1.0, 3.0, "limit", 0),
+        Fault(6.0, 0.3, "kill", 1),
+    ),
+    "all servers with a limit": tuple(Fault(1.0, 3.0, "limit", target) for target in range(4)),
+    "a server that says it leaves": (Fault(1.0, 3.0, "says it leaves", 0),),
+    "a request that crashes servers": (Fault(1.0, 3.0, "crashing request", 0),),
+}
+"""What servers say of themselves in answers, and requests that crash them."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,6 +8,8 @@
 
 from standins.server import whole_stream
 
+CRASHING_ID = "crashing-"
+"""The ids of requests that crash whoever begins to run them begin so."""
 TRAP = "trap"
 """The server behind entries that name none."""
 REFUSALS = frozenset({408, 421, 429, 503})
@@ -49,6 +51,17 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class Told:
+    """Hold what a server said of itself in its answer to a request, by the name of the header."""
+
+    server: str
+    request_id: str
+    name: str
+    value: float
+    at_s: float
+
+
 @dataclass
 class Ledger:
     """Hold all that happened in a run."""
@@ -64,6 +77,10 @@
         default_factory=lambda: defaultdict(list)
     )
     stops: list[tuple[str, int, float]] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    # Servers that say something or crash now: no other fault of that kind begins there.
+    speaking: set[str] = field(default_factory=set)
+    crashes_at_s: list[float] = field(default_factory=list)
 
     def is_calm(self, name: str, from_s: float, until_s: float) -> bool:
         """Return whether a thing was left alone all the time."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,8 +13,8 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest
 from soak.peers import PeerNetwork, SoakStore
-from soak.promises import TRAP, Arrival, Ledger
-from soak.proxy import Proxy
+from soak.promises import TRAP, Arrival, Ledger, Told
+from soak.proxy import Mode, Proxy
 from standins.platform import GatewayProcess, launch_gateway, listen
 from standins.server import ServerStandIn, Way
 
@@ -31,6 +31,8 @@
 """A gateway's link; with configurations of this size a second of history takes longer on it than
 a call may wait."""
 PADDING_BYTES = 100_000
+CRASHING_BODY = b"crashes whoever begins to run it"
+RESTART_S = 0.5
 PROGRAM = ("-m", "dalehollow", "run")
 
 
@@ -66,6 +68,8 @@
     ledger: Ledger = field(default_factory=Ledger)
     rng: random.Random = field(default_factory=random.Random)
     bad_ways: Sequence[Way] = ()
+    # Refuses everything, which alone makes a time of rest be heard.
+    is_refusing: bool = False
 
     async def handle(self, caller: CallerConnection, request: CallerRequest) -> None:
         """Answer one request, well or badly, and note that it came."""
@@ -74,9 +78,15 @@
         self.ledger.arrivals[self.incarnation].append(Arrival(now_s, request_id))
         if self.bad_ways and self.rng.random() < 0.5:
             self.ways.append(self.rng.choice(self.bad_ways))
+        if self.is_refusing:
+            self.ways = [Way.REFUSE]
         before = len(self.runs)
+        says = () if self.bad_ways else tuple(self.says)
         try:
             await super().handle(caller, request)
+            for name, value in says:
+                told = Told(self.incarnation, request_id, name.decode(), float(value), now_s)
+                self.ledger.told.append(told)
         finally:
             self.ledger.runs.update(self.runs[before:][:1])
 
@@ -176,12 +186,27 @@
         self._server_count += 1
         name = f"server-{self._server_count}"
         server = SoakServer(name, pace_s=PACE_S, ledger=self.ledger, rng=self.rng)
+        server.crashed_by, server.on_crash = CRASHING_BODY, lambda: self._crash_server(name)
         proxy = Proxy(await listen(server.handle))
         await proxy.open()
         self.servers[name], self.proxies[name] = server, proxy
         self.write_entry(name, "ready")
         return server
 
+    def _crash_server(self, name: str) -> None:
+        """Have a server that has just crashed start again after a moment, under its name."""
+        now_s = self.now_s()
+        self.ledger.crashes_at_s.append(now_s)
+        self.ledger.disturbed[name].append((now_s, now_s + RESTART_S))
+        self.proxies[name].set_mode(Mode.RESET)
+        asyncio.get_running_loop().call_later(RESTART_S, self._restart_server, name)
+
+    def _restart_server(self, name: str) -> None:
+        self.proxies[name].set_mode(Mode.PASS)
+        self.born_ms[name] += 1
+        if name not in self.ledger.leaving_at_s:
+            self.write_entry(name, "ready")
+
     def write_entry(self, name: str, state: str) -> None:
         """Write a server's entry as the server would."""
         entry = {"service": "desk", "address": self.proxies[name].address, "zone": "hall"}
