Suspect no request that is answered all the time

Callers saw, in the soak: requests that many callers send alike were refused as crashing upstreams, beside the one that did.

Cause: an answer cleared only what was already suspected; one that came between a crash and the moment at which the crash showed was forgotten, and what is always in hand somewhere was there at three crashes.

Change: a request that any gateway saw answered with success within the last minute is not suspected; that gateway clears it for all. What crashes everyone is never answered.

Ruled out: a higher threshold (what many send is in hand at any number of crashes).

--- a/dalehollow/gateway/crashes.py
+++ b/dalehollow/gateway/crashes.py
@@ -1,9 +1,10 @@
 """Find requests that crash the upstreams which run them, and keep them from more.
 
 A request is known by its path, account and body. Of all that was in hand at an upstream when it
-crashed one request is guilty at most, and nobody can tell which: each is suspected, and cleared by
-the first answer of success to it. What has crashed three upstreams without one is refused for a
-while, longer each time; then one trial shows whether that still holds.
+crashed one request is guilty at most, and nobody can tell which: each is suspected, but for those
+that any gateway has seen answered with success of late, and cleared by the next such answer. What
+has crashed three upstreams without one is refused for a while, longer each time; then one trial
+shows whether that still holds.
 
 A broken connection alone is no crash: answers get lost, links are reset, halls are cut off. A
 crash shows by the upstream's port, which refuses, or by its next start; and not where the upstream
@@ -40,6 +41,9 @@
 """What is in hand at a crash breaks off within this, also where a link is slow."""
 KEPT_S = 300.0
 """A suspicion is kept for so long after the last crash, or after the refusals that follow it."""
+SOUND_S = 60.0
+"""What was answered with success within this crashes nobody: many callers may send the same."""
+MOST_SOUND = 2_000
 MOST_SUSPECTS = 500
 MOST_TOLD = 32
 CLEARED_TOLD_S = 30.0
@@ -108,6 +112,8 @@
         # By address: the newest start that was seen there, and when.
         self._starts: dict[str, tuple[ListedUpstream, float]] = {}
         self._suspects: dict[Fingerprint, _Suspect] = {}
+        # When requests were last answered with success, the newest last.
+        self._sound_at_s: dict[Fingerprint, float] = {}
 
     def note_cut(self, fingerprint: Callable[[], Fingerprint], upstream: Upstream) -> None:
         """Take in that a try ended without an answer; where an upstream leaves that is no crash."""
@@ -136,15 +142,15 @@
             if _is_restart(earlier, listed):
                 self._judge(earlier)
 
-    def note_answered(self, fingerprint: Callable[[], Fingerprint]) -> None:
+    def note_answered(self, name: Fingerprint) -> None:
         """Take in that a request was answered with success."""
-        if not self._suspects:
-            return
-        suspect = self._suspects.get(name := fingerprint())
-        if suspect is not None and suspect.crashes:
-            log_event(_LOG, "request_cleared", fingerprint=name.hex(), crashes=len(suspect.crashes))
-            suspect.clear(self._clock())
-            self._on_change()
+        now_s = self._clock()
+        self._sound_at_s.pop(name, None)
+        self._sound_at_s[name] = now_s
+        if len(self._sound_at_s) > MOST_SOUND:
+            del self._sound_at_s[next(iter(self._sound_at_s))]
+        if name in self._suspects:
+            self._clear(name, now_s)
 
     def may_try_again(self, fingerprint: Callable[[], Fingerprint]) -> bool:
         """Return whether a request may go on to another upstream after a try that broke off."""
@@ -211,6 +217,9 @@
         suspect = self._suspects.setdefault(name, _Suspect())
         if crash in suspect.crashes or at_s <= suspect.cleared_at_s:
             return
+        if at_s - self._sound_at_s.get(name, float("-inf")) < SOUND_S:
+            self._clear(name, self._clock())
+            return
         suspect.crashes[crash] = at_s
         # The newest stands last.
         self._suspects[name] = self._suspects.pop(name)
@@ -227,6 +236,13 @@
         )
         self._on_change()
 
+    def _clear(self, name: Fingerprint, at_s: float) -> None:
+        """Clear a request here, and have others told."""
+        suspect = self._suspects[name]
+        log_event(_LOG, "request_cleared", fingerprint=name.hex(), crashes=len(suspect.crashes))
+        suspect.clear(at_s)
+        self._on_change()
+
     def _forget(self, now_s: float) -> None:
         kept = [(n, s) for n, s in self._suspects.items() if s.kept_until_s() > now_s]
         self._suspects = dict(kept[-MOST_SUSPECTS:])
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -211,7 +211,7 @@
                 return False
             self._caller.send_whole(head.status, _end_to_end(head), body)
         if head.status < _FIRST_FAILED_STATUS:
-            self._state.crashes.note_answered(self._make_fingerprint)
+            self._state.crashes.note_answered(self._make_fingerprint())
         outcome.note_done(self._state, self._job, self._progress, head.status)
         return True
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -163,7 +163,7 @@
     before = desk.watch.tell()
     for gateway in (desk, other):
         gateway.clock.now_s += 1.0
-    desk.watch.note_answered(lambda: INNOCENT)
+    desk.watch.note_answered(INNOCENT)
     other.watch.take_told(desk.watch.tell())
     assert other.count(INNOCENT) == 0
     # What a third gateway knew before takes nothing back.
@@ -174,6 +174,25 @@
     assert (desk.count(GUILTY), other.count(GUILTY)) == (2, 2)
 
 
+def test_what_many_callers_send_is_not_suspected_for_being_there() -> None:
+    """It is answered all the time, also between a crash and the moment at which that shows."""
+    desk, other = _Desk(), _Desk()
+    for number in range(4):
+        upstream = _upstream(number)
+        for gateway in (desk, other):
+            gateway.watch.note_cut(lambda: INNOCENT, upstream)
+            gateway.watch.note_cut(lambda: GUILTY, upstream)
+        # Only one of the gateways sees it answered.
+        desk.watch.note_answered(INNOCENT)
+        for gateway in (desk, other):
+            gateway.clock.now_s += 1.0
+            gateway.watch.note_started(_restart(upstream))
+        desk.watch.take_told(other.watch.tell())
+        other.watch.take_told(desk.watch.tell())
+    assert (desk.count(GUILTY), other.count(GUILTY)) == (4, 4)
+    assert (desk.count(INNOCENT), other.count(INNOCENT)) == (0, 0)
+
+
 def replace_ages(suspicion: crashes_module.Suspicion, more_s: float) -> crashes_module.Suspicion:
     """Return a suspicion as it would be told later."""
     ages = {name: age_s + more_s for name, age_s in suspicion.crashes.items()}
@@ -216,7 +235,7 @@
         desk.crash(number, INNOCENT)
     desk.clock.now_s += crashes_module.REFUSED_S + 0.1
     assert desk.refused_s(INNOCENT) == 0.0
-    desk.watch.note_answered(lambda: INNOCENT)
+    desk.watch.note_answered(INNOCENT)
     assert desk.refused_s(INNOCENT) == 0.0
     assert desk.count(INNOCENT) == 0
 
