Give upstreams the rest that their sidecars ask for

Callers saw, by reading: refusals of full queues, one entry after the other, while the sidecar had said when there would be room.

Change: a sidecar whose queue is full says for how long it takes no request as urgent as this one or less; the entry keeps that with the upstream, without exception, and names the first end where all rest. A refusal for a deadline that is too short asks for none.

Ruled out: taking each refusal's time to come back for a rest; it is meant for the one caller, whose deadline may be shorter than that of others.

--- a/dalehollow/entry/pool.py
+++ b/dalehollow/entry/pool.py
@@ -8,7 +8,7 @@
 from dataclasses import asdict
 
 from dalehollow.config.holder import InForce
-from dalehollow.config.model import Service, Upstream
+from dalehollow.config.model import PRIORITIES, Service, Upstream
 from dalehollow.membership import UpstreamView, choose_subset
 from dalehollow.membership.view import select_usable
 from dalehollow.protocol import BeatReply
@@ -17,6 +17,7 @@
 FAR_DISTANCE_MS = 3.0
 NEAR_DISTANCE_MS = 0.2
 LEAST_SUBSET = 3
+_MS_PER_S = 1000
 
 
 class Pool:
@@ -67,19 +68,28 @@
             self._subsets = {s: tuple(u.name for u in subset) for s, subset in subsets.items()}
         return {u.name: u.control for u in wanted.values() if u.control is not None}
 
-    def pick(self, service: Service, tried: Iterable[str]) -> UpstreamView | None:
+    def pick(
+        self, service: Service, tried: Iterable[str], priority: str = PRIORITIES[0]
+    ) -> UpstreamView | None:
         """Pick an upstream that was not tried, or None if there is none."""
         excluded = set(tried)
-        with self._lock:
-            names = self._subsets.get(service.name, ())
-            views = [self._views[name] for name in names]
-        usable = select_usable(views, self._clock())
+        usable = select_usable(self._list_views(service.name), self._clock(), priority)
         open_views = {v.upstream.name: v for v in usable if v.upstream.name not in excluded}
         if not open_views:
             return None
         chosen = choose([v.as_candidate() for v in open_views.values()], self._rng)
         return open_views[chosen.name]
 
+    def rest_left_ms(self, service: str, priority: str) -> int:
+        """Return how soon the first upstream takes such requests, 0 where one does now."""
+        now_s = self._clock()
+        lefts_s = [view.rest_left_s(priority, now_s) for view in self._list_views(service)]
+        return round(min(lefts_s, default=0.0) * _MS_PER_S)
+
+    def _list_views(self, service: str) -> list[UpstreamView]:
+        with self._lock:
+            return [self._views[name] for name in self._subsets.get(service, ())]
+
     def find(self, name: str) -> UpstreamView | None:
         """Return the view of an upstream, if this entry speaks with it."""
         with self._lock:
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -67,7 +67,7 @@
         failure: Failure | None = None
         worst = Verdict.NOT_RUN
         while len(tried) < MAX_TRIES:
-            view = self.pool.pick(job.service, tried)
+            view = self.pool.pick(job.service, tried, job.priority)
             if view is None:
                 break
             if tried and not budget.take_retry():
@@ -83,7 +83,8 @@
             if not failure.may_retry or job.deadline_s <= read_clock():
                 break
         if failure is None:
-            return Err(_no_upstream(job))
+            rest_ms = self.pool.rest_left_ms(job.service.name, job.priority)
+            return Err(_all_rest(job, rest_ms) if rest_ms else _no_upstream(job))
         # An earlier try may have run though the last one certainly did not.
         return Err(failure if worst is Verdict.NOT_RUN else _keep_doubt(failure))
 
@@ -174,6 +175,11 @@
     return replace(failure, verdict=Verdict.MAY_HAVE_RUN)
 
 
+def _all_rest(job: Job, rest_ms: int) -> Failure:
+    message = f"the queues of all upstreams of service {job.service.name!r} are full"
+    return Failure(Reason.QUEUE_FULL, Verdict.NOT_RUN, message, retry_after_ms=rest_ms)
+
+
 def _no_upstream(job: Job) -> Failure:
     return Failure(
         Reason.NO_UPSTREAM,
--- a/dalehollow/errors.py
+++ b/dalehollow/errors.py
@@ -65,13 +65,17 @@
 
 @dataclass(frozen=True)
 class Failure:
-    """Describe one refusal or failure as the caller sees it."""
+    """Describe one refusal or failure as the caller sees it.
+
+    `rest_ms` is for how long the upstream takes no request as urgent as this one or less.
+    """
 
     reason: Reason
     verdict: Verdict
     message: str
     retry_after_ms: int | None = None
     may_retry: bool = False
+    rest_ms: int | None = None
 
     @property
     def status(self) -> int:
--- a/dalehollow/limits/gate.py
+++ b/dalehollow/limits/gate.py
@@ -12,7 +12,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -140,9 +140,9 @@
             and self._waiting() >= self._limits.queue_limit
             and not self._displace(priority)
         ):
-            return self._failure(
-                Reason.QUEUE_FULL, f"{self._limits.queue_limit} requests wait already"
-            )
+            message = f"{self._limits.queue_limit} requests wait already"
+            failure = self._failure(Reason.QUEUE_FULL, message)
+            return replace(failure, rest_ms=failure.retry_after_ms)
         return None
 
     def _displace(self, priority: str) -> bool:
--- a/dalehollow/membership/view.py
+++ b/dalehollow/membership/view.py
@@ -5,7 +5,7 @@
 import threading
 from dataclasses import dataclass, field
 
-from dalehollow.config.model import Upstream
+from dalehollow.config.model import PRIORITIES, Upstream
 from dalehollow.routing import Candidate, LoadReport
 
 EJECT_AFTER_FAILURES = 3
@@ -31,6 +31,8 @@
     _failures: int = 0
     _ejections: int = 0
     _ejected_until_s: float = 0.0
+    # By priority: until when it wants no request as urgent as that or less.
+    _rests_until_s: dict[str, float] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def take_report(self, report: LoadReport, now_s: float) -> None:
@@ -51,8 +53,20 @@
             self.is_leaving = is_leaving
             if incarnation_ms != self.incarnation_ms:
                 self.incarnation_ms = incarnation_ms
+                self._rests_until_s.clear()
                 self._clear_failures()
 
+    def note_rest(self, priority: str, until_s: float) -> None:
+        """Note that it wants no request as urgent as this or less for a while."""
+        with self._lock:
+            for lower in PRIORITIES[PRIORITIES.index(priority) :]:
+                self._rests_until_s[lower] = max(until_s, self._rests_until_s.get(lower, 0.0))
+
+    def rest_left_s(self, priority: str, now_s: float) -> float:
+        """Return for how long it still wants no such request, 0 if it takes them."""
+        with self._lock:
+            return max(0.0, self._rests_until_s.get(priority, 0.0) - now_s)
+
     def note_sent(self) -> None:
         """Count a request that is on its way."""
         with self._lock:
@@ -95,12 +109,19 @@
         self._ejected_until_s = 0.0
 
 
-def select_usable(views: list[UpstreamView], now_s: float) -> list[UpstreamView]:
+def select_usable(
+    views: list[UpstreamView], now_s: float, priority: str = PRIORITIES[0]
+) -> list[UpstreamView]:
     """Return the views that may get work; where most are out, that is not believed.
 
-    Leaving upstreams never get work, whoever says so; silent and ejected ones do when half of
-    the pool or more is out, since then the fault is more likely this side or all of it.
+    Leaving upstreams never get work, whoever says so, nor do those that asked for rest; silent and
+    ejected ones do when half of the pool or more is out, since then the fault is more likely this
+    side or all of it.
     """
-    staying = [view for view in views if not (view.is_leaving or view.is_listed_leaving)]
+    staying = [
+        view
+        for view in views
+        if not (view.is_leaving or view.is_listed_leaving or view.rest_left_s(priority, now_s))
+    ]
     healthy = [view for view in staying if not (view.is_silent or view.is_ejected(now_s))]
     return healthy if 2 * len(healthy) > len(staying) else staying
--- a/dalehollow/protocol/headers.py
+++ b/dalehollow/protocol/headers.py
@@ -26,6 +26,7 @@
 REPEATABLE = "dalehollow-repeatable"
 INNER_KEY = "dalehollow-inner-key"
 MAY_RETRY = "dalehollow-may-retry"
+REST_MS = "dalehollow-rest-ms"
 LOAD = "dalehollow-load"
 
 # Meant for one connection, or for this system alone: never passed on.
--- a/dalehollow/web/refusal.py
+++ b/dalehollow/web/refusal.py
@@ -25,6 +25,8 @@
     if failure.retry_after_ms is not None:
         headers[hdr.RETRY_AFTER] = str(max(1, math.ceil(failure.retry_after_ms / _MS_PER_S)))
         headers[hdr.RETRY_AFTER_MS] = str(failure.retry_after_ms)
+    if failure.rest_ms is not None:
+        headers[hdr.REST_MS] = str(failure.rest_ms)
     error = {
         "reason": failure.reason,
         "verdict": failure.verdict,
@@ -46,9 +48,15 @@
         message=_read_message(body),
         retry_after_ms=int(retry_after) if retry_after is not None else None,
         may_retry=headers.get(hdr.MAY_RETRY) == "true",
+        rest_ms=_read_ms(headers.get(hdr.REST_MS)),
     )
 
 
+def _read_ms(value: str | None) -> int | None:
+    """Return milliseconds from 0, None for what is missing or no such number."""
+    return int(value) if value is not None and value.isascii() and value.isdigit() else None
+
+
 def _read_message(body: bytes) -> str:
     try:
         return str(json.loads(body)["error"]["message"])
