--- a/tests/test_upstream_rests.py
+++ b/tests/test_upstream_rests.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from dalehollow.gateway import upstream
 from standins.server import Way
 from tests.gateway_bench import (
     HOST,
@@ -25,6 +26,7 @@
     GatewayBench,
     lapse_and_return,
     make_config,
+    replaced,
     run_bench,
     say_ready_again,
 )
@@ -156,3 +158,31 @@
         assert upstream.rest_left_s(asyncio.get_running_loop().time()) == 0.0
 
     run_bench(scenario)
+
+
+def test_who_refuses_without_asking_for_rest_is_not_the_first_choice_again() -> None:
+    """It has nothing in hand and looks idle; five such upstreams got 73 in 100 of all requests."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        refusing = await bench.add_server("s0", *[Way.REFUSE] * (2 * ASKED))
+        serving = await bench.add_server("s1")
+        assert {a.status for a in await _ask_often(bench)} == {200}
+        assert len(refusing.seen) == 1
+        assert len(serving.seen) == ASKED
+
+    with replaced(upstream, "EJECT_BASE_S", 60.0), replaced(upstream, "EJECT_MAX_S", 60.0):
+        run_bench(scenario)
+
+
+def test_who_refuses_is_tried_where_no_other_upstream_is_there() -> None:
+    """Without a time of rest that it takes nothing now is a guess."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        refusing = await bench.add_server("s0", Way.REFUSE)
+        assert (await bench.ask("/read/0")).status == 503
+        assert (await bench.ask("/read/1")).status == 200
+        assert len(refusing.seen) == 2
+
+    run_bench(scenario)
