Keep requests from an upstream that refuses for a moment, longer each time

Callers saw: refusals, while upstreams with free places were there, from those that turn everything away without asking for rest.

Cause: a refusal was no failure, and who refuses at once has nothing in hand and is the first choice again.

Change: a refusal that is not about the group ejects its upstream as an unreachable one is: 0.5 s, doubled up to 4 s, until it answers; where all are ejected, all are tried.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -186,6 +186,9 @@
         if result.is_unreachable or result.is_other_upstream:
             # What answers at the address of an upstream that is gone is another one.
             state.upstreams.note_failure(upstream, now_s, is_unreachable=True)
+        elif not result.is_group_broken:
+            # Who refuses at once has nothing in hand, and would be the first choice again.
+            upstream.eject(now_s)
         if result.is_group_broken:
             self._note_broken(upstream.listed.group_key)
 
