Name the sharing of limits and the watch over crashes in terms of the field

Allocator, grant and probe instead of what had slipped in; the dump and the gauges show limits and suspected requests. No decision is changed.

--- a/dalehollow/gateway/crashes.py
+++ b/dalehollow/gateway/crashes.py
@@ -1,10 +1,10 @@
 """Find requests that crash the upstreams which run them, and keep them from more.
 
 A request is known by its path, account and body. Of all that was in hand at an upstream when it
-crashed one request is guilty at most, and nobody can tell which: each is suspected, but for those
-that any gateway has seen answered with success of late, and cleared by the next such answer. What
-has crashed three upstreams without one is refused for a while, longer each time; then one trial
-shows whether that still holds.
+crashed one request is the cause at most, and nobody can tell which: each is suspected, but for
+those that any gateway has seen answered with success of late, and cleared by the next such answer.
+What has crashed three upstreams without one is refused for a while, longer each time; then one
+probe shows whether that still holds.
 
 A broken connection alone is no crash: answers get lost, links are reset, halls are cut off. A
 crash shows by the upstream's port, which refuses, or by its next start; and not where the upstream
@@ -31,19 +31,19 @@
 REFUSED_S = 60.0
 REFUSED_FACTOR = 4.0
 REFUSED_MAX_S = 3600.0
-"""Refusals after the third crash and after each trial: three trials within an hour, and one whose
-own neighbours were guilty three times is tried again after a minute."""
-TRIAL_S = 10.0
-"""A trial is over within this; until then no gateway begins another."""
+"""Refusals after the third crash and after each probe: three probes within an hour, while one that
+was there at three crashes by chance waits a minute."""
+PROBE_S = 10.0
+"""A probe is over within this; until then no gateway begins another."""
 RESTART_S = 15.0
 """A crashed upstream is back within this as a rule: what broke off longer ago is forgotten."""
 SAME_MOMENT_S = 1.0
 """What is in hand at a crash breaks off within this, also where a link is slow."""
 KEPT_S = 300.0
 """A suspicion is kept for so long after the last crash, or after the refusals that follow it."""
-SOUND_S = 60.0
+KNOWN_GOOD_S = 60.0
 """What was answered with success within this crashes nobody: many callers may send the same."""
-MOST_SOUND = 2_000
+MOST_KNOWN_GOOD = 2_000
 MOST_SUSPECTS = 500
 MOST_TOLD = 32
 CLEARED_TOLD_S = 30.0
@@ -70,7 +70,7 @@
 
     crashes: dict[str, float] = field(default_factory=dict)
     cleared_at_s: float = float("-inf")
-    trial_at_s: float = float("-inf")
+    probed_at_s: float = float("-inf")
 
     def refused_until_s(self) -> float:
         """Return until when the request is refused; the past where it is not."""
@@ -78,7 +78,7 @@
         if more < 0:
             return float("-inf")
         refused_s = min(REFUSED_MAX_S, REFUSED_S * REFUSED_FACTOR**more)
-        return max(max(self.crashes.values()) + refused_s, self.trial_at_s + TRIAL_S)
+        return max(max(self.crashes.values()) + refused_s, self.probed_at_s + PROBE_S)
 
     def clear(self, at_s: float) -> None:
         """Forget the crashes up to a moment at which the request was answered."""
@@ -113,7 +113,7 @@
         self._starts: dict[str, tuple[ListedUpstream, float]] = {}
         self._suspects: dict[Fingerprint, _Suspect] = {}
         # When requests were last answered with success, the newest last.
-        self._sound_at_s: dict[Fingerprint, float] = {}
+        self._known_good_at_s: dict[Fingerprint, float] = {}
 
     def note_cut(self, fingerprint: Callable[[], Fingerprint], upstream: Upstream) -> None:
         """Take in that a try ended without an answer; where an upstream leaves that is no crash."""
@@ -125,11 +125,11 @@
         self._cuts.append(_Cut(fingerprint(), now_s, listed))
         newest = self._starts.get(listed.address)
         if newest is not None and now_s - newest[1] < RESTART_S and _is_restart(listed, newest[0]):
-            self._judge(listed)
+            self._note_crash(listed)
 
     def note_dead(self, listed: ListedUpstream) -> None:
         """Take in that the port of an upstream refuses connections."""
-        self._judge(listed)
+        self._note_crash(listed)
 
     def note_started(self, listed: ListedUpstream) -> None:
         """Take in a start of an upstream: whoever had its id or address before has crashed."""
@@ -140,15 +140,15 @@
         ended = {_name_start(c.listed): c.listed for c in self._cuts}
         for earlier in ended.values():
             if _is_restart(earlier, listed):
-                self._judge(earlier)
+                self._note_crash(earlier)
 
     def note_answered(self, name: Fingerprint) -> None:
         """Take in that a request was answered with success."""
         now_s = self._clock()
-        self._sound_at_s.pop(name, None)
-        self._sound_at_s[name] = now_s
-        if len(self._sound_at_s) > MOST_SOUND:
-            del self._sound_at_s[next(iter(self._sound_at_s))]
+        self._known_good_at_s.pop(name, None)
+        self._known_good_at_s[name] = now_s
+        if len(self._known_good_at_s) > MOST_KNOWN_GOOD:
+            del self._known_good_at_s[next(iter(self._known_good_at_s))]
         if name in self._suspects:
             self._clear(name, now_s)
 
@@ -157,8 +157,8 @@
         suspect = self._suspects.get(fingerprint()) if self._suspects else None
         return suspect is None or len(suspect.crashes) < TRIES_AFTER_CRASHES
 
-    def judge_request(self, fingerprint: Callable[[], Fingerprint]) -> float:
-        """Return for how long a request is refused, 0 where it is not; a trial begins with this."""
+    def check_request(self, fingerprint: Callable[[], Fingerprint]) -> float:
+        """Return for how long a request is refused, 0 where it is not; a probe begins with this."""
         if not self._suspects:
             return 0.0
         suspect = self._suspects.get(name := fingerprint())
@@ -168,11 +168,15 @@
         left_s = suspect.refused_until_s() - now_s
         if left_s > 0:
             return left_s
-        suspect.trial_at_s = now_s
-        log_event(_LOG, "request_tried", fingerprint=name.hex(), crashes=len(suspect.crashes))
+        suspect.probed_at_s = now_s
+        log_event(_LOG, "request_probed", fingerprint=name.hex(), crashes=len(suspect.crashes))
         self._on_change()
         return 0.0
 
+    def describe(self) -> dict[str, list[str]]:
+        """Return which upstreams each suspected request crashed, by fingerprint."""
+        return {name.hex(): list(s.crashes) for name, s in self._suspects.items() if s.crashes}
+
     def tell(self) -> dict[Fingerprint, Suspicion]:
         """Return the newest suspicions, for other gateways."""
         now_s = self._clock()
@@ -182,7 +186,7 @@
             name: Suspicion(
                 {crash: round(now_s - at_s, 3) for crash, at_s in suspect.crashes.items()},
                 _tell_age(suspect.cleared_at_s, now_s),
-                _tell_age(suspect.trial_at_s, now_s),
+                _tell_age(suspect.probed_at_s, now_s),
             )
             for name, suspect in newest
         }
@@ -195,29 +199,29 @@
             cleared_at_s = _read_age(suspicion.cleared_age_s, now_s)
             if cleared_at_s > suspect.cleared_at_s + WAY_S:
                 suspect.clear(cleared_at_s)
-            trial_at_s = _read_age(suspicion.trial_age_s, now_s)
-            if trial_at_s > suspect.trial_at_s + WAY_S:
-                suspect.trial_at_s = trial_at_s
+            probed_at_s = _read_age(suspicion.probe_age_s, now_s)
+            if probed_at_s > suspect.probed_at_s + WAY_S:
+                suspect.probed_at_s = probed_at_s
             for crash, age_s in suspicion.crashes.items():
-                self._accuse(name, crash, now_s - age_s)
+                self._add_crash(name, crash, now_s - age_s)
         self._forget(now_s)
 
-    def _judge(self, listed: ListedUpstream) -> None:
+    def _note_crash(self, listed: ListedUpstream) -> None:
         """Suspect what broke off at an upstream as it crashed."""
         crash = _name_start(listed)
         cuts = [c for c in self._cuts if _name_start(c.listed) == crash]
         last_s = max((c.at_s for c in cuts), default=0.0)
         names = {c.fingerprint: c.at_s for c in cuts if last_s - c.at_s <= SAME_MOMENT_S}
         for name, at_s in names.items():
-            self._accuse(name, crash, at_s, in_hand=len(names))
+            self._add_crash(name, crash, at_s, in_hand=len(names))
 
-    def _accuse(
+    def _add_crash(
         self, name: Fingerprint, crash: str, at_s: float, in_hand: int | None = None
     ) -> None:
         suspect = self._suspects.setdefault(name, _Suspect())
         if crash in suspect.crashes or at_s <= suspect.cleared_at_s:
             return
-        if at_s - self._sound_at_s.get(name, float("-inf")) < SOUND_S:
+        if at_s - self._known_good_at_s.get(name, float("-inf")) < KNOWN_GOOD_S:
             self._clear(name, self._clock())
             return
         suspect.crashes[crash] = at_s
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -34,7 +34,7 @@
     if isinstance(admitted, Refusal):
         outcome.refuse(state, caller, request, admitted)
         return
-    refused_s = state.crashes.judge_request(lambda: make_fingerprint(admitted))
+    refused_s = state.crashes.check_request(lambda: make_fingerprint(admitted))
     if refused_s:
         status = HTTPStatus.SERVICE_UNAVAILABLE
         outcome.refuse(state, caller, request, Refusal(status, "crashes_upstreams", refused_s))
--- a/dalehollow/gateway/limit_tokens.py
+++ b/dalehollow/gateway/limit_tokens.py
@@ -1,13 +1,13 @@
 """Keep all gateways together to the limits that upstreams in need name.
 
 A limit is one sum over all gateways, and may be lower than their number. So one gateway, the
-dealer of an upstream, deals out a token for each request, and nobody sends without one: the sum
-holds whatever gateways know of each other, and who hears no dealer sends nothing there. No request
-waits for the dealer alone: who has no token goes to another upstream, or waits for a place like any
-other, and tokens are asked for beside.
+allocator of an upstream, grants a token for each request, and nobody sends without one: the sum
+holds whatever gateways know of each other, and who hears no allocator sends nothing there. No
+request waits for the allocator alone: who has no token goes to another upstream, or waits for a
+place like any other, and tokens are asked for beside.
 
-The dealer is of the upstream's own hall, where gateways hear each other best. A hall that is cut
-off from the upstream deals nothing out.
+The allocator is of the upstream's own hall, where gateways hear each other best. A hall that is cut
+off from the upstream grants nothing.
 """
 
 from __future__ import annotations
@@ -29,16 +29,16 @@
 5.5 times the rate and one are used in 4 s at most; 6 times and five may be."""
 MIN_RATE_PER_S = 0.25
 """A lower limit counts as this: only an answer tells that the upstream needs it no more."""
-DEALS_AFTER_S = 1.5
-"""A gateway that has just started deals nothing: it may not have heard yet of the one that does."""
+GRANTS_AFTER_S = 1.5
+"""A gateway that has just started grants nothing: it may not have heard yet of who does."""
 ASKS_PER_S = 40.0
-"""All askers of one upstream share this, so that a dealer's work does not grow with them."""
+"""All askers of one upstream share this, so that an allocator's work does not grow with them."""
 MIN_ASK_INTERVAL_S = 0.1
-DEAF_S = 0.5
-"""A dealer that answers no ask for so long is passed over for the next one."""
+UNRESPONSIVE_S = 0.5
+"""An allocator that answers no ask for so long is passed over for the next one."""
 ASK_LIFE_S = 0.1
 """Some round trips to another hall, and as long as a request waits that lacks a token alone: one is
-better kept than dealt to who has left."""
+better kept than granted to who has left."""
 MAX_WANTED = 4
 """One asker wants so many tokens at most: what it uses up within their life."""
 TICK_S = 0.05
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True)
 class Peer:
-    """Hold another gateway as far as dealing goes; `is_heard` where it was heard of late."""
+    """Hold another gateway as far as tokens go; `is_heard` where it was heard of late."""
 
     name: str
     hall: str
@@ -66,8 +66,8 @@
 
 
 @dataclass
-class _Dealing:
-    """Hold what a dealer keeps for one upstream; it begins without tokens."""
+class _Allocation:
+    """Hold what an allocator keeps for one upstream; it begins without tokens."""
 
     rate_per_s: float
     filled_at_s: float
@@ -81,19 +81,19 @@
         self.rate_per_s, self.filled_at_s = rate_per_s, now_s
         self.tokens = min(self.tokens, 1.0 + BURST_S * rate_per_s)
 
-    def deal(self, now_s: float) -> dict[str, int]:
-        """Deal the tokens out, one each in turn; return how many each asker gets."""
-        dealt: dict[str, int] = {}
+    def grant(self, now_s: float) -> dict[str, int]:
+        """Grant the tokens, one each in turn; return how many each asker gets."""
+        granted: dict[str, int] = {}
         self.askers = {n: a for n, a in self.askers.items() if now_s <= a.until_s}
         while self.tokens >= 1.0 and self.askers:
             name = next(iter(self.askers))
             asker = self.askers.pop(name)
             self.tokens -= 1.0
-            dealt[name] = dealt.get(name, 0) + 1
+            granted[name] = granted.get(name, 0) + 1
             asker.wanted -= 1
             if asker.wanted:
                 self.askers[name] = asker
-        return dealt
+        return granted
 
 
 @dataclass
@@ -107,13 +107,13 @@
     wanted: int = 0
     wanted_at_s: float = float("-inf")
     asked_at_s: float = float("-inf")
-    # Since when a dealer has not answered, and how many of those in order were passed over.
+    # Since when an allocator has not answered, and how many of those in order were passed over.
     unanswered_since_s: float | None = None
     passed_over: int = 0
 
 
 class LimitTokens:
-    """Hold the limits that are known, this gateway's tokens, and what it deals out."""
+    """Hold the limits that are known, this gateway's tokens, and what it grants."""
 
     def __init__(
         self,
@@ -131,9 +131,9 @@
         self._list_peers = list_peers
         self._send = send
         self._on_tokens = on_tokens
-        self._deals_from_s = clock() + DEALS_AFTER_S
+        self._grants_from_s = clock() + GRANTS_AFTER_S
         self._limited: dict[str, _Limited] = {}
-        self._dealings: dict[str, _Dealing] = {}
+        self._allocations: dict[str, _Allocation] = {}
         self._addresses: dict[str, Address] = {}
         self._changed = asyncio.Event()
 
@@ -141,7 +141,7 @@
         """Take in an upstream's limit, None where it has none any more."""
         if rate_per_s is None:
             self._limited.pop(incarnation, None)
-            self._dealings.pop(incarnation, None)
+            self._allocations.pop(incarnation, None)
             return
         limited = self._limited.setdefault(incarnation, _Limited(hall, rate_per_s))
         limited.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
@@ -163,7 +163,7 @@
             limited.tokens.pop(0)
 
     def want(self, incarnation: str) -> bool:
-        """Ask for a token, which may come at once; return whether the dealer is known to answer."""
+        """Ask for a token, which may come at once; return whether the allocator answers."""
         limited, now_s = self._limited[incarnation], self._clock()
         if now_s - limited.wanted_at_s > ASK_LIFE_S:
             # Who wanted some before has left.
@@ -171,10 +171,10 @@
         limited.wanted_at_s = now_s
         limited.wanted = min(MAX_WANTED, limited.wanted + 1)
         self.step()
-        return not self._is_deaf(limited)
+        return not self._is_unresponsive(limited)
 
     async def run(self) -> None:
-        """Ask and deal for as long as there are limits, for ever."""
+        """Ask and grant for as long as there are limits, for ever."""
         while True:
             if not self._limited:
                 await self._changed.wait()
@@ -184,43 +184,43 @@
             await asyncio.sleep(MIN_TICK_S)
 
     def step(self) -> None:
-        """Ask for what is wanted, and deal out what there is."""
+        """Ask for what is wanted, and grant what there is."""
         now_s = self._clock()
         peers = self._list_peers()
         interval_s = _ask_interval_s(len(peers))
         asks: dict[str, dict[str, int]] = {}
         for incarnation, limited in self._limited.items():
-            dealer = self._choose_dealer(incarnation, limited, peers)
-            if dealer != self._name:
-                self._dealings.pop(incarnation, None)
-            if dealer == self._name:
+            allocator = self._choose_allocator(incarnation, limited, peers)
+            if allocator != self._name:
+                self._allocations.pop(incarnation, None)
+            if allocator == self._name:
                 self._take_wanted(incarnation, self._name, limited.wanted)
                 limited.wanted, limited.unanswered_since_s = 0, None
             elif limited.wanted and now_s - limited.asked_at_s >= interval_s:
-                asks.setdefault(dealer, {})[incarnation] = limited.wanted
+                asks.setdefault(allocator, {})[incarnation] = limited.wanted
                 limited.wanted, limited.asked_at_s = 0, now_s
                 limited.unanswered_since_s = limited.unanswered_since_s or now_s
         addresses = {peer.name: peer.address for peer in peers}
-        for dealer, wanted in asks.items():
-            self._send(TokenAsk(self._name, wanted), addresses[dealer])
-        self._deal({})
+        for allocator, wanted in asks.items():
+            self._send(TokenAsk(self._name, wanted), addresses[allocator])
+        self._grant({})
 
     def take_ask(self, ask: TokenAsk, address: Address) -> None:
-        """Take in what another gateway wants, where this one is the dealer, and answer."""
+        """Take in what another gateway wants, where this one is the allocator, and answer."""
         self._addresses[ask.sender] = address
         peers = self._list_peers()
         heard: dict[str, int] = {}
         for incarnation, wanted in ask.wanted.items():
             limited = self._limited.get(incarnation)
-            if limited is None or self._find_dealer(incarnation, limited, peers) != self._name:
+            if limited is None or self._find_allocator(incarnation, limited, peers) != self._name:
                 continue
             self._take_wanted(incarnation, ask.sender, wanted)
             heard[incarnation] = 0
         if heard:
-            self._deal({ask.sender: heard})
+            self._grant({ask.sender: heard})
 
     def take_grant(self, grant: TokenGrant) -> None:
-        """Take in tokens of a dealer, or that it has heard and has none now."""
+        """Take in tokens of an allocator, or that it has heard and has none now."""
         until_s = self._clock() + TOKEN_LIFE_S
         for incarnation, tokens in grant.tokens.items():
             limited = self._limited.get(incarnation)
@@ -229,28 +229,28 @@
                 limited.tokens += [until_s] * min(tokens, MAX_WANTED)
         asyncio.get_running_loop().call_soon(self._on_tokens)
 
-    def _is_deaf(self, limited: _Limited) -> bool:
+    def _is_unresponsive(self, limited: _Limited) -> bool:
         since_s = limited.unanswered_since_s
-        return since_s is not None and self._clock() - since_s > DEAF_S
+        return since_s is not None and self._clock() - since_s > UNRESPONSIVE_S
 
-    def _choose_dealer(self, incarnation: str, limited: _Limited, peers: list[Peer]) -> str:
+    def _choose_allocator(self, incarnation: str, limited: _Limited, peers: list[Peer]) -> str:
         """Return the gateway to ask; who is of another hall cannot know who hears whom there."""
-        order = self._order_dealers(incarnation, limited.hall, peers)
+        order = self._order_allocators(incarnation, limited.hall, peers)
         if self._name in order:
-            return self._find_dealer(incarnation, limited, peers)
-        if self._is_deaf(limited):
+            return self._find_allocator(incarnation, limited, peers)
+        if self._is_unresponsive(limited):
             limited.passed_over += 1
             limited.unanswered_since_s = None
         return order[limited.passed_over % len(order)]
 
-    def _find_dealer(self, incarnation: str, limited: _Limited, peers: list[Peer]) -> str:
-        """Return the dealer as those who may deal know it: the first that is heard."""
+    def _find_allocator(self, incarnation: str, limited: _Limited, peers: list[Peer]) -> str:
+        """Return the allocator as those who may grant know it: the first that is heard."""
         heard = {peer.name for peer in peers if peer.is_heard} | {self._name}
-        order = self._order_dealers(incarnation, limited.hall, peers)
+        order = self._order_allocators(incarnation, limited.hall, peers)
         return next((name for name in order if name in heard), "")
 
-    def _order_dealers(self, incarnation: str, hall: str, peers: list[Peer]) -> list[str]:
-        """Return who may deal for an upstream: the gateways of its hall, or of the next in order.
+    def _order_allocators(self, incarnation: str, hall: str, peers: list[Peer]) -> list[str]:
+        """Return who may grant for an upstream: the gateways of its hall, or of the next in order.
 
         They are of one hall also where its own has none: halls may not hear each other.
         """
@@ -262,25 +262,25 @@
 
     def _take_wanted(self, incarnation: str, asker: str, wanted: int) -> None:
         now_s = self._clock()
-        dealing = self._dealings.get(incarnation)
-        if dealing is None:
+        allocation = self._allocations.get(incarnation)
+        if allocation is None:
             rate_per_s = self._limited[incarnation].rate_per_s
-            begins_at_s = max(now_s, self._deals_from_s)
-            dealing = self._dealings[incarnation] = _Dealing(rate_per_s, begins_at_s)
-            log_event(_LOG, "limit_dealt", incarnation=incarnation, rate_per_s=rate_per_s)
+            begins_at_s = max(now_s, self._grants_from_s)
+            allocation = self._allocations[incarnation] = _Allocation(rate_per_s, begins_at_s)
+            log_event(_LOG, "limit_allocated", incarnation=incarnation, rate_per_s=rate_per_s)
         if wanted > 0:
-            known = dealing.askers.setdefault(asker, _Asker(0, now_s))
+            known = allocation.askers.setdefault(asker, _Asker(0, now_s))
             known.wanted = min(MAX_WANTED, wanted)
             known.until_s = now_s + ASK_LIFE_S
 
-    def _deal(self, answers: dict[str, dict[str, int]]) -> None:
-        """Deal out what there is, and send it with the answers that are due anyway."""
+    def _grant(self, answers: dict[str, dict[str, int]]) -> None:
+        """Grant what there is, and send it with the answers that are due anyway."""
         now_s = self._clock()
-        for incarnation, dealing in self._dealings.items():
-            if now_s < self._deals_from_s:
+        for incarnation, allocation in self._allocations.items():
+            if now_s < self._grants_from_s:
                 continue
-            dealing.fill(self._limited[incarnation].rate_per_s, now_s)
-            for name, tokens in dealing.deal(now_s).items():
+            allocation.fill(self._limited[incarnation].rate_per_s, now_s)
+            for name, tokens in allocation.grant(now_s).items():
                 answers.setdefault(name, {})[incarnation] = tokens
         own = answers.pop(self._name, None)
         for name, tokens_of in answers.items():
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -48,6 +48,8 @@
     metrics.watch_gauge("upstreams_listed", lambda: sum(1 for _ in state.upstreams))
     metrics.watch_gauge("in_hand", lambda: sum(u.in_hand for u in state.upstreams))
     metrics.watch_gauge("upstreams_resting", lambda: _count_resting(state, loop.time()))
+    metrics.watch_gauge("upstreams_limited", lambda: _count_limited(state))
+    metrics.watch_gauge("requests_suspected", lambda: len(state.crashes.describe()))
     metrics.watch_gauge("waiting", lambda: sum(len(a.waiting) for a in state.admissions.values()))
     metrics.watch_gauge("log_lines_left_out", sources.lines_left_out)
     metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
@@ -78,6 +80,7 @@
         "planners": {
             name: {"changes": p.changes, "copies": p.copies} for name, p in sources.planners.items()
         },
+        "suspected_requests": state.crashes.describe(),
         "upstreams": {
             u.listed.incarnation: {
                 "service": u.listed.service,
@@ -87,6 +90,7 @@
                 "others_in_hand": u.others_in_hand,
                 "is_ejected": u.ejected_until_s > now_s,
                 "rest_left_s": round(u.rest_left_s(now_s), 3),
+                "limit_per_s": u.said.limit_per_s,
             }
             for u in state.upstreams
         },
@@ -97,6 +101,10 @@
     return sum(1 for u in state.upstreams if u.rest_left_s(now_s))
 
 
+def _count_limited(state: GatewayState) -> int:
+    return sum(1 for u in state.upstreams if u.said.limit_per_s is not None)
+
+
 def make_status_handler(sources: StatusSources) -> Handler:
     """Return the handler of the metrics address."""
 
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -246,7 +246,7 @@
             if self._may_send(best):
                 return best
             if wants_tokens and self.tokens is not None:
-                # Where the dealer may not answer, the next best is wanted too.
+                # Where the allocator may not answer, the next best is wanted too.
                 wants_tokens = not self.tokens.want(best.listed.incarnation)
                 if self._may_send(best):
                     return best
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -44,11 +44,11 @@
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """Tell how long ago a request crashed which upstreams, was answered, and was tried again."""
+    """Tell how long ago a request crashed which upstreams, was answered, and was probed with."""
 
     crashes: dict[str, float]
     cleared_age_s: float | None = None
-    trial_age_s: float | None = None
+    probe_age_s: float | None = None
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -101,7 +101,7 @@
 
 
 class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag="a"):
-    """Ask the dealer of limited upstreams for so many tokens of each."""
+    """Ask the allocator of limited upstreams for so many tokens of each."""
 
     sender: str
     wanted: dict[str, int]
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -81,13 +81,13 @@
 
 def _forget_crashes() -> None:
     """Take each coming of a request for a new one."""
-    CrashWatch.judge_request = lambda *args: 0.0  # type: ignore[method-assign]
+    CrashWatch.check_request = lambda *args: 0.0  # type: ignore[method-assign]
     CrashWatch.may_try_again = lambda *args: True  # type: ignore[method-assign]
 
 
-def _deal_to_everyone() -> None:
-    """Have each gateway deal tokens out to itself."""
-    LimitTokens._choose_dealer = lambda tokens, *args: tokens._name  # type: ignore[method-assign]
+def _allocate_to_oneself() -> None:
+    """Have each gateway grant its own tokens."""
+    LimitTokens._choose_allocator = lambda tokens, *args: tokens._name  # type: ignore[method-assign]
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
@@ -100,7 +100,7 @@
     "any_entry": _trust_any_entry,
     "no_signals": _hear_no_signals,
     "no_crashes": _forget_crashes,
-    "own_tokens": _deal_to_everyone,
+    "own_tokens": _allocate_to_oneself,
 }
 LATE = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
 """Those that only the bounds in time can show, of what the store tells."""
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -15,7 +15,7 @@
 from dalehollow.gateway.upstream import Said, Upstream
 from tests.manual_clock import ManualClock
 
-GUILTY, INNOCENT = b"guilty", b"innocent"
+CRASHING, HARMLESS = b"crashing", b"harmless"
 FIRST = ListedUpstream("s0", "desk", "127.0.0.1:9", "hall", 4, False, started_at_ms=1)
 
 
@@ -53,7 +53,7 @@
         return len(suspicion.crashes) if suspicion is not None else 0
 
     def refused_s(self, name: bytes) -> float:
-        return self.watch.judge_request(lambda: name)
+        return self.watch.check_request(lambda: name)
 
 
 def _make_job(target: bytes, account: str, body: bytes) -> Job:
@@ -73,9 +73,9 @@
 def test_a_broken_connection_alone_is_no_crash() -> None:
     desk = _Desk()
     for number in range(5):
-        desk.watch.note_cut(lambda: GUILTY, _upstream(number))
-    assert desk.count(GUILTY) == 0
-    assert desk.refused_s(GUILTY) == 0.0
+        desk.watch.note_cut(lambda: CRASHING, _upstream(number))
+    assert desk.count(CRASHING) == 0
+    assert desk.refused_s(CRASHING) == 0.0
 
 
 def test_the_end_of_an_upstream_that_leaves_is_no_crash() -> None:
@@ -83,10 +83,10 @@
     by_list, by_answer = _upstream(1, is_leaving=True), _upstream(2)
     by_answer.said.is_leaving = True
     for upstream in (by_list, by_answer):
-        desk.watch.note_cut(lambda: GUILTY, upstream)
+        desk.watch.note_cut(lambda: CRASHING, upstream)
         desk.watch.note_dead(upstream.listed)
         desk.watch.note_started(_restart(upstream))
-    assert desk.count(GUILTY) == 0
+    assert desk.count(CRASHING) == 0
 
 
 @pytest.mark.parametrize(
@@ -107,71 +107,71 @@
         started = replace(upstream.listed, **changes)  # type: ignore[arg-type]
         if is_known_before:
             desk.watch.note_started(started)
-        desk.watch.note_cut(lambda: GUILTY, upstream)
+        desk.watch.note_cut(lambda: CRASHING, upstream)
         if not is_known_before:
             desk.watch.note_started(started)
-        assert desk.count(GUILTY) == crashes
+        assert desk.count(CRASHING) == crashes
 
 
 def test_only_what_broke_off_with_it_is_suspected() -> None:
     desk, upstream = _Desk(), _upstream()
-    desk.watch.note_cut(lambda: INNOCENT, upstream)
+    desk.watch.note_cut(lambda: HARMLESS, upstream)
     desk.clock.now_s += 5.0
-    desk.watch.note_cut(lambda: GUILTY, upstream)
+    desk.watch.note_cut(lambda: CRASHING, upstream)
     desk.watch.note_dead(upstream.listed)
-    assert (desk.count(GUILTY), desk.count(INNOCENT)) == (1, 0)
+    assert (desk.count(CRASHING), desk.count(HARMLESS)) == (1, 0)
 
 
 def test_what_broke_off_long_before_is_forgotten() -> None:
     desk, upstream = _Desk(), _upstream()
-    desk.watch.note_cut(lambda: GUILTY, upstream)
+    desk.watch.note_cut(lambda: CRASHING, upstream)
     desk.clock.now_s += crashes_module.RESTART_S + 1
-    desk.watch.note_cut(lambda: INNOCENT, _upstream(1))
+    desk.watch.note_cut(lambda: HARMLESS, _upstream(1))
     desk.watch.note_started(_restart(upstream))
-    assert desk.count(GUILTY) == 0
+    assert desk.count(CRASHING) == 0
 
 
 def test_one_crash_counts_once_however_it_shows() -> None:
     desk, other = _Desk(), _Desk()
     upstream = _upstream()
     for watch in (desk.watch, other.watch):
-        watch.note_cut(lambda: GUILTY, upstream)
+        watch.note_cut(lambda: CRASHING, upstream)
         watch.note_dead(upstream.listed)
         watch.note_started(_restart(upstream))
     for _ in range(3):
         desk.watch.take_told(other.watch.tell())
         other.watch.take_told(desk.watch.tell())
-    assert desk.count(GUILTY) == other.count(GUILTY) == 1
+    assert desk.count(CRASHING) == other.count(CRASHING) == 1
 
 
 def test_crashes_seen_by_several_gateways_add_up_everywhere() -> None:
     desks = [_Desk() for _ in range(4)]
     for number in range(3):
-        desks[number].crash(number, GUILTY)
+        desks[number].crash(number, CRASHING)
     for sender in desks[:3]:
         for desk in desks:
             desk.watch.take_told(sender.watch.tell())
-    assert [desk.count(GUILTY) for desk in desks] == [3] * 4
-    assert all(desk.refused_s(GUILTY) > 0 for desk in desks)
+    assert [desk.count(CRASHING) for desk in desks] == [3] * 4
+    assert all(desk.refused_s(CRASHING) > 0 for desk in desks)
 
 
 def test_an_answer_clears_at_every_gateway() -> None:
     desk, other = _Desk(), _Desk()
     for number in range(2):
-        desk.crash(number, GUILTY, INNOCENT)
+        desk.crash(number, CRASHING, HARMLESS)
     other.watch.take_told(desk.watch.tell())
     before = desk.watch.tell()
     for gateway in (desk, other):
         gateway.clock.now_s += 1.0
-    desk.watch.note_answered(INNOCENT)
+    desk.watch.note_answered(HARMLESS)
     other.watch.take_told(desk.watch.tell())
-    assert other.count(INNOCENT) == 0
+    assert other.count(HARMLESS) == 0
     # What a third gateway knew before takes nothing back.
     late = {name: replace_ages(suspicion, 1.0) for name, suspicion in before.items()}
     other.watch.take_told(late)
     desk.watch.take_told(late)
-    assert (desk.count(INNOCENT), other.count(INNOCENT)) == (0, 0)
-    assert (desk.count(GUILTY), other.count(GUILTY)) == (2, 2)
+    assert (desk.count(HARMLESS), other.count(HARMLESS)) == (0, 0)
+    assert (desk.count(CRASHING), other.count(CRASHING)) == (2, 2)
 
 
 def test_what_many_callers_send_is_not_suspected_for_being_there() -> None:
@@ -180,17 +180,17 @@
     for number in range(4):
         upstream = _upstream(number)
         for gateway in (desk, other):
-            gateway.watch.note_cut(lambda: INNOCENT, upstream)
-            gateway.watch.note_cut(lambda: GUILTY, upstream)
+            gateway.watch.note_cut(lambda: HARMLESS, upstream)
+            gateway.watch.note_cut(lambda: CRASHING, upstream)
         # Only one of the gateways sees it answered.
-        desk.watch.note_answered(INNOCENT)
+        desk.watch.note_answered(HARMLESS)
         for gateway in (desk, other):
             gateway.clock.now_s += 1.0
             gateway.watch.note_started(_restart(upstream))
         desk.watch.take_told(other.watch.tell())
         other.watch.take_told(desk.watch.tell())
-    assert (desk.count(GUILTY), other.count(GUILTY)) == (4, 4)
-    assert (desk.count(INNOCENT), other.count(INNOCENT)) == (0, 0)
+    assert (desk.count(CRASHING), other.count(CRASHING)) == (4, 4)
+    assert (desk.count(HARMLESS), other.count(HARMLESS)) == (0, 0)
 
 
 def replace_ages(suspicion: crashes_module.Suspicion, more_s: float) -> crashes_module.Suspicion:
@@ -201,43 +201,43 @@
 
 def test_two_crashes_end_the_tries_of_a_request_and_three_its_comings() -> None:
     desk = _Desk()
-    desk.crash(0, GUILTY)
-    assert desk.watch.may_try_again(lambda: GUILTY)
-    desk.crash(1, GUILTY)
-    assert not desk.watch.may_try_again(lambda: GUILTY)
-    assert desk.refused_s(GUILTY) == 0.0
-    desk.crash(2, GUILTY)
-    assert desk.refused_s(GUILTY) == pytest.approx(crashes_module.REFUSED_S)
+    desk.crash(0, CRASHING)
+    assert desk.watch.may_try_again(lambda: CRASHING)
+    desk.crash(1, CRASHING)
+    assert not desk.watch.may_try_again(lambda: CRASHING)
+    assert desk.refused_s(CRASHING) == 0.0
+    desk.crash(2, CRASHING)
+    assert desk.refused_s(CRASHING) == pytest.approx(crashes_module.REFUSED_S)
 
 
-def test_one_trial_at_a_time_follows_and_longer_refusals_follow_it() -> None:
+def test_one_probe_at_a_time_follows_and_longer_refusals_follow_it() -> None:
     desk, other = _Desk(), _Desk()
     for number in range(3):
-        desk.crash(number, GUILTY)
+        desk.crash(number, CRASHING)
     waits_s = []
     for number in range(3, 6):
-        refused_s = desk.refused_s(GUILTY)
+        refused_s = desk.refused_s(CRASHING)
         waits_s.append(refused_s)
         desk.clock.now_s += refused_s + 0.1
         other.clock.now_s = desk.clock.now_s
         other.watch.take_told(desk.watch.tell())
-        assert desk.refused_s(GUILTY) == 0.0
-        assert desk.refused_s(GUILTY) > 0.0
+        assert desk.refused_s(CRASHING) == 0.0
+        assert desk.refused_s(CRASHING) > 0.0
         other.watch.take_told(desk.watch.tell())
-        assert other.refused_s(GUILTY) > 0.0
-        desk.crash(number, GUILTY)
+        assert other.refused_s(CRASHING) > 0.0
+        desk.crash(number, CRASHING)
     assert waits_s == pytest.approx([60.0, 240.0, 960.0])
 
 
-def test_a_trial_that_is_answered_ends_the_refusals() -> None:
+def test_a_probe_that_is_answered_ends_the_refusals() -> None:
     desk = _Desk()
     for number in range(3):
-        desk.crash(number, INNOCENT)
+        desk.crash(number, HARMLESS)
     desk.clock.now_s += crashes_module.REFUSED_S + 0.1
-    assert desk.refused_s(INNOCENT) == 0.0
-    desk.watch.note_answered(INNOCENT)
-    assert desk.refused_s(INNOCENT) == 0.0
-    assert desk.count(INNOCENT) == 0
+    assert desk.refused_s(HARMLESS) == 0.0
+    desk.watch.note_answered(HARMLESS)
+    assert desk.refused_s(HARMLESS) == 0.0
+    assert desk.count(HARMLESS) == 0
 
 
 def test_suspicions_are_bounded_and_forgotten() -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -108,7 +108,7 @@
                 server.ways, server.reached = [Way.HANG], asyncio.Event()
             connections = [await bench.connect() for _ in range(UPSTREAMS)]
             beside = [
-                asyncio.ensure_future(bench.ask("/pay/1", connection=c, body=b"innocent"))
+                asyncio.ensure_future(bench.ask("/pay/1", connection=c, body=b"harmless"))
                 for c in connections
             ]
             for server in bench.servers.values():
@@ -120,7 +120,7 @@
                 connection.abort()
             for server in bench.servers.values():
                 server.ways = []
-            assert (await bench.ask("/pay/1", body=b"innocent")).status == 200
+            assert (await bench.ask("/pay/1", body=b"harmless")).status == 200
             assert (await bench.ask("/pay/1")).status == 200
 
     run_bench(scenario)
--- a/tests/test_limits_at_size.py
+++ b/tests/test_limits_at_size.py
@@ -123,12 +123,12 @@
     assert _used_share(world.servers["s0"], 6.0) >= USED_SHARE / 2
 
 
-def test_another_gateway_deals_once_the_dealer_is_gone() -> None:
-    def end_dealer(world: LimitWorld) -> None:
-        (dealer,) = (g.name for g in world.gateways.values() if g.tokens._dealings)
-        world.end(dealer)
+def test_another_gateway_allocates_once_the_allocator_is_gone() -> None:
+    def end_allocator(world: LimitWorld) -> None:
+        (allocator,) = (g.name for g in world.gateways.values() if g.tokens._allocations)
+        world.end(allocator)
 
-    world = _play(EIGHT, {"s0": Server("a", 4.0)}, rate_per_s=2.0, happen=end_dealer)
+    world = _play(EIGHT, {"s0": Server("a", 4.0)}, rate_per_s=2.0, happen=end_allocator)
     assert _most(world.servers["s0"]) <= count_allowed(4.0)
     assert _used_share(world.servers["s0"], 4.0) >= USED_SHARE
 
