Show that the soak finds each promise about what servers say broken

Doctored ledgers for rests, leaving, limits and crashing requests, each just within and just beyond what is allowed, and none for who was disturbed.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,9 +10,19 @@
 import pytest
 
 from soak.__main__ import play
-from soak.faults import BROKEN_MODES, LATE_CHAINS, PLAYS, draw_faults
-from soak.promises import PLAIN_BODY, TRAP, Arrival, Asked, Ledger, find_violations
+from soak.faults import BROKEN_MODES, LATE_CHAINS, PLAYS, SIGNAL_CHAINS, draw_faults
+from soak.promises import (
+    CRASHING_ID,
+    PLAIN_BODY,
+    TRAP,
+    Arrival,
+    Asked,
+    Ledger,
+    Told,
+    find_violations,
+)
 from soak.proxy import Mode
+from soak.signal_promises import check_signals
 
 GOOD = Asked("r1", "read", "gw", 1, 10.0, 10.1, 200, True, PLAIN_BODY, "r1")
 VERSION = replace(GOOD, kind="version", version=2)
@@ -126,6 +136,61 @@
     assert found == (["configuration in time"] if is_broken else [])
 
 
+def _told(name: str, value: float, *after_s: float, sent_s: float = 0.0) -> Ledger:
+    """Have a server say something at 10 s, and get more requests of that gateway so long after."""
+    ledger = _ledger(GOOD)
+    ledger.told.append(Told("s1", "r1", name, value, 10.0))
+    ledger.arrivals["s1"].append(Arrival(10.0, "r1"))
+    for number, late_s in enumerate(after_s):
+        name_of = f"late-{number}"
+        sent_at_s = 10.0 + (sent_s or late_s)
+        ledger.asked.append(replace(GOOD, request_id=name_of, sent_at_s=sent_at_s))
+        ledger.arrivals["s1"].append(Arrival(10.0 + late_s, name_of))
+        if name == "server-limit":
+            ledger.told.append(Told("s1", name_of, name, value, 10.0 + late_s))
+    return ledger
+
+
+def _crashed(*after_s: float) -> Ledger:
+    """Have three servers crash until 10 s, and the request that did it come again."""
+    ledger = _ledger()
+    ledger.crashes_at_s += [8.0, 9.0, 10.0]
+    for number, late_s in enumerate(after_s):
+        name = f"{CRASHING_ID}{number}"
+        ledger.asked.append(replace(GOOD, request_id=name, sent_at_s=10.0 + late_s))
+        ledger.arrivals["s1"].append(Arrival(10.0 + late_s, name))
+    return ledger
+
+
+SPREAD = [3.1 + 0.3 * number for number in range(13)]
+
+
+@pytest.mark.parametrize(
+    ("ledger", "broken"),
+    [
+        (_told("retry-after", 3.0, 0.6, 1.0, 1.5), ["rest"]),
+        (_told("retry-after", 3.0, 0.1, 0.2, 0.4, 0.6, 1.0), []),
+        (_told("retry-after", 3.0, 0.6, 3.1, 3.2), []),
+        (_told("server-leaving", 1.0, 2.5), ["no new work when an answer said that it leaves"]),
+        (_told("server-leaving", 1.0, 1.5), []),
+        (_told("server-leaving", 1.0, 4.0, sent_s=1.0), []),
+        (_told("server-limit", 1.0, *SPREAD), ["limit"]),
+        (_told("server-limit", 1.0, *SPREAD[:11]), []),
+        (_told("server-limit", 4.0, *SPREAD), []),
+        (_crashed(4.0, 5.0, 6.0, 7.0), ["crashing request"]),
+        (_crashed(1.0, 2.0, 3.0, 4.0, 5.0), []),
+    ],
+)
+def test_what_servers_say_is_held_to(ledger: Ledger, broken: list[str]) -> None:
+    assert [v.promise for v in check_signals(ledger)] == broken
+    for disturbed in ("gw", "s1"):
+        if disturbed == "s1" and broken == ["crashing request"]:
+            continue
+        ledger.disturbed[disturbed].append((0.0, 99.0))
+        assert list(check_signals(ledger)) == []
+        ledger.disturbed.clear()
+
+
 def test_faults_of_every_kind_are_drawn_and_the_same_for_a_seed() -> None:
     drawn = draw_faults(random.Random(1), 10.0, 200)
     assert {fault.kind for fault in drawn} == set(PLAYS)
@@ -133,7 +198,7 @@
 
 
 def test_the_late_chains_are_made_of_known_faults_and_aim_where_they_say() -> None:
-    faults = [fault for chain in LATE_CHAINS.values() for fault in chain]
+    faults = [fault for chain in (LATE_CHAINS | SIGNAL_CHAINS).values() for fault in chain]
     assert {fault.kind for fault in faults} <= set(PLAYS)
     silent = LATE_CHAINS["the relay's way to the store silent"][0]
     assert silent.target % 4 == 0
