Tell other halls of limits and suspicions apart from the sums of loads

Callers would see, at the size in two years: an upstream with a limit, or one request that crashes upstreams, known in other halls after up to 13 s, where 3 s are allowed.

Cause: both went with the sum of a hall's load, which goes the more seldom the larger it is.

Change: a message of their own, sent while there is something to tell, four times a second at most and within half of the bytes for other halls; passed on as sums are.

Ruled out: a larger budget for the sums (15 KB each at that size).

Measured: the new test of it is red on the code before (nothing goes to another hall while no sum is due).

--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -2,7 +2,8 @@
 
 Within a hall a load report goes to each gateway when something has changed, and a few times a
 second without a change. To every other hall one gateway, as a rule the relay, sends one report of
-all that its hall has in hand; the gateway that gets it passes it on within its own. It is soft
+all that its hall has in hand, and what it knows of limits and of requests that crash upstreams;
+the gateway that gets it passes it on within its own. It is soft
 state: a lost datagram is made up for by the next, and who falls silent is forgotten.
 """
 
@@ -29,6 +30,7 @@
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.protocol.reports import (
     HallReport,
+    HallSignals,
     Limit,
     LoadReport,
     PeerMessage,
@@ -50,6 +52,8 @@
 """Reports of halls are kept within a budget of bytes, so they come more seldom."""
 LIMIT_END_TOLD_S = 10.0
 """That an upstream has no limit any more is told for so long: other halls hear of it in time."""
+SIGNALS_SHARE = 0.5
+"""Of the bytes to other halls so much may go to limits and suspicions beside the sums of loads."""
 SPEAKER_SILENT_S = 1.0
 """A gateway of another hall that was not heard for so long is no more the one to send to."""
 
@@ -108,7 +112,7 @@
         self._name = name
         self._hall = hall
         self._far_bytes_per_s = far_bytes_per_s
-        self._far_from_s = 0.0
+        self._far_from_s = self._signals_from_s = 0.0
         self._upstreams = upstreams
         self._health = health
         self._on_change = on_change
@@ -142,6 +146,8 @@
             self._take_load(message, addr)
         elif isinstance(message, HallReport):
             self._take_hall(message, addr)
+        elif isinstance(message, HallSignals):
+            self._take_hall_signals(message)
         elif isinstance(message, TokenAsk):
             if self.tokens is not None:
                 self.tokens.take_ask(message, addr[:2])
@@ -235,8 +241,6 @@
             return
         self._replace(self._hall_reports, report.hall, report.in_hand, HALL_SILENT_AFTER_S)
         self._take_health(report.served_age_s, report.refused_age_s)
-        self._take_limits(report.limits)
-        self._crashes.take_told(report.suspects)
         self._note_view(report.view, None if report.is_passed_on else addr)
         if not report.is_passed_on:
             self._note_heard(report.sender, report.hall, addr)
@@ -246,6 +250,14 @@
             self.send_near(msgspec.structs.replace(report, is_passed_on=True))
         self._on_change()
 
+    def _take_hall_signals(self, signals: HallSignals) -> None:
+        if signals.hall == self._hall:
+            return
+        self._take_limits(signals.limits)
+        self._crashes.take_told(signals.suspects)
+        if not signals.is_passed_on:
+            self.send_near(msgspec.structs.replace(signals, is_passed_on=True))
+
     def _note_heard(self, name: str, hall: str, address: _Address) -> None:
         """Note who speaks: it listens at the port that it sends from."""
         if name:
@@ -304,28 +316,31 @@
             self._name, in_hand, served, refused, unknown, relay, view, limits, suspects
         )
         self.send_near(report)
-        if self._feed.speaks_for_hall() and now_s >= self._far_from_s:
-            total = Counter(in_hand)
-            for reported in self._near_reports.values():
-                total.update(reported.in_hand)
-            total_report = HallReport(
-                self._hall,
-                dict(total),
-                served,
-                refused,
-                sender=self._name,
-                view=view,
-                limits=limits,
-                suspects=suspects,
+        if not self._feed.speaks_for_hall():
+            return
+        if now_s >= self._far_from_s:
+            total = HallReport(
+                self._hall, self._sum_hall(in_hand), served, refused, sender=self._name, view=view
             )
-            self._send_halls(total_report, now_s)
-
-    def _send_halls(self, report: HallReport, now_s: float) -> None:
-        data = msgspec.msgpack.encode(report)
+            self._far_from_s = now_s + self._send_halls(total, now_s) / self._far_bytes_per_s
+        if (limits or suspects) and now_s >= self._signals_from_s:
+            size = self._send_halls(HallSignals(self._hall, limits, suspects), now_s)
+            pause_s = size / (SIGNALS_SHARE * self._far_bytes_per_s)
+            self._signals_from_s = now_s + max(IDLE_INTERVAL_S, pause_s)
+
+    def _sum_hall(self, in_hand: Mapping[str, int]) -> dict[str, int]:
+        """Return what all gateways of the hall have in hand, with this one's own."""
+        total = Counter(in_hand)
+        for reported in self._near_reports.values():
+            total.update(reported.in_hand)
+        return dict(total)
+
+    def _send_halls(self, message: HallReport | HallSignals, now_s: float) -> int:
+        """Send a message to each other hall; return the bytes that this takes."""
+        data = msgspec.msgpack.encode(message)
         for hall in self._far.values():
             self._send(data, hall.choose_address(now_s))
-        size = (len(data) + DATAGRAM_HEAD_BYTES) * len(self._far)
-        self._far_from_s = now_s + size / self._far_bytes_per_s
+        return (len(data) + DATAGRAM_HEAD_BYTES) * len(self._far)
 
     def _send(self, data: bytes, address: _Address) -> None:
         if self._transport is not None:
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -83,9 +83,18 @@
     # The gateway that speaks for its hall.
     sender: str = ""
     view: StoreView | None = None
-    limits: dict[str, Limit] = {}
-    # Of requests that may crash upstreams, by fingerprint.
-    suspects: dict[bytes, Suspicion] = {}
+
+
+class HallSignals(msgspec.Struct, frozen=True, array_like=True, tag="i"):
+    """Tell another hall the limits of upstreams and the requests that may crash them.
+
+    Apart from the sums of loads, which go the more seldom the larger they are.
+    """
+
+    hall: str
+    limits: dict[str, Limit]
+    suspects: dict[bytes, Suspicion]
+    is_passed_on: bool = False
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -113,7 +122,7 @@
     tokens: dict[str, int]
 
 
-PeerMessage = LoadReport | HallReport | StoreChanges | TokenAsk | TokenGrant
+PeerMessage = LoadReport | HallReport | HallSignals | StoreChanges | TokenAsk | TokenGrant
 
 _CHANGES = msgspec.msgpack.Decoder(tuple[Change, ...])
 MAX_UNPACKED_BYTES = 1 << 23
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -18,7 +18,14 @@
 from dalehollow.gateway.members import HEARD_LIFE_S, Members
 from dalehollow.gateway.reports import PeerReports
 from dalehollow.gateway.upstreams import UpstreamSet
-from dalehollow.protocol.reports import HallReport, LoadReport, PeerMessage
+from dalehollow.protocol.reports import (
+    HallReport,
+    HallSignals,
+    Limit,
+    LoadReport,
+    PeerMessage,
+    Suspicion,
+)
 from tests.gateway_bench import replaced
 from tests.manual_clock import ManualClock
 
@@ -43,6 +50,7 @@
     socket: _Sent
     clock: ManualClock
     members: Members
+    crashes: CrashWatch
 
     def receive(self, message: PeerMessage, address: tuple[str, int] = NEAR) -> None:
         self.reports.datagram_received(msgspec.msgpack.encode(message), address)
@@ -66,6 +74,7 @@
         clock = ManualClock()
         feed = HallFeed("gw", clock, random.Random(1), lambda c: peer_reports.send_near(c))
         members = Members(clock, lambda name, member: peer_reports.note_member(name, member))
+        crashes = CrashWatch(clock, lambda: None)
         peer_reports = PeerReports(
             "gw",
             "hall-1",
@@ -76,11 +85,11 @@
             feed=feed,
             copies=StoreCopies(feed, random.Random(1)),
             members=members,
-            crashes=CrashWatch(lambda: 0.0, lambda: None),
+            crashes=crashes,
         )
         socket = _Sent()
         peer_reports._transport = socket  # type: ignore[assignment]
-        bench = _Bench(peer_reports, upstreams, feed, socket, clock, members)
+        bench = _Bench(peer_reports, upstreams, feed, socket, clock, members, crashes)
         for name, address, hall in (
             ("near", NEAR, "hall-1"),
             ("near-2", NEAR_2, "hall-1"),
@@ -229,3 +238,44 @@
         assert not any(isinstance(m, HallReport) for m, _ in bench.socket.sent)
 
     _run(scenario)
+
+
+def test_limits_and_suspicions_do_not_wait_for_the_sums_of_loads() -> None:
+    """At the size in two years a sum goes to another hall once in 13 s; these have 3 s."""
+
+    async def scenario(bench: _Bench) -> None:
+        bench.upstreams.put(_make_upstream("s1"))
+        (upstream,) = bench.upstreams
+        bench.become_relay()
+        bench.reports._far_from_s = float("inf")
+        bench.reports._report()
+        assert {address for _, address in bench.socket.sent} == {NEAR, NEAR_2}
+        bench.socket.sent.clear()
+        bench.upstreams.note_limit(upstream, 2.0, asyncio.get_running_loop().time())
+        bench.reports._report()
+        told = [m for m, address in bench.socket.sent if address in (FAR, FAR_2)]
+        assert len(told) == 1 and isinstance(told[0], HallSignals)
+        assert told[0].limits["s1"].rate_per_s == 2.0
+        bench.reports._report()
+        assert len([a for _, a in bench.socket.sent if a in (FAR, FAR_2)]) == 1
+
+    _run(scenario)
+
+
+def test_what_another_hall_tells_of_limits_goes_no_further_than_this_one() -> None:
+    async def scenario(bench: _Bench) -> None:
+        bench.upstreams.put(_make_upstream("s1"))
+        suspicion = Suspicion({"s9": 0.1, "s8": 0.1, "s7": 0.1})
+        message = HallSignals("hall-2", {"s1": Limit(2.0, 0.1)}, {b"f": suspicion})
+        bench.receive(message, FAR)
+        (upstream,) = bench.upstreams
+        assert upstream.said.limit_per_s == 2.0
+        assert bench.crashes.check_request(lambda: b"f") > 0
+        passed_on = msgspec.structs.replace(message, is_passed_on=True)
+        assert bench.socket.sent == [(passed_on, NEAR), (passed_on, NEAR_2)]
+        bench.socket.sent.clear()
+        bench.receive(passed_on)
+        bench.receive(msgspec.structs.replace(message, hall="hall-1"))
+        assert bench.socket.sent == []
+
+    _run(scenario)
