Grant no place to a caller that has just left

Callers would see: fewer and fewer places, since one that was granted while its caller left stayed taken for good.

Cause: with the change of how waits are ended a place was counted before it was looked whether the wait still stood.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -156,6 +156,9 @@
         if not self.waiting or self.is_broken():
             return
         for waiter in sorted(self.waiting, key=lambda w: w.order_s):
+            if waiter.granted.done():
+                # Its caller has left, and the task that waits will notice.
+                continue
             upstream = self._find(waiter.tried)
             if upstream is not None:
                 self._end_wait(waiter, self._count(upstream))
@@ -167,8 +170,7 @@
 
     def _end_wait(self, waiter: _Waiter, outcome: Upstream | NoPlace) -> None:
         self.waiting.remove(waiter)
-        if not waiter.granted.done():
-            waiter.granted.set_result(outcome)
+        waiter.granted.set_result(outcome)
 
     def _list_candidates(self, tried: Collection[str]) -> list[Upstream]:
         """Return the upstreams that are left for a request, however long it waits."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -125,6 +125,22 @@
     _run(scenario)
 
 
+def test_a_place_that_comes_as_a_caller_leaves_stays_free() -> None:
+    async def scenario(desk: _Desk) -> None:
+        places = [await desk.take() for _ in range(SLOTS)]
+        leaving, staying = await desk.wait(), await desk.wait()
+        leaving.cancel()
+        place = places[0]
+        assert isinstance(place, Upstream)
+        # Before the task that waits has noticed.
+        desk.admission.give_back(place)
+        assert isinstance(await staying, Upstream)
+        await asyncio.gather(leaving, return_exceptions=True)
+        assert sum(u.in_hand for u in desk.upstreams) == SLOTS
+
+    _run(scenario)
+
+
 def test_a_wait_that_would_be_too_long_is_refused_at_once() -> None:
     async def scenario(desk: _Desk) -> None:
         for _ in range(SLOTS):
