End no limit by a try that brought no answer

Callers would see: an upstream in need that gets requests as fast as it answers them, after any lost connection to it.

Cause: a try without an answer of the upstream's own carried signals that say nothing, and nothing said was taken for an answer without a limit.

Ruled out: a limit that ends in time by itself; it holds for as long as answers say so.

Measured: the new test fails on the code before (no limit after a cut and after a 421) and passes.

--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -8,7 +8,7 @@
 from dalehollow.aio import AnswerHead, ClientConnection, ConnectError, CutError, connect
 from dalehollow.gateway.admit import Job
 from dalehollow.gateway.headers import HOP_HEADERS, HeaderNames
-from dalehollow.gateway.signals import NO_SIGNALS, Signals, read_signals
+from dalehollow.gateway.signals import Signals, read_signals
 from dalehollow.gateway.upstream import Move, Upstream
 
 _MS_PER_S = 1000
@@ -21,21 +21,22 @@
 
     connection: ClientConnection
     head: AnswerHead
-    signals: Signals = NO_SIGNALS
+    signals: Signals
 
 
 @dataclass(frozen=True)
 class NotRun:
     """Hold that an upstream surely did not run the request, and why.
 
-    `is_group_broken` says that the refusal is about another rank of its group.
+    `is_group_broken` says that the refusal is about another rank of its group. Without an answer of
+    the upstream's own there are no signals.
     """
 
     reason: str
     is_unreachable: bool = False
     is_other_upstream: bool = False
     is_group_broken: bool = False
-    signals: Signals = NO_SIGNALS
+    signals: Signals | None = None
 
 
 @dataclass(frozen=True)
@@ -43,7 +44,7 @@
     """Hold that nobody can tell whether the request ran."""
 
     reason: str
-    signals: Signals = NO_SIGNALS
+    signals: None = None
 
 
 AttemptResult = Answered | NotRun | MayHaveRun
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -127,7 +127,8 @@
                 await self._note_cut(upstream, move)
             if isinstance(result, NotRun):
                 progress.may_have_run = was_unsure
-            state.note_signals(upstream, result.signals)
+            if result.signals is not None:
+                state.note_signals(upstream, result.signals)
             if move.is_asked and not isinstance(result, Answered):
                 self._note_attempt(upstream, "attempt_moved", str(move.why))
                 return False
--- a/dalehollow/gateway/signals.py
+++ b/dalehollow/gateway/signals.py
@@ -29,9 +29,6 @@
     unusable: tuple[bytes, ...] = ()
 
 
-NO_SIGNALS = Signals()
-
-
 def read_signals(head: AnswerHead, names: HeaderNames) -> Signals:
     """Return what an answer says of the upstream that gave it.
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dalehollow.aio import AnswerHead
-from dalehollow.gateway.signals import MAX_REST_S, NO_SIGNALS, read_signals
+from dalehollow.gateway.signals import MAX_REST_S, Signals, read_signals
 from dalehollow.platform.names import HEADERS
 
 UNUSABLE = (
@@ -60,7 +60,7 @@
 
 @pytest.mark.parametrize("status", [200, 429, 500])
 def test_only_a_refusal_for_the_upstreams_own_sake_asks_for_rest(status: int) -> None:
-    assert read_signals(_head(("retry-after", "3"), status=status), HEADERS) == NO_SIGNALS
+    assert read_signals(_head(("retry-after", "3"), status=status), HEADERS) == Signals()
 
 
 @pytest.mark.parametrize("value", UNUSABLE)
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -17,7 +17,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, connect
 from standins.platform import listen
-from standins.server import ServerStandIn
+from standins.server import ServerStandIn, Way
 from tests.gateway_bench import (
     TIMEOUT_S,
     GatewayBench,
@@ -113,3 +113,26 @@
             task.cancel()
 
     run_bench(scenario)
+
+
+@pytest.mark.parametrize("way", [Way.CUT_UNANSWERED, Way.OTHER_SERVER])
+def test_only_an_answer_without_it_ends_a_limit(way: Way) -> None:
+    """A try that brought no answer of the upstream's own says nothing of its limit."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        limited = await _add_limited(bench, "50")
+        (upstream,) = bench.gateway.state.upstreams
+        await bench.ask("/open/1")
+        assert upstream.said.limit_per_s == 50.0
+        limited.ways = [way]
+        while limited.ways:
+            # Tokens come with time.
+            await bench.ask("/open/1")
+        assert upstream.said.limit_per_s == 50.0
+        limited.ways, limited.says = [], []
+        while (await bench.ask("/open/1")).status != 200:
+            await asyncio.sleep(0.01)
+        assert upstream.said.limit_per_s is None
+
+    run_bench(scenario)
