--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
     "choice": "time to the first token under ways to choose an upstream",
     "footprint": "resident memory of idle processes, small and at the target's size",
     "lateness": "how late a configuration comes through chains of failures and random schedules",
+    "limits": "how well 9 to 360 gateways keep to and use the limit of an upstream",
     "relay": "tokens relayed by one entry: rate, processor time, added latency",
     "shares": "account limits: what a large account costs the small ones, and the sum of shares",
     "skew": "step-time skew against moved weights over drifting demand",
