--- a/soak/faults.py
+++ b/soak/faults.py
@@ -244,10 +244,7 @@
     name = _choose_server(world, fault)
     world.proxies[name].set_mode(Mode.RESET)
     await _disturb(world, name, fault)
-    world.proxies[name].set_mode(Mode.PASS)
-    world.born_ms[name] += 1
-    if name not in world.ledger.leaving_at_s:
-        world.write_entry(name, "ready")
+    world.restart_server(name)
 
 
 async def _restore_store(world: World, fault: Fault) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -199,9 +199,10 @@
         self.ledger.crashes_at_s.append(now_s)
         self.ledger.disturbed[name].append((now_s, now_s + RESTART_S))
         self.proxies[name].set_mode(Mode.RESET)
-        asyncio.get_running_loop().call_later(RESTART_S, self._restart_server, name)
+        asyncio.get_running_loop().call_later(RESTART_S, self.restart_server, name)
 
-    def _restart_server(self, name: str) -> None:
+    def restart_server(self, name: str) -> None:
+        """Have a server that was down start again under the name that it had."""
         self.proxies[name].set_mode(Mode.PASS)
         self.born_ms[name] += 1
         if name not in self.ledger.leaving_at_s:
