Keep one piece for windows of a limit, worlds that begin and paths that break

Found by reading the change again: how many requests fall into a window and how many a limit allows stood in the soak and in the tests, the beginning of a world of halls in two places, and the breaking of paths to the store in two. The soak's own functions are now what tests and the benchmark call; bounds and assertions are as they were.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -17,8 +17,8 @@
 from dalehollow.gateway.limit_tokens import Address
 from dalehollow.gateway.reports import DATAGRAM_HEAD_BYTES
 from dalehollow.protocol.reports import PeerMessage
+from soak.signal_promises import count_allowed, count_most
 from tests.limit_world import LimitWorld, Server
-from tests.test_upstream_limits import count_allowed, count_most
 from tests.virtual_time import run_virtual
 
 _Send = Callable[[PeerMessage, Address], None]
--- a/soak/signal_promises.py
+++ b/soak/signal_promises.py
@@ -81,12 +81,18 @@
             for arrival, _ in _list_after(ledger, asked, told, until_s):
                 if arrival.at_s > tolds[0].at_s + CONTACT_S:
                     counted[arrival.request_id] = arrival.at_s
-        most = _count_most(list(counted.values()))
-        if most > 1.5 * tolds[0].value * WINDOW_S + 5:
+        most = count_most(list(counted.values()))
+        if most > count_allowed(tolds[0].value):
             yield Violation("limit", f"{most} requests within {WINDOW_S} s at {server}")
 
 
-def _count_most(times_s: Sequence[float]) -> int:
+def count_allowed(limit_per_s: float) -> float:
+    """Return how many requests may reach an upstream in some window of time."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+def count_most(times_s: Sequence[float]) -> int:
+    """Return how many of some moments fall into the fullest window."""
     return max((sum(0 <= t - at_s <= WINDOW_S for t in times_s) for at_s in times_s), default=0)
 
 
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -278,6 +278,15 @@
         ]
         return gateway
 
+    def begin(self, halls: Mapping[str, str], upstreams: Iterable[str]) -> None:
+        """Apply a configuration, list upstreams, and start gateways, each named by a letter."""
+        self.apply()
+        for incarnation in upstreams:
+            self.write_upstream(incarnation, "ready")
+        for hall, names in halls.items():
+            for name in names:
+                self.start(name, hall)
+
     async def end(self, name: str) -> None:
         """End a gateway at once, as a kill would."""
         gateway = self.gateways.pop(name)
@@ -470,12 +479,7 @@
     use_world(world, monkeypatch)
 
     async def main() -> None:
-        world.apply()
-        for incarnation in upstreams:
-            world.write_upstream(incarnation, "ready")
-        for hall, names in halls.items():
-            for name in names:
-                world.start(name, hall)
+        world.begin(halls, upstreams)
         await asyncio.sleep(SETTLE_S)
         try:
             await scenario(world)
--- a/tests/late_schedules.py
+++ b/tests/late_schedules.py
@@ -279,12 +279,7 @@
     use_world(world, monkeypatch)
 
     async def main() -> list[Miss]:
-        world.apply()
-        for upstream in UPSTREAMS:
-            world.write_upstream(upstream, "ready")
-        for hall, names in HALLS.items():
-            for name in names:
-                world.start(name, hall)
+        world.begin(HALLS, UPSTREAMS)
         await asyncio.sleep(SETTLE_S)
         events = [
             asyncio.ensure_future(_play_later(world, rng, rng.uniform(0.0, LENGTH_S)))
--- a/tests/test_limits_at_size.py
+++ b/tests/test_limits_at_size.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from soak.signal_promises import count_allowed, count_most
 from tests.limit_world import LimitWorld, Server
-from tests.test_upstream_limits import count_allowed, count_most
 from tests.virtual_time import run_virtual
 
 CONTACT_S = 3.0
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -11,11 +11,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 
 import pytest
 
 from dalehollow.aio import CallerConnection, CallerRequest, connect
+from soak.signal_promises import count_allowed, count_most
 from standins.platform import listen
 from standins.server import ServerStandIn, Way
 from tests.gateway_bench import (
@@ -28,23 +28,10 @@
     start_gateway,
 )
 
-WINDOW_S = 4.0
 LEARNED_S = 0.5
 """What comes later than this after the first answer that named a limit is counted."""
 
 
-def count_allowed(limit_per_s: float) -> float:
-    """Return how many requests may reach an upstream in some window of time."""
-    return 1.5 * limit_per_s * WINDOW_S + 5
-
-
-def count_most(times_s: Sequence[float]) -> int:
-    """Return how many of some moments fall into the fullest window."""
-    return max(
-        (sum(1 for t in times_s if 0 <= t - at_s <= WINDOW_S) for at_s in times_s), default=0
-    )
-
-
 class LimitedServer(ServerStandIn):
     """Note when each request came."""
 
--- a/tests/test_what_gateways_learn.py
+++ b/tests/test_what_gateways_learn.py
@@ -30,8 +30,13 @@
 
 
 async def _refuse(world: HallWorld, names: str, for_s: float) -> None:
+    await _break_paths(world, names, Path.REFUSE, for_s)
+
+
+async def _break_paths(world: HallWorld, names: str, path: Path, for_s: float) -> None:
+    """Break the paths of some gateways to the store for a while."""
     for name in names:
-        world.set_path(name, Path.REFUSE)
+        world.set_path(name, path)
     await asyncio.sleep(for_s)
     for name in names:
         world.set_path(name, Path.PASS)
@@ -90,11 +95,7 @@
     """The calls of the relay, of another gateway or of a hall fail before; others' do not."""
 
     async def scenario(world: HallWorld, names: str, silent_s: float) -> None:
-        for name in names:
-            world.set_path(name, Path.SILENT)
-        await asyncio.sleep(silent_s)
-        for name in names:
-            world.set_path(name, Path.PASS)
+        await _break_paths(world, names, Path.SILENT, silent_s)
         await asyncio.sleep(0.3)
         world.delete_upstream(UPSTREAM)
         await asyncio.sleep(BOUND_S)
