Log and count how the bodies of upstreams' answers are framed and how they end

Lines of finished, cut and broken answers now have the framing, answer_broken also how far the answer had come; a stream that ends inside an event has a line of its own, and answer_bodies_total counts all answers by framing and end. No decision is changed.

--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -10,10 +10,10 @@
 
 import httptools
 
+from dalehollow.aio.framing import BodyFraming, find_framing
 from dalehollow.aio.headers import Headers, find_header
 from dalehollow.aio.sockets import tune_socket
 
-_NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
 MAX_BUFFERED_BYTES = 256 * 1024
 """Reading pauses above this size, so that a slow caller's data stays in the upstream."""
@@ -52,6 +52,11 @@
         """Return the first value of a header."""
         return find_header(self.headers, name)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return what marks the end of the body."""
+        return find_framing(self.status, self.headers)
+
 
 class ClientConnection(asyncio.Protocol):
     """Send requests to one server, one at a time."""
@@ -112,10 +117,9 @@
         self._is_interim = status < _FIRST_FINAL_STATUS
         if self._is_interim:
             return
-        framing = {name for name, _ in headers}
-        is_framed = bool(framing & {b"content-length", b"transfer-encoding"})
-        self._ends_with_connection = not is_framed and status not in _NO_BODY_STATUSES
-        self._put(ResponseHead(status, headers))
+        head = ResponseHead(status, headers)
+        self._ends_with_connection = head.framing is BodyFraming.CONNECTION
+        self._put(head)
 
     def on_body(self, body: bytes) -> None:
         """Queue a piece of the body; pause reading while too much is buffered."""
--- a/dalehollow/gateway/events.py
+++ b/dalehollow/gateway/events.py
@@ -44,6 +44,11 @@
         self._partial = pending[done:]
         return pending[:done]
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the data after the last complete event."""
+        return len(self._partial)
+
     def flush(self) -> bytes:
         """Return and clear the data after the last complete event."""
         remainder, self._partial = self._partial, b""
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -13,7 +13,7 @@
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.crashes import Fingerprint, make_fingerprint
 from dalehollow.gateway.headers import HOP_HEADERS
-from dalehollow.gateway.outcome import Progress
+from dalehollow.gateway.outcome import AnswerEnd, Progress
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
@@ -181,12 +181,14 @@
         try:
             return await self._relay(upstream, answered)
         except ResponseError as exc:
+            self._record_answer_end(upstream, AnswerEnd.BROKEN)
             await self._handle_broken_connection(upstream, move)
+            body = outcome.describe_body(self._progress)
             if move.is_requested:
-                self._record_attempt(upstream, "attempt_moved", str(move.reason))
+                self._record_attempt(upstream, "attempt_moved", str(move.reason), **body)
             else:
                 self._state.upstreams.record_failure(upstream, self._clock(), is_unreachable=False)
-                self._record_attempt(upstream, "answer_broken", str(exc))
+                self._record_attempt(upstream, "answer_broken", str(exc), **body)
             self._progress.splitter.discard_partial()
             return False
         finally:
@@ -226,6 +228,7 @@
     async def _relay(self, upstream: Upstream, answered: Answered) -> bool:
         """Relay an answer; return False if the request is to be retried instead."""
         head, connection = answered.head, answered.connection
+        self._progress.framing = head.framing
         is_stream = self._job.route.kind is RequestKind.STREAM and head.status == HTTPStatus.OK
         if self._caller.has_sent_head and not is_stream:
             raise ResponseError(
@@ -236,6 +239,7 @@
             upstream.record_answer(failed=False)
         else:
             body = await connection.read_body()
+            self._record_answer_end(upstream, AnswerEnd.COMPLETE)
             self._record_answer_latency()
             if self._record_status(upstream, head) and self._take_retry(is_answered=True):
                 return False
@@ -274,6 +278,8 @@
                     self._record_answer_latency()
                 last_s = now_s
             await self._caller.send_piece(events)
+        end = AnswerEnd.INSIDE_EVENT if splitter.partial_bytes else AnswerEnd.COMPLETE
+        self._record_answer_end(upstream, end)
         await self._caller.send_piece(splitter.flush())
         self._caller.end_stream()
 
@@ -319,7 +325,12 @@
                 retry_after_s=retry_after_s,
             )
 
-    def _record_attempt(self, upstream: Upstream, event: str, reason: str) -> None:
+    def _record_answer_end(self, upstream: Upstream, end: AnswerEnd) -> None:
+        outcome.record_answer_end(self._state, self._job, self._progress, upstream, end)
+
+    def _record_attempt(
+        self, upstream: Upstream, event: str, reason: str, **details: object
+    ) -> None:
         load = upstream.load(self._clock())
         backoff_left_s = self._progress.backoff_left_s
         outcome.record_attempt(
@@ -330,6 +341,7 @@
             reason,
             load=load,
             backoff_left_s=backoff_left_s,
+            **details,
         )
 
 
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.aio import BodyFraming, CallerConnection, CallerRequest
 from dalehollow.gateway.admit import Job, Refusal
 from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.state import GatewayState
@@ -24,6 +25,14 @@
 _LOG = logging.getLogger(__name__)
 
 
+class AnswerEnd(enum.StrEnum):
+    """List how the body of an upstream's answer can end."""
+
+    COMPLETE = "complete"
+    INSIDE_EVENT = "inside_event"
+    BROKEN = "broken"
+
+
 @dataclass
 class Progress:
     """Track the progress of a request; times are seconds on the monotonic clock."""
@@ -36,6 +45,8 @@
     load: float = 0.0
     backoff_left_s: float = 0.0
     is_far: bool = False
+    # Framing of the last answer.
+    framing: BodyFraming | None = None
     first_piece_at_s: float = 0.0
     longest_pause_s: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
@@ -158,6 +169,35 @@
     state.metrics.record_ms("first_piece", first_ms, service=job.service)
 
 
+def record_answer_end(
+    state: GatewayState, job: Job, progress: Progress, upstream: Upstream, end: AnswerEnd
+) -> None:
+    """Count the end of an answer's body, and log one that ended inside an event."""
+    state.metrics.count(
+        "answer_bodies", service=job.service, framing=str(progress.framing), end=end
+    )
+    if end is AnswerEnd.INSIDE_EVENT:
+        log_event(
+            _LOG,
+            "answer_ended_inside_event",
+            logging.WARNING,
+            request=job.request_id.decode("latin-1"),
+            incarnation=upstream.listed.incarnation,
+            **describe_body(progress),
+        )
+
+
+def describe_body(progress: Progress) -> dict[str, object]:
+    """Return the framing of the last answer and how much of a stream was received."""
+    splitter = progress.splitter
+    return {
+        "framing": progress.framing,
+        "events": splitter.count,
+        "last_event": (splitter.last_id or b"").decode("latin-1"),
+        "partial_bytes": splitter.partial_bytes,
+    }
+
+
 def record_attempt(
     state: GatewayState,
     job: Job,
@@ -167,6 +207,7 @@
     *,
     load: float,
     backoff_left_s: float,
+    **details: object,
 ) -> None:
     """Record an attempt without a complete answer."""
     state.metrics.count("attempts_failed", service=job.service, event=event)
@@ -179,6 +220,7 @@
         load=round(load, 2),
         rest_left_s=round(backoff_left_s, 3),
         config_version=job.table_version,
+        **details,
     )
 
 
@@ -196,6 +238,7 @@
         tried=",".join(progress.tried),
         load=round(progress.load, 2),
         is_far=progress.is_far,
+        framing=progress.framing,
         waited_ms=round(progress.waited_s * _MS_PER_S),
         first_ms=first_ms,
         longest_pause_ms=round(progress.longest_pause_s * _MS_PER_S),
