Reproduce a broken-off stream that looks complete, with upstreams that end answers by closing

Servers of the stand-ins can send an answer with a length, in chunks or with neither, end it inside an event, before its first event or with a reset. CallerConnection.begin_stream frames the body as its headers say; the gateway passes the same headers as before.

Whole answers in all framings stay whole, and unframed plain answers that are reset are not passed on.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,8 +12,9 @@
 
 import httptools
 
+from dalehollow.aio.framing import BodyFraming, find_framing
 from dalehollow.aio.headers import Headers, find_header
-from dalehollow.aio.sockets import tune_socket
+from dalehollow.aio.sockets import reset, tune_socket
 
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -84,7 +85,7 @@
         self._began_at_s = 0.0
         self._error_status = 0
         self._head_sent = False
-        self._is_chunked = False
+        self._framing = BodyFraming.NONE
         self.keep_alive = True
         self.is_busy = False
         self.is_disconnected = False
@@ -198,23 +199,22 @@
         length = (b"content-length", str(len(body)).encode())
         self._send_head(status, [*headers, length], body)
 
-    def begin_stream(
-        self, status: int, headers: Iterable[tuple[bytes, bytes]], *, length: int | None
-    ) -> None:
-        """Send the head of a response whose body follows in pieces; chunked without `length`."""
-        self._is_chunked = length is None
-        framing = (
-            (b"transfer-encoding", b"chunked")
-            if length is None
-            else (b"content-length", str(length).encode())
-        )
-        self._send_head(status, [*headers, framing], b"")
+    def begin_stream(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Send the head of a response whose body follows in pieces, framed as `headers` say.
+
+        Without a content-length or transfer-encoding the body ends with the connection.
+        """
+        sent_headers = tuple(headers)
+        self._framing = find_framing(status, sent_headers)
+        if self._framing is BodyFraming.CONNECTION:
+            self.keep_alive = False
+        self._send_head(status, sent_headers, b"")
 
     async def send_piece(self, piece: bytes) -> None:
         """Send a piece of the body; wait while the write buffer is full."""
         if not piece or self._transport is None:
             return
-        if self._is_chunked:
+        if self._framing is BodyFraming.CHUNKED:
             piece = b"%x\r\n%b\r\n" % (len(piece), piece)
         self._transport.write(piece)
         if not self._writable.is_set():
@@ -222,7 +222,7 @@
 
     def end_stream(self) -> None:
         """Terminate a chunked body."""
-        if self._is_chunked and self._transport is not None:
+        if self._framing is BodyFraming.CHUNKED and self._transport is not None:
             self._transport.write(_LAST_CHUNK)
 
     def abort(self) -> None:
@@ -231,6 +231,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Abort the connection with a TCP reset."""
+        self.keep_alive = False
+        if self._transport is not None:
+            reset(self._transport)
+
     @property
     def has_sent_head(self) -> bool:
         """Return whether the response head for the current request was sent."""
@@ -286,7 +292,7 @@
             self._transport.resume_reading()
         return request
 
-    def _send_head(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+    def _send_head(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
         if self._transport is None:
             return
         self._head_sent = True
--- a/dalehollow/aio/sockets.py
+++ b/dalehollow/aio/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time after which unacknowledged bytes break a connection. Longer than three retransmissions at
@@ -11,6 +12,17 @@
 stream."""
 
 
+_LINGER_ON_FOR_0_S = struct.pack("ii", 1, 0)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Abort a connection with a TCP reset, which a peer cannot take for the end of a body."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ON_FOR_0_S)
+    transport.abort()
+
+
 def tune_socket(transport: asyncio.BaseTransport) -> None:
     """Disable Nagle's algorithm and bound how long sent bytes may stay unacknowledged."""
     sock = transport.get_extra_info("socket")
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -261,9 +261,8 @@
         head, connection = answered.head, answered.connection
         splitter = self._progress.splitter
         if not self._caller.has_sent_head:
-            length = head.get(b"content-length")
             self._caller.begin_stream(
-                head.status, _end_to_end_headers(head), length=int(length) if length else None
+                head.status, [*_end_to_end_headers(head), _make_framing_header(head)]
             )
         pass_times = self._state.pass_times_of(upstream.listed)
         last_s = None
@@ -345,5 +344,10 @@
         )
 
 
+def _make_framing_header(head: ResponseHead) -> tuple[bytes, bytes]:
+    length = head.get(b"content-length")
+    return (b"content-length", length) if length else (b"transfer-encoding", b"chunked")
+
+
 def _end_to_end_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
     return [(k, v) for k, v in head.headers if k not in HOP_HEADERS]
--- a/standins/server.py
+++ b/standins/server.py
@@ -12,9 +12,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.aio import BodyFraming, CallerConnection, CallerRequest
 
 EVENT_COUNT = 6
+_CUT_EVENT_COUNT = 2
+_CUT_EVENT_BYTES = 9
+_CHUNKED = (b"transfer-encoding", b"chunked")
 
 
 class ResponseMode(enum.StrEnum):
@@ -28,6 +31,16 @@
     CUT_UNANSWERED = "cut_unanswered"
     CUT_IN_EVENT = "cut_in_event"
     CUT_BODY = "cut_body"
+    # Whole answers with a length, or with neither a length nor chunks.
+    LENGTH = "length"
+    UNFRAMED = "unframed"
+    # Unframed answers whose connection is closed or reset too early.
+    UNFRAMED_CLOSED_IN_EVENT = "unframed_closed_in_event"
+    UNFRAMED_CLOSED_EMPTY = "unframed_closed_empty"
+    UNFRAMED_RESET = "unframed_reset"
+    # Answers that are complete by their framing, though their last event is not.
+    CHUNKED_ENDS_IN_EVENT = "chunked_ends_in_event"
+    LENGTH_ENDS_IN_EVENT = "length_ends_in_event"
     OTHERS_ANSWER_FIRST = "others_answer_first"
     OTHERS_REFUSAL_FIRST = "others_refusal_first"
     SURPLUS = "surplus"
@@ -44,6 +57,51 @@
     return b"".join(make_event(number) for number in range(1, EVENT_COUNT + 1))
 
 
+@dataclass(frozen=True)
+class _StreamShape:
+    """Describe how a stream is framed, where its data stops and how its connection ends.
+
+    `whole_events` is the number of events before the data stops, of which the next one is sent in
+    part if `has_partial_event` is set; None means all events.
+    """
+
+    framing: BodyFraming = BodyFraming.CHUNKED
+    whole_events: int | None = None
+    has_partial_event: bool = False
+    end: Callable[[CallerConnection], None] = CallerConnection.end_stream
+
+    def cut(self, events: list[bytes]) -> list[bytes]:
+        """Return the data to send; a stream of fewer events is sent whole."""
+        if self.whole_events is None or len(events) <= self.whole_events:
+            return events
+        sent = events[: self.whole_events]
+        return [*sent, events[len(sent)][:_CUT_EVENT_BYTES]] if self.has_partial_event else sent
+
+
+def _cut_in_event(framing: BodyFraming, end: Callable[[CallerConnection], None]) -> _StreamShape:
+    return _StreamShape(framing, _CUT_EVENT_COUNT, True, end)
+
+
+_STREAM_SHAPES = {
+    ResponseMode.CUT_IN_EVENT: _cut_in_event(BodyFraming.CHUNKED, CallerConnection.abort),
+    ResponseMode.LENGTH: _StreamShape(BodyFraming.LENGTH),
+    ResponseMode.UNFRAMED: _StreamShape(BodyFraming.CONNECTION),
+    ResponseMode.UNFRAMED_CLOSED_IN_EVENT: _cut_in_event(
+        BodyFraming.CONNECTION, CallerConnection.end_stream
+    ),
+    ResponseMode.UNFRAMED_CLOSED_EMPTY: _StreamShape(BodyFraming.CONNECTION, whole_events=0),
+    ResponseMode.UNFRAMED_RESET: _StreamShape(
+        BodyFraming.CONNECTION, _CUT_EVENT_COUNT, end=CallerConnection.reset
+    ),
+    ResponseMode.CHUNKED_ENDS_IN_EVENT: _cut_in_event(
+        BodyFraming.CHUNKED, CallerConnection.end_stream
+    ),
+    ResponseMode.LENGTH_ENDS_IN_EVENT: _cut_in_event(
+        BodyFraming.LENGTH, CallerConnection.end_stream
+    ),
+}
+
+
 @dataclass
 class ServerStandIn:
     """Hold the requests a server received and executed, and its next responses."""
@@ -137,10 +195,15 @@
             caller.send_response(503, refusal_headers, b"")
             response_headers = response_headers[:2]
         if mode is ResponseMode.CUT_BODY:
-            caller.begin_stream(200, response_headers, length=100)
+            caller.begin_stream(200, [*response_headers, (b"content-length", b"100")])
             await caller.send_piece(b"half")
             caller.abort()
             return
+        if mode in (ResponseMode.UNFRAMED, ResponseMode.UNFRAMED_RESET):
+            caller.begin_stream(200, response_headers)
+            await caller.send_piece(b"whole answer" if mode is ResponseMode.UNFRAMED else b"half")
+            caller.end_stream() if mode is ResponseMode.UNFRAMED else caller.reset()
+            return
         caller.send_response(200, response_headers, b"whole answer")
         if mode is ResponseMode.SURPLUS:
             caller.send_response(200, response_headers, b"once more")
@@ -154,12 +217,19 @@
     ) -> None:
         first_number = int(request.get(b"last-event-id") or b"0") + 1
         response_headers = [*response_headers, (b"content-type", b"text/event-stream")]
-        caller.begin_stream(200, response_headers, length=None)
-        for number in range(first_number, EVENT_COUNT + 1):
-            if mode is ResponseMode.CUT_IN_EVENT and number == first_number + 2:
-                await caller.send_piece(make_event(number)[:9])
-                caller.abort()
-                return
+        events = [make_event(number) for number in range(first_number, EVENT_COUNT + 1)]
+        shape = _STREAM_SHAPES.get(mode, _StreamShape())
+        sent = shape.cut(events)
+        if shape.framing is BodyFraming.CHUNKED:
+            response_headers.append(_CHUNKED)
+        elif shape.framing is BodyFraming.LENGTH:
+            length = sum(map(len, sent))
+            response_headers.append((b"content-length", str(length).encode()))
+        caller.begin_stream(200, response_headers)
+        for piece in sent:
             await asyncio.sleep(self.response_delay_s)
-            await caller.send_piece(make_event(number))
-        caller.end_stream()
+            await caller.send_piece(piece)
+        if sent == events:
+            caller.end_stream()
+        else:
+            shape.end(caller)
--- /dev/null
+++ b/tests/test_answer_ends.py
@@ -0,0 +1,93 @@
+"""Test that an answer which its upstream broke off never looks complete, however it was framed."""
+
+from __future__ import annotations
+
+import pytest
+
+from standins.server import ResponseMode, make_stream_body
+from tests.gateway_bench import GatewayBench, make_config, run_bench
+
+ENDS_IN_EVENT = (
+    ResponseMode.CUT_IN_EVENT,
+    ResponseMode.UNFRAMED_CLOSED_IN_EVENT,
+    ResponseMode.CHUNKED_ENDS_IN_EVENT,
+    ResponseMode.LENGTH_ENDS_IN_EVENT,
+)
+BROKEN_STREAMS = (
+    *ENDS_IN_EVENT,
+    ResponseMode.UNFRAMED_CLOSED_EMPTY,
+    ResponseMode.UNFRAMED_RESET,
+)
+WHOLE_ANSWERS = (ResponseMode.NORMAL, ResponseMode.LENGTH, ResponseMode.UNFRAMED)
+
+
+async def _start_servers(bench: GatewayBench, *modes: ResponseMode) -> None:
+    """Start a server for each mode; earlier ones are chosen first."""
+    await bench.apply(make_config())
+    for idx, mode in enumerate(modes):
+        await bench.add_server(f"s{idx}", mode)
+        bench.gateway.state.upstreams.adjust_others(f"s{idx}", idx)
+
+
+def test_stream_broken_off_by_its_upstream_never_looks_complete() -> None:
+    """Guards against a stream that ends inside an event and is completed for its caller."""
+    looked_complete = []
+
+    for mode in BROKEN_STREAMS:
+
+        async def scenario(bench: GatewayBench, mode: ResponseMode = mode) -> None:
+            await _start_servers(bench, mode)
+            answer = await bench.send_request("/stream/1")
+            if answer.is_whole:
+                looked_complete.append((mode, answer.body))
+            else:
+                assert make_stream_body().startswith(answer.body)
+                assert answer.body.endswith(b"\n\n") or not answer.body
+
+        run_bench(scenario)
+    assert looked_complete == []
+
+
+def test_stream_broken_off_by_its_upstream_resumes_at_another() -> None:
+    """Guards against a resumable stream that is not resumed since it was taken for complete."""
+    not_resumed = []
+
+    for mode in BROKEN_STREAMS:
+
+        async def scenario(bench: GatewayBench, mode: ResponseMode = mode) -> None:
+            await _start_servers(bench, mode, ResponseMode.UNFRAMED)
+            answer = await bench.send_request("/stream/1")
+            if not answer.is_whole or answer.body != make_stream_body():
+                not_resumed.append((mode, answer.is_whole, answer.body))
+
+        run_bench(scenario)
+    assert not_resumed == []
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/pay/1", "/stream/1"])
+@pytest.mark.parametrize("mode", WHOLE_ANSWERS)
+def test_whole_answer_stays_whole_in_each_framing(path: str, mode: ResponseMode) -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, mode)
+        connection = await bench.connect()
+        expected = make_stream_body() if path == "/stream/1" else b"whole answer"
+        for _ in range(2):
+            answer = await bench.send_request(path, connection=connection)
+            assert (answer.status, answer.is_whole, answer.body) == (200, True, expected)
+        assert [len(server.runs) for server in bench.servers.values()] == [2]
+
+    run_bench(scenario)
+
+
+@pytest.mark.parametrize(("path", "status", "runs"), [("/read/1", 200, 2), ("/pay/1", 502, 1)])
+def test_unframed_answer_whose_connection_is_reset_is_not_passed_on(
+    path: str, status: int, runs: int
+) -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.UNFRAMED_RESET, ResponseMode.UNFRAMED)
+        answer = await bench.send_request(path)
+        assert (answer.status, answer.is_whole) == (status, True)
+        assert answer.body == (b"whole answer" if status == 200 else b"")
+        assert sum(len(server.runs) for server in bench.servers.values()) == runs
+
+    run_bench(scenario)
