Find the end of an event whatever its line ends are

Callers of a stream with lines that end in CR, or with an LF before a CRLF, got nothing until the stream ended: the gateway looked for LF LF and CRLF CRLF only and held the rest back. A stream like that would also count as one that ends inside an event. Event streams may end their lines with CRLF, LF or CR, mixed too.

The new test fails before for CR CR and LF CRLF (each size of pieces). A CR that may be the first half of a CRLF still waits for the next byte, so a blank line split over two reads stays with its event.

--- a/dalehollow/gateway/events.py
+++ b/dalehollow/gateway/events.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 _ID_FIELD = b"id:"
-
-
-def _find_boundary(data: bytes, start: int) -> int:
-    """Return the index after the first blank line at or after `start`, or -1."""
-    ends = [
-        idx + len(mark) for mark in (b"\n\n", b"\r\n\r\n") if (idx := data.find(mark, start)) >= 0
-    ]
-    return min(ends, default=-1)
+# Lines end with CRLF, LF or CR. A final CR after CRLF or LF may be the first half of a CRLF.
+_BLANK_LINE = re.compile(rb"(?>\r\n|\n)(?>\r\n|\n|\r(?!\Z))|\r(?!\n)(?>\r\n|\r)")
 
 
 def read_event_id(event: bytes) -> bytes | None:
@@ -35,7 +30,8 @@
         """Return the events completed by `data`, unmodified."""
         pending = self._partial + data
         done = 0
-        while (end := _find_boundary(pending, done)) >= 0:
+        for blank_line in _BLANK_LINE.finditer(pending):
+            end = blank_line.end()
             event_id = read_event_id(pending[done:end])
             if event_id is not None:
                 self.last_id = event_id
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -166,6 +166,20 @@
     assert splitter.flush() == b""
 
 
+@pytest.mark.parametrize("blank_line", ["\n\n", "\r\n\r\n", "\r\r", "\n\r\n", "\r\n\n"])
+@pytest.mark.parametrize("size", [1, 2, 100])
+def test_each_blank_line_ends_an_event(blank_line: str, size: int) -> None:
+    """Guards against a stream held back to its end since its line ends differ from the usual."""
+    events = [f"id: {number}\rdata: a\r\ndata: b{blank_line}".encode() for number in (1, 2)]
+    splitter = EventSplitter()
+    for event in events:
+        passed = b"".join(
+            splitter.feed(event[start : start + size]) for start in range(0, len(event), size)
+        )
+        assert passed.strip() == event.strip()
+    assert (splitter.last_id, splitter.count) == (b"2", 2)
+
+
 def test_an_incomplete_event_is_discarded_when_its_connection_breaks() -> None:
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\n\nid: 2\ndata") == b"id: 1\n\n"
