Treat a stream that ends inside an event as broken off, whatever its framing

An answer with neither a length nor chunks ends with its connection, and a crashed server's connection is closed in order: ClientConnection.eof_received completes the response, and the relay sent the unfinished event and the last chunk. The end of the transport was taken for the end of the message; an answer complete by its own framing had the same gap.

The framing tells what the transport can, the events tell the rest: EventSplitter.find_truncation says whether a body that ends now was broken off, and both ways of passing an answer on ask it. A stream broken off is counted as a failure of its upstream, told to the crash watch, resumed at another upstream where route and budget allow, and cut off visibly otherwise. An unframed body that ends before its first event counts as broken too: a server that crashed and one that had nothing to say cannot be told apart, and only one of the two mistakes is seen by the caller. Blank lines and comments after the last event belong to no event; an answer that is no event stream is not split.

An unframed stream that is closed between two events is complete by HTTP and is passed on as such.

--- a/dalehollow/gateway/events.py
+++ b/dalehollow/gateway/events.py
@@ -1,13 +1,23 @@
-"""Split a stream into complete events, so that a broken stream can be resumed."""
+"""Split a stream into complete events, and tell a stream that was broken off from a whole one."""
 
 from __future__ import annotations
 
 import re
 from dataclasses import dataclass, field
 
+EVENT_STREAM = b"text/event-stream"
 _ID_FIELD = b"id:"
 # Lines end with CRLF, LF or CR. A final CR after CRLF or LF may be the first half of a CRLF.
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n)(?>\r\n|\n|\r(?!\Z))|\r(?!\n)(?>\r\n|\r)")
+_NO_FIELDS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
+"""Blank lines and comments, which belong to no event."""
+_FINAL_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)\Z")
+
+
+def is_event_stream(content_type: bytes, content_encoding: bytes | None) -> bool:
+    """Return whether the events of a body can be read."""
+    media_type = content_type.partition(b";")[0].strip().lower()
+    return media_type == EVENT_STREAM and content_encoding in (None, b"identity")
 
 
 def read_event_id(event: bytes) -> bytes | None:
@@ -20,11 +30,19 @@
 
 @dataclass
 class EventSplitter:
-    """Buffer an incomplete event; count complete events with IDs and keep the last ID."""
+    """Buffer an incomplete event; count complete events with IDs and keep the last ID.
+
+    A stream may be resumed in further bodies; each begins with `begin_body`.
+    """
 
     last_id: bytes | None = None
     count: int = 0
     _partial: bytes = field(default=b"")
+    _body_has_event: bool = False
+
+    def begin_body(self) -> None:
+        """Discard the incomplete event of an earlier body."""
+        self._partial, self._body_has_event = b"", False
 
     def feed(self, data: bytes) -> bytes:
         """Return the events completed by `data`, unmodified."""
@@ -38,8 +56,21 @@
                 self.count += 1
             done = end
         self._partial = pending[done:]
+        self._body_has_event = self._body_has_event or done > 0
         return pending[:done]
 
+    def find_truncation(self, *, ends_with_connection: bool) -> str | None:
+        """Return how the stream was broken off if its body ends now, None if it is complete.
+
+        `ends_with_connection` says that only the end of the connection marks the end of the body.
+        """
+        has_rest = _NO_FIELDS.fullmatch(self._partial) is None
+        if has_rest and not _FINAL_BLANK_LINE.search(self._partial):
+            return "the stream ended inside an event"
+        if ends_with_connection and not self._body_has_event and not has_rest:
+            return "the connection was closed before the first event"
+        return None
+
     @property
     def partial_bytes(self) -> int:
         """Return the size of the data after the last complete event."""
@@ -49,7 +80,3 @@
         """Return and clear the data after the last complete event."""
         remainder, self._partial = self._partial, b""
         return remainder
-
-    def discard_partial(self) -> None:
-        """Discard an incomplete event after its connection broke."""
-        self._partial = b""
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -6,14 +6,21 @@
 import logging
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, ResponseError, ResponseHead
+from dalehollow.aio import (
+    BodyFraming,
+    CallerConnection,
+    CallerRequest,
+    ResponseError,
+    ResponseHead,
+)
 from dalehollow.gateway import outcome
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.crashes import Fingerprint, make_fingerprint
+from dalehollow.gateway.events import EVENT_STREAM, EventSplitter, is_event_stream
 from dalehollow.gateway.headers import HOP_HEADERS
-from dalehollow.gateway.outcome import AnswerEnd, Progress
+from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.table import RequestKind
@@ -181,15 +188,14 @@
         try:
             return await self._relay(upstream, answered)
         except ResponseError as exc:
-            self._record_answer_end(upstream, AnswerEnd.BROKEN)
             await self._handle_broken_connection(upstream, move)
             body = outcome.describe_body(self._progress)
             if move.is_requested:
                 self._record_attempt(upstream, "attempt_moved", str(move.reason), **body)
             else:
+                self._record_answer_end(is_complete=False)
                 self._state.upstreams.record_failure(upstream, self._clock(), is_unreachable=False)
                 self._record_attempt(upstream, "answer_broken", str(exc), **body)
-            self._progress.splitter.discard_partial()
             return False
         finally:
             answered.connection.abort()
@@ -229,7 +235,7 @@
         """Relay an answer; return False if the request is to be retried instead."""
         head, connection = answered.head, answered.connection
         self._progress.framing = head.framing
-        is_stream = self._job.route.kind is RequestKind.STREAM and head.status == HTTPStatus.OK
+        is_stream = self._is_stream(head)
         if self._caller.has_sent_head and not is_stream:
             raise ResponseError(
                 f"upstream answered status {head.status} to a request to resume a stream"
@@ -239,7 +245,8 @@
             upstream.record_answer(failed=False)
         else:
             body = await connection.read_body()
-            self._record_answer_end(upstream, AnswerEnd.COMPLETE)
+            self._check_events(head, body)
+            self._record_answer_end(is_complete=True)
             self._record_answer_latency()
             if self._record_status(upstream, head) and self._take_retry(is_answered=True):
                 return False
@@ -249,6 +256,21 @@
         outcome.record_completed(self._state, self._job, self._progress, head.status)
         return True
 
+    def _is_stream(self, head: ResponseHead) -> bool:
+        """Return whether an answer is relayed event by event."""
+        if self._job.route.kind is not RequestKind.STREAM or head.status != HTTPStatus.OK:
+            return False
+        content_type = head.get(b"content-type") or EVENT_STREAM
+        return is_event_stream(content_type, head.get(b"content-encoding"))
+
+    def _check_events(self, head: ResponseHead, body: bytes) -> None:
+        """Raise ResponseError if a buffered body is an event stream that was broken off."""
+        content_type = head.get(b"content-type") or b""
+        if is_event_stream(content_type, head.get(b"content-encoding")):
+            splitter = EventSplitter()
+            splitter.feed(body)
+            _check_stream_end(splitter, head)
+
     def _record_status(self, upstream: Upstream, head: ResponseHead) -> bool:
         """Record a complete answer as a success or failure; return whether it is a failure."""
         if head.status < _MIN_SERVER_ERROR_STATUS:
@@ -260,6 +282,7 @@
     async def _relay_stream(self, upstream: Upstream, answered: Answered) -> None:
         head, connection = answered.head, answered.connection
         splitter = self._progress.splitter
+        splitter.begin_body()
         if not self._caller.has_sent_head:
             self._caller.begin_stream(
                 head.status, [*_end_to_end_headers(head), _make_framing_header(head)]
@@ -277,8 +300,8 @@
                     self._record_answer_latency()
                 last_s = now_s
             await self._caller.send_piece(events)
-        end = AnswerEnd.INSIDE_EVENT if splitter.partial_bytes else AnswerEnd.COMPLETE
-        self._record_answer_end(upstream, end)
+        _check_stream_end(splitter, head)
+        self._record_answer_end(is_complete=True)
         await self._caller.send_piece(splitter.flush())
         self._caller.end_stream()
 
@@ -324,8 +347,8 @@
                 retry_after_s=retry_after_s,
             )
 
-    def _record_answer_end(self, upstream: Upstream, end: AnswerEnd) -> None:
-        outcome.record_answer_end(self._state, self._job, self._progress, upstream, end)
+    def _record_answer_end(self, *, is_complete: bool) -> None:
+        outcome.record_answer_end(self._state, self._job, self._progress, is_complete=is_complete)
 
     def _record_attempt(
         self, upstream: Upstream, event: str, reason: str, **details: object
@@ -344,6 +367,14 @@
         )
 
 
+def _check_stream_end(splitter: EventSplitter, head: ResponseHead) -> None:
+    """Raise ResponseError if a stream whose body has ended was broken off."""
+    ends_with_connection = head.framing is BodyFraming.CONNECTION
+    truncation = splitter.find_truncation(ends_with_connection=ends_with_connection)
+    if truncation is not None:
+        raise ResponseError(truncation)
+
+
 def _make_framing_header(head: ResponseHead) -> tuple[bytes, bytes]:
     length = head.get(b"content-length")
     return (b"content-length", length) if length else (b"transfer-encoding", b"chunked")
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -25,14 +24,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-class AnswerEnd(enum.StrEnum):
-    """List how the body of an upstream's answer can end."""
-
-    COMPLETE = "complete"
-    INSIDE_EVENT = "inside_event"
-    BROKEN = "broken"
-
-
 @dataclass
 class Progress:
     """Track the progress of a request; times are seconds on the monotonic clock."""
@@ -170,21 +161,12 @@
 
 
 def record_answer_end(
-    state: GatewayState, job: Job, progress: Progress, upstream: Upstream, end: AnswerEnd
+    state: GatewayState, job: Job, progress: Progress, *, is_complete: bool
 ) -> None:
-    """Count the end of an answer's body, and log one that ended inside an event."""
-    state.metrics.count(
-        "answer_bodies", service=job.service, framing=str(progress.framing), end=end
-    )
-    if end is AnswerEnd.INSIDE_EVENT:
-        log_event(
-            _LOG,
-            "answer_ended_inside_event",
-            logging.WARNING,
-            request=job.request_id.decode("latin-1"),
-            incarnation=upstream.listed.incarnation,
-            **describe_body(progress),
-        )
+    """Count the end of the body of an upstream's answer."""
+    end = "complete" if is_complete else "broken"
+    framing = str(progress.framing)
+    state.metrics.count("answer_bodies", service=job.service, framing=framing, end=end)
 
 
 def describe_body(progress: Progress) -> dict[str, object]:
--- a/standins/server.py
+++ b/standins/server.py
@@ -17,6 +17,7 @@
 EVENT_COUNT = 6
 _CUT_EVENT_COUNT = 2
 _CUT_EVENT_BYTES = 9
+_EVENT_STREAM = (b"content-type", b"text/event-stream")
 _CHUNKED = (b"transfer-encoding", b"chunked")
 
 
@@ -31,6 +32,9 @@
     CUT_UNANSWERED = "cut_unanswered"
     CUT_IN_EVENT = "cut_in_event"
     CUT_BODY = "cut_body"
+    # A plain answer on a streaming route, and a stream that ends inside an event on a plain one.
+    NO_STREAM = "no_stream"
+    STREAM_ENDS_IN_EVENT = "stream_ends_in_event"
     # Whole answers with a length, or with neither a length nor chunks.
     LENGTH = "length"
     UNFRAMED = "unframed"
@@ -171,7 +175,7 @@
             caller.abort()
         elif mode is ResponseMode.ERROR:
             caller.send_response(500, response_headers, b"failed")
-        elif b"stream" in request.target:
+        elif b"stream" in request.target and mode is not ResponseMode.NO_STREAM:
             await self._stream(caller, request, response_headers, mode)
         else:
             await self._answer_plain(caller, response_headers, mode)
@@ -204,6 +208,11 @@
             await caller.send_piece(b"whole answer" if mode is ResponseMode.UNFRAMED else b"half")
             caller.end_stream() if mode is ResponseMode.UNFRAMED else caller.reset()
             return
+        if mode is ResponseMode.STREAM_ENDS_IN_EVENT:
+            caller.send_response(200, [*response_headers, _EVENT_STREAM], make_event(1)[:-1])
+            return
+        if mode is ResponseMode.NO_STREAM:
+            response_headers = [*response_headers, (b"content-type", b"application/json")]
         caller.send_response(200, response_headers, b"whole answer")
         if mode is ResponseMode.SURPLUS:
             caller.send_response(200, response_headers, b"once more")
@@ -216,7 +225,7 @@
         mode: ResponseMode,
     ) -> None:
         first_number = int(request.get(b"last-event-id") or b"0") + 1
-        response_headers = [*response_headers, (b"content-type", b"text/event-stream")]
+        response_headers = [*response_headers, _EVENT_STREAM]
         events = [make_event(number) for number in range(first_number, EVENT_COUNT + 1)]
         shape = _STREAM_SHAPES.get(mode, _StreamShape())
         sent = shape.cut(events)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -91,3 +91,23 @@
         assert sum(len(server.runs) for server in bench.servers.values()) == runs
 
     run_bench(scenario)
+
+
+def test_answer_that_is_no_event_stream_is_whole_on_a_streaming_route() -> None:
+    """Guards against a plain body that is taken for an event which has not ended."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.NO_STREAM)
+        answer = await bench.send_request("/stream/1")
+        assert (answer.status, answer.is_whole, answer.body) == (200, True, b"whole answer")
+
+    run_bench(scenario)
+
+
+def test_stream_that_ends_inside_an_event_is_not_passed_on_by_a_plain_route() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.STREAM_ENDS_IN_EVENT, ResponseMode.NORMAL)
+        answer = await bench.send_request("/read/1")
+        assert (answer.status, answer.body) == (200, b"whole answer")
+
+    run_bench(scenario)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -180,10 +180,36 @@
     assert (splitter.last_id, splitter.count) == (b"2", 2)
 
 
+@pytest.mark.parametrize(
+    ("body", "is_broken", "is_broken_unframed"),
+    [
+        (b"", False, True),
+        (b"id: 1\ndata: a\n\n", False, False),
+        (b"id: 1\ndata: a\r\r", False, False),
+        (b"id: 1\ndata: a\n\r", False, False),
+        # Blank lines and comments belong to no event.
+        (b"id: 1\ndata: a\n\n\n", False, False),
+        (b"id: 1\ndata: a\n\n: a comment\n", False, False),
+        (b": a comment\n", False, True),
+        (b"id: 1\ndata: a\n\nid", True, True),
+        (b"id: 1\ndata: a\n", True, True),
+        (b"id: 1\ndata: a\r\n", True, True),
+        (b"id: 1\ndata: a\n\n: a comment", True, True),
+    ],
+)
+def test_stream_that_ends_inside_an_event_is_broken_off(
+    body: bytes, is_broken: bool, is_broken_unframed: bool
+) -> None:
+    splitter = EventSplitter()
+    splitter.feed(body)
+    assert (splitter.find_truncation(ends_with_connection=False) is not None) == is_broken
+    assert (splitter.find_truncation(ends_with_connection=True) is not None) == is_broken_unframed
+
+
 def test_an_incomplete_event_is_discarded_when_its_connection_breaks() -> None:
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\n\nid: 2\ndata") == b"id: 1\n\n"
-    splitter.discard_partial()
+    splitter.begin_body()
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
 
 
