Frame a stream for its caller by chunks, not by the length of its upstream's body

A caller whose stream was resumed at another upstream got it cut at the length that the first upstream had announced, framed as complete and with the rest lost (more bytes, such as lines with the version of the weights), or waited for bytes that never came on a connection that stayed open (fewer bytes). The gateway promised the framing of the first body for a stream whose bytes come from several. Chunks promise nothing before the last one is sent.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -18,6 +18,7 @@
 
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_CHUNKED = (b"transfer-encoding", b"chunked")
 _LAST_CHUNK = b"0\r\n\r\n"
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
@@ -200,6 +201,10 @@
         self._send_head(status, [*headers, length], body)
 
     def begin_stream(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Send the head of a response whose body follows in chunks."""
+        self.begin_body(status, [*headers, _CHUNKED])
+
+    def begin_body(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Send the head of a response whose body follows in pieces, framed as `headers` say.
 
         Without a content-length or transfer-encoding the body ends with the connection.
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -284,9 +284,8 @@
         splitter = self._progress.splitter
         splitter.begin_body()
         if not self._caller.has_sent_head:
-            self._caller.begin_stream(
-                head.status, [*_end_to_end_headers(head), _make_framing_header(head)]
-            )
+            # Its length is not passed on: a resumed stream may continue in a body of another one.
+            self._caller.begin_stream(head.status, _end_to_end_headers(head))
         pass_times = self._state.pass_times_of(upstream.listed)
         last_s = None
         while (piece := await connection.read_piece()) is not None:
@@ -375,10 +374,5 @@
         raise ResponseError(truncation)
 
 
-def _make_framing_header(head: ResponseHead) -> tuple[bytes, bytes]:
-    length = head.get(b"content-length")
-    return (b"content-length", length) if length else (b"transfer-encoding", b"chunked")
-
-
 def _end_to_end_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
     return [(k, v) for k, v in head.headers if k not in HOP_HEADERS]
--- a/standins/server.py
+++ b/standins/server.py
@@ -45,6 +45,7 @@
     # Answers that are complete by their framing, though their last event is not.
     CHUNKED_ENDS_IN_EVENT = "chunked_ends_in_event"
     LENGTH_ENDS_IN_EVENT = "length_ends_in_event"
+    LENGTH_CUT_IN_EVENT = "length_cut_in_event"
     OTHERS_ANSWER_FIRST = "others_answer_first"
     OTHERS_REFUSAL_FIRST = "others_refusal_first"
     SURPLUS = "surplus"
@@ -103,6 +104,7 @@
     ResponseMode.LENGTH_ENDS_IN_EVENT: _cut_in_event(
         BodyFraming.LENGTH, CallerConnection.end_stream
     ),
+    ResponseMode.LENGTH_CUT_IN_EVENT: _cut_in_event(BodyFraming.LENGTH, CallerConnection.abort),
 }
 
 
@@ -117,6 +119,8 @@
     # A request with this body crashes the server when execution begins, and calls `on_crash`.
     crash_body: bytes = b""
     on_crash: Callable[[], None] = lambda: None
+    # Additional lines of each event, such as the version of a model's weights.
+    event_prefix: bytes = b""
     # Delay before each event of a stream and before a plain response.
     response_delay_s: float = 0.0
     received: list[CallerRequest] = field(default_factory=list)
@@ -199,12 +203,12 @@
             caller.send_response(503, refusal_headers, b"")
             response_headers = response_headers[:2]
         if mode is ResponseMode.CUT_BODY:
-            caller.begin_stream(200, [*response_headers, (b"content-length", b"100")])
+            caller.begin_body(200, [*response_headers, (b"content-length", b"100")])
             await caller.send_piece(b"half")
             caller.abort()
             return
         if mode in (ResponseMode.UNFRAMED, ResponseMode.UNFRAMED_RESET):
-            caller.begin_stream(200, response_headers)
+            caller.begin_body(200, response_headers)
             await caller.send_piece(b"whole answer" if mode is ResponseMode.UNFRAMED else b"half")
             caller.end_stream() if mode is ResponseMode.UNFRAMED else caller.reset()
             return
@@ -226,15 +230,16 @@
     ) -> None:
         first_number = int(request.get(b"last-event-id") or b"0") + 1
         response_headers = [*response_headers, _EVENT_STREAM]
-        events = [make_event(number) for number in range(first_number, EVENT_COUNT + 1)]
+        numbers = range(first_number, EVENT_COUNT + 1)
+        events = [self.event_prefix + make_event(number) for number in numbers]
         shape = _STREAM_SHAPES.get(mode, _StreamShape())
         sent = shape.cut(events)
         if shape.framing is BodyFraming.CHUNKED:
             response_headers.append(_CHUNKED)
         elif shape.framing is BodyFraming.LENGTH:
-            length = sum(map(len, sent))
+            length = sum(map(len, sent if shape.end is CallerConnection.end_stream else events))
             response_headers.append((b"content-length", str(length).encode()))
-        caller.begin_stream(200, response_headers)
+        caller.begin_body(200, response_headers)
         for piece in sent:
             await asyncio.sleep(self.response_delay_s)
             await caller.send_piece(piece)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from standins.server import ResponseMode, make_stream_body
@@ -12,6 +14,7 @@
     ResponseMode.UNFRAMED_CLOSED_IN_EVENT,
     ResponseMode.CHUNKED_ENDS_IN_EVENT,
     ResponseMode.LENGTH_ENDS_IN_EVENT,
+    ResponseMode.LENGTH_CUT_IN_EVENT,
 )
 BROKEN_STREAMS = (
     *ENDS_IN_EVENT,
@@ -19,6 +22,7 @@
     ResponseMode.UNFRAMED_RESET,
 )
 WHOLE_ANSWERS = (ResponseMode.NORMAL, ResponseMode.LENGTH, ResponseMode.UNFRAMED)
+ANSWER_TIMEOUT_S = 3.0
 
 
 async def _start_servers(bench: GatewayBench, *modes: ResponseMode) -> None:
@@ -64,6 +68,24 @@
     assert not_resumed == []
 
 
+@pytest.mark.parametrize("longer", ["s0", "s1"])
+def test_resumed_stream_does_not_keep_the_length_of_its_first_body(longer: str) -> None:
+    """Guards against a resumed stream cut at, or never reaching, the length of its first body."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.LENGTH_CUT_IN_EVENT, ResponseMode.LENGTH)
+        bench.servers[longer].event_prefix = b"version: 2\n"
+        connection = await bench.connect()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            answer = await bench.send_request("/stream/1", connection=connection)
+            assert answer.is_whole
+            assert answer.body.replace(b"version: 2\n", b"") == make_stream_body()
+            following = await bench.send_request("/read/1", connection=connection)
+        assert following.body == b"whole answer"
+
+    run_bench(scenario)
+
+
 @pytest.mark.parametrize("path", ["/read/1", "/pay/1", "/stream/1"])
 @pytest.mark.parametrize("mode", WHOLE_ANSWERS)
 def test_whole_answer_stays_whole_in_each_framing(path: str, mode: ResponseMode) -> None:
