End a stream for an HTTP/1.0 caller with its connection, and reset it if it was broken off

An HTTP/1.0 caller got a stream in chunks, which it reads as part of the body, and a stream that was cut off ended with the same close as a whole one: a close is the end of the body for such a caller.

For an HTTP/1.0 caller the body ends with the connection, and the socket resets on each close except one after the last piece. The kernel does the same when the process is killed.

The four cases of tests/test_answer_ends.py (a whole stream without chunks; broken off, closed inside an event and past the deadline) failed before. Without the socket option the last three fail, and so does the test of a killed process.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -14,11 +14,12 @@
 
 from dalehollow.aio.framing import BodyFraming, find_framing
 from dalehollow.aio.headers import Headers, find_header
-from dalehollow.aio.sockets import reset, tune_socket
+from dalehollow.aio.sockets import set_reset_on_close, tune_socket
 
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _CHUNKED = (b"transfer-encoding", b"chunked")
+_HTTP_1_0 = "1.0"
 _LAST_CHUNK = b"0\r\n\r\n"
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
@@ -48,6 +49,7 @@
     headers: Headers
     body: bytes
     began_at_s: float
+    http_version: str = "1.1"
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -86,6 +88,7 @@
         self._began_at_s = 0.0
         self._error_status = 0
         self._head_sent = False
+        self._is_http_1_0 = False
         self._framing = BodyFraming.NONE
         self.keep_alive = True
         self.is_busy = False
@@ -183,6 +186,7 @@
             headers=tuple(self._headers),
             body=b"".join(self._body),
             began_at_s=self._began_at_s,
+            http_version=self._parser.get_http_version(),
         )
         self._headers, self._body, self._body_bytes = [], [], 0
         self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
@@ -201,8 +205,11 @@
         self._send_head(status, [*headers, length], body)
 
     def begin_stream(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
-        """Send the head of a response whose body follows in chunks."""
-        self.begin_body(status, [*headers, _CHUNKED])
+        """Send the head of a response whose body follows in pieces.
+
+        The body is in chunks or, for an HTTP/1.0 caller, ends with the connection.
+        """
+        self.begin_body(status, headers if self._is_http_1_0 else [*headers, _CHUNKED])
 
     def begin_body(self, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Send the head of a response whose body follows in pieces, framed as `headers` say.
@@ -213,6 +220,7 @@
         self._framing = find_framing(status, sent_headers)
         if self._framing is BodyFraming.CONNECTION:
             self.keep_alive = False
+            self._set_reset_on_close(is_on=True)
         self._send_head(status, sent_headers, b"")
 
     async def send_piece(self, piece: bytes) -> None:
@@ -226,9 +234,11 @@
             await self._writable.wait()
 
     def end_stream(self) -> None:
-        """Terminate a chunked body."""
+        """Mark the end of a body that was sent in pieces."""
         if self._framing is BodyFraming.CHUNKED and self._transport is not None:
             self._transport.write(_LAST_CHUNK)
+        elif self._framing is BodyFraming.CONNECTION:
+            self._set_reset_on_close(is_on=False)
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response cannot look complete."""
@@ -236,12 +246,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def reset(self) -> None:
-        """Abort the connection with a TCP reset."""
-        self.keep_alive = False
-        if self._transport is not None:
-            reset(self._transport)
-
     @property
     def has_sent_head(self) -> bool:
         """Return whether the response head for the current request was sent."""
@@ -262,6 +266,7 @@
             if request is None:
                 break
             self.is_busy, self._head_sent = True, False
+            self._is_http_1_0 = request.http_version == _HTTP_1_0
             try:
                 await self._handler(self, request)
             except Exception as exc:
@@ -307,6 +312,10 @@
             lines.append(b"connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
 
+    def _set_reset_on_close(self, *, is_on: bool) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            set_reset_on_close(self._transport.get_extra_info("socket"), is_on=is_on)
+
     def _count_head(self, received_bytes: int) -> None:
         """Limit a head that never ends; the exact size is checked once the head is complete."""
         if not self._is_reading_head:
--- a/dalehollow/aio/sockets.py
+++ b/dalehollow/aio/sockets.py
@@ -12,15 +12,16 @@
 stream."""
 
 
-_LINGER_ON_FOR_0_S = struct.pack("ii", 1, 0)
+_LINGER_FORMAT = "ii"
 
 
-def reset(transport: asyncio.Transport) -> None:
-    """Abort a connection with a TCP reset, which a peer cannot take for the end of a body."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ON_FOR_0_S)
-    transport.abort()
+def set_reset_on_close(sock: socket.socket, *, is_on: bool) -> None:
+    """Choose whether a close, also at the end of the process, resets the connection.
+
+    A peer cannot take a reset for the end of a body.
+    """
+    linger = struct.pack(_LINGER_FORMAT, int(is_on), 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def tune_socket(transport: asyncio.BaseTransport) -> None:
--- a/standins/server.py
+++ b/standins/server.py
@@ -96,7 +96,7 @@
     ),
     ResponseMode.UNFRAMED_CLOSED_EMPTY: _StreamShape(BodyFraming.CONNECTION, whole_events=0),
     ResponseMode.UNFRAMED_RESET: _StreamShape(
-        BodyFraming.CONNECTION, _CUT_EVENT_COUNT, end=CallerConnection.reset
+        BodyFraming.CONNECTION, _CUT_EVENT_COUNT, end=CallerConnection.abort
     ),
     ResponseMode.CHUNKED_ENDS_IN_EVENT: _cut_in_event(
         BodyFraming.CHUNKED, CallerConnection.end_stream
@@ -210,7 +210,10 @@
         if mode in (ResponseMode.UNFRAMED, ResponseMode.UNFRAMED_RESET):
             caller.begin_body(200, response_headers)
             await caller.send_piece(b"whole answer" if mode is ResponseMode.UNFRAMED else b"half")
-            caller.end_stream() if mode is ResponseMode.UNFRAMED else caller.reset()
+            if mode is ResponseMode.UNFRAMED:
+                caller.end_stream()
+            else:
+                caller.abort()
             return
         if mode is ResponseMode.STREAM_ENDS_IN_EVENT:
             caller.send_response(200, [*response_headers, _EVENT_STREAM], make_event(1)[:-1])
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from standins.server import ResponseMode, make_stream_body
-from tests.gateway_bench import GatewayBench, make_config, run_bench
+from tests.gateway_bench import HOST, KEY, GatewayBench, make_config, run_bench
 
 ENDS_IN_EVENT = (
     ResponseMode.CUT_IN_EVENT,
@@ -133,3 +134,47 @@
         assert (answer.status, answer.body) == (200, b"whole answer")
 
     run_bench(scenario)
+
+
+def _send_http_1_0(address: str, path: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S)
+    lines = [f"GET {path} HTTP/1.0", f"Host: {HOST}", "X-Request-Id: r1", f"X-Key: {KEY}"]
+    sock.sendall("\r\n".join([*lines, "X-Deadline-Ms: 500"]).encode() + b"\r\n\r\n")
+    return sock
+
+
+def _read_until_close(sock: socket.socket) -> tuple[bytes, bytes]:
+    """Return the head and body of a response that ends with its connection."""
+    received = b""
+    with sock:
+        while data := sock.recv(65_536):
+            received += data
+    head, _, body = received.partition(b"\r\n\r\n")
+    return head, body
+
+
+def test_http_1_0_caller_gets_a_whole_stream_without_chunks() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.NORMAL)
+        sock = await asyncio.to_thread(_send_http_1_0, bench.gateway.http, "/stream/1")
+        head, body = await asyncio.to_thread(_read_until_close, sock)
+        assert b"transfer-encoding" not in head.lower()
+        assert body == make_stream_body()
+
+    run_bench(scenario)
+
+
+@pytest.mark.parametrize(
+    "mode", [ResponseMode.CUT_IN_EVENT, ResponseMode.UNFRAMED_CLOSED_IN_EVENT, ResponseMode.HANG]
+)
+def test_broken_stream_of_an_http_1_0_caller_ends_with_a_reset(mode: ResponseMode) -> None:
+    """Guards against a close that an HTTP/1.0 caller takes for the end of its stream."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.CUT_IN_EVENT, mode)
+        sock = await asyncio.to_thread(_send_http_1_0, bench.gateway.http, "/stream/1")
+        with pytest.raises(ConnectionResetError):
+            await asyncio.to_thread(_read_until_close, sock)
+
+    run_bench(scenario)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -10,8 +10,12 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
+
 from standins.metadata import MetadataStandIn
 from standins.platform import (
+    HOST,
+    KEY,
     GatewayProcess,
     listen,
     make_configuration,
@@ -20,7 +24,7 @@
     start_servers,
     wait_until_ready,
 )
-from standins.server import ResponseMode, ServerStandIn, make_stream_body
+from standins.server import ResponseMode, ServerStandIn, make_event, make_stream_body
 
 Scenario = Callable[[GatewayProcess, MetadataStandIn, list[ServerStandIn]], Awaitable[None]]
 
@@ -100,6 +104,27 @@
     _run(tmp_path, scenario)
 
 
+def test_killed_gateway_resets_the_stream_of_an_http_1_0_caller(tmp_path: Path) -> None:
+    """Guards against a stream that ends with its connection and looks complete after a crash."""
+
+    async def scenario(
+        gateway: GatewayProcess, store: MetadataStandIn, servers: list[ServerStandIn]
+    ) -> None:
+        for server in servers:
+            server.response_delay_s = 0.2
+        host, _, port = gateway.http.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"GET /stream/1 HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: r1\r\nX-Key: {KEY}\r\n\r\n"
+        writer.write(head.encode())
+        assert make_event(1) in await reader.readuntil(make_event(1))
+        gateway.process.kill()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+    _run(tmp_path, scenario)
+
+
 def test_invalid_settings_are_reported_without_traceback(tmp_path: Path) -> None:
     path = tmp_path / "bad.json"
     path.write_text('{"role": "gateway", "name": "gw", "http": "nowhere"}')
