--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -13,12 +13,12 @@
     ResponseError,
     ResponseHead,
 )
+from dalehollow.events import EVENT_STREAM, EventSplitter, is_event_stream
 from dalehollow.gateway import outcome
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.crashes import Fingerprint, make_fingerprint
-from dalehollow.gateway.events import EVENT_STREAM, EventSplitter, is_event_stream
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -11,8 +11,8 @@
 from http import HTTPStatus
 
 from dalehollow.aio import BodyFraming, CallerConnection, CallerRequest
+from dalehollow.events import EventSplitter
 from dalehollow.gateway.admit import Job, Refusal
-from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.upstream import Upstream
 from dalehollow.telemetry.logs import log_event
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -11,8 +11,8 @@
 import pytest
 
 from dalehollow.errors import SettingsError
+from dalehollow.events import EventSplitter
 from dalehollow.gateway.crashes import CrashWatch
-from dalehollow.gateway.events import EventSplitter
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
