Treat a stream that ends inside an event as truncated in entries and sidecars

A keyed request's broken stream was stored as its answer and would have been replayed.

Answer, which both processes read responses with, asks EventSplitter the same question as the gateway and passes on whole events only. So the error event that an entry appends to a broken stream no longer lands inside a broken event. The misbehaving upstream of the tests has these endings, unframed plain answers, whole and reset, and a connection closed between two chunks; test_each_caller_gets_its_own_complete_response_or_none and the test of the error event failed before. Log lines of broken answers in entries and sidecars say how they ended.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -10,10 +10,8 @@
     ResponseHead,
     connect,
 )
-from dalehollow.aio.framing import BodyFraming
 
 __all__ = [
-    "BodyFraming",
     "CallerConnection",
     "CallerRequest",
     "ClientConnection",
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from dalehollow.aio.framing import BodyFraming, find_framing
 from dalehollow.aio.headers import Headers, find_header
 from dalehollow.aio.sockets import set_reset_on_close, tune_socket
+from dalehollow.framing import BodyFraming, find_framing
 
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -217,7 +217,7 @@
         Without a content-length or transfer-encoding the body ends with the connection.
         """
         sent_headers = tuple(headers)
-        self._framing = find_framing(status, sent_headers)
+        self._framing = find_framing(status, {name for name, _ in sent_headers})
         if self._framing is BodyFraming.CONNECTION:
             self.keep_alive = False
             self._set_reset_on_close(is_on=True)
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -10,9 +10,9 @@
 
 import httptools
 
-from dalehollow.aio.framing import BodyFraming, find_framing
 from dalehollow.aio.headers import Headers, find_header
 from dalehollow.aio.sockets import tune_socket
+from dalehollow.framing import BodyFraming, find_framing
 
 _FIRST_FINAL_STATUS = 200
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -55,7 +55,7 @@
     @property
     def framing(self) -> BodyFraming:
         """Return what marks the end of the body."""
-        return find_framing(self.status, self.headers)
+        return find_framing(self.status, {name for name, _ in self.headers})
 
 
 class ClientConnection(asyncio.Protocol):
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -136,7 +136,8 @@
             headers[hdr.REPLAYED] = "true"
         body = stream_answer(answer, served.view)
         if not answer.can_be_buffered():
-            return Ok(HttpResponse(answer.status, headers, self._relay_stream(job, answer, body)))
+            stream = self._relay_stream(job, served.upstream, answer, body)
+            return Ok(HttpResponse(answer.status, headers, stream))
         try:
             whole = b"".join(body)
         except TruncatedResponseError:
@@ -144,13 +145,22 @@
             return Err(Failure(Reason.UPSTREAM_FAILED, Verdict.RAN, message))
         return Ok(HttpResponse(answer.status, headers, whole))
 
-    def _relay_stream(self, job: Job, answer: Answer, body: Iterator[bytes]) -> Iterator[bytes]:
+    def _relay_stream(
+        self, job: Job, upstream: str, answer: Answer, body: Iterator[bytes]
+    ) -> Iterator[bytes]:
         """Relay a stream; a truncated one ends with an error event and an unclean close."""
         is_events = answer.headers.get("content-type", "").startswith("text/event-stream")
         try:
             yield from body
-        except TruncatedResponseError:
-            log_event(_log, "answer_cut", logging.WARNING, request_id=job.request_id)
+        except TruncatedResponseError as exc:
+            log_event(
+                _log,
+                "answer_cut",
+                logging.WARNING,
+                request_id=job.request_id,
+                upstream=upstream,
+                reason=exc,
+            )
             if is_events:
                 error = {"reason": Reason.UPSTREAM_FAILED, "verdict": Verdict.RAN}
                 yield b"event: error\ndata: " + json.dumps({"error": error}).encode() + b"\n\n"
--- a/dalehollow/aio/framing.py
+++ b/dalehollow/framing.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import enum
-
-from dalehollow.aio.headers import Headers
+from collections.abc import Collection
 
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -18,12 +17,11 @@
     CONNECTION = "connection"
 
 
-def find_framing(status: int, headers: Headers) -> BodyFraming:
+def find_framing(status: int, header_names: Collection[bytes]) -> BodyFraming:
     """Return the framing of a final response; header names are in lower case."""
     if status in _NO_BODY_STATUSES:
         return BodyFraming.NONE
-    names = {name for name, _ in headers}
     # A body in another transfer coding ends with the connection too, but cannot be decoded.
-    if b"transfer-encoding" in names:
+    if b"transfer-encoding" in header_names:
         return BodyFraming.CHUNKED
-    return BodyFraming.LENGTH if b"content-length" in names else BodyFraming.CONNECTION
+    return BodyFraming.LENGTH if b"content-length" in header_names else BodyFraming.CONNECTION
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -7,13 +7,13 @@
 from http import HTTPStatus
 
 from dalehollow.aio import (
-    BodyFraming,
     CallerConnection,
     CallerRequest,
     ResponseError,
     ResponseHead,
 )
 from dalehollow.events import EVENT_STREAM, EventSplitter, is_event_stream
+from dalehollow.framing import BodyFraming
 from dalehollow.gateway import outcome
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -10,8 +10,9 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from dalehollow.aio import BodyFraming, CallerConnection, CallerRequest
+from dalehollow.aio import CallerConnection, CallerRequest
 from dalehollow.events import EventSplitter
+from dalehollow.framing import BodyFraming
 from dalehollow.gateway.admit import Job, Refusal
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.upstream import Upstream
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -82,7 +82,7 @@
         if answer.can_be_buffered():
             return self._read_buffered(call, answer, started_s).map(self._build_first_response)
         headers = self._relayed_headers(answer)
-        return Ok(HttpResponse(answer.status, headers, self._relay(answer, started_s)))
+        return Ok(HttpResponse(answer.status, headers, self._relay(call, answer, started_s)))
 
     def _run_buffered(self, req: HttpRequest, call: InnerCall) -> Result[StoredAnswer, Failure]:
         """Run a call and buffer the whole response so that it can be stored."""
@@ -122,7 +122,8 @@
     ) -> Result[StoredAnswer, Failure]:
         try:
             body = answer.read()
-        except TruncatedResponseError:
+        except TruncatedResponseError as exc:
+            _log_truncated(call, exc)
             ruling = assess_failure(Step.RELAY_ANSWER, repeatable=call.repeatable)
             message = "the upstream's response was truncated"
             return Err(
@@ -133,10 +134,13 @@
         headers = hdr.strip_internal(answer.end_to_end_headers())
         return Ok(StoredAnswer(answer.status, headers, body))
 
-    def _relay(self, answer: Answer, started_s: float) -> Iterator[bytes]:
+    def _relay(self, call: InnerCall, answer: Answer, started_s: float) -> Iterator[bytes]:
         """Yield the response as it arrives; the permit is held until it ends or is cancelled."""
         try:
             yield from answer.stream()
+        except TruncatedResponseError as exc:
+            _log_truncated(call, exc)
+            raise
         finally:
             answer.close()
             self.gate.release((read_clock() - started_s) * _MS_PER_S)
@@ -191,3 +195,7 @@
             hdr.MAY_RETRY: "true" if failure.may_retry else "false",
         }
         return HttpResponse(response.status, headers, response.body)
+
+
+def _log_truncated(call: InnerCall, error: TruncatedResponseError) -> None:
+    log_event(_log, "answer_cut", logging.WARNING, request_id=call.request_id, reason=error)
--- a/dalehollow/web/client.py
+++ b/dalehollow/web/client.py
@@ -14,6 +14,9 @@
     ReadTimeoutError,
 )
 
+from dalehollow.events import EventSplitter, is_event_stream
+from dalehollow.framing import BodyFraming, find_framing
+
 READ_CHUNK_BYTES = 64 * 1024
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 _HOP_HEADERS = frozenset(
@@ -31,20 +34,25 @@
 
 
 class TruncatedResponseError(ConnectionError):
-    """Report a truncated response: the body ended before its framing says it does."""
+    """Report a truncated response: the body ended early by its framing, or inside an event."""
 
 
 class Answer:
     """Hold a response whose head was received and whose body is still to be read."""
 
     def __init__(
-        self, response: urllib3.BaseHTTPResponse, own_pool: urllib3.HTTPConnectionPool | None
+        self,
+        response: urllib3.BaseHTTPResponse,
+        own_pool: urllib3.HTTPConnectionPool | None,
+        *,
+        has_body: bool = True,
     ) -> None:
         """Wrap a urllib3 response; `own_pool` is closed together with it."""
         self._response = response
         self._own_pool = own_pool
         self.status = response.status
         self.headers = {k.lower(): v for k, v in response.headers.items()}
+        self._splitter = EventSplitter() if has_body and self._is_event_stream() else None
 
     def end_to_end_headers(self) -> dict[str, str]:
         """Return all headers except the hop-by-hop ones."""
@@ -59,6 +67,9 @@
         """Read the whole body; raise TruncatedResponseError if it is truncated."""
         try:
             data = self._response.read()
+            if self._splitter is not None:
+                self._splitter.feed(data)
+                self._check_stream_end(self._splitter)
         except (HTTPError, OSError) as exc:
             self.close()
             raise TruncatedResponseError(str(exc)) from exc
@@ -66,11 +77,18 @@
         return data
 
     def stream(self) -> Iterator[bytes]:
-        """Yield data as soon as it arrives; raise TruncatedResponseError if truncated."""
+        """Yield data, of an event stream each event, as soon as it arrives.
+
+        Raises TruncatedResponseError if the body is truncated.
+        """
         is_complete = False
+        splitter = self._splitter
         try:
             while chunk := self._response.read1(READ_CHUNK_BYTES):
-                yield chunk
+                yield chunk if splitter is None else splitter.feed(chunk)
+            if splitter is not None:
+                self._check_stream_end(splitter)
+                yield splitter.flush()
             is_complete = True
         except (HTTPError, OSError) as exc:
             raise TruncatedResponseError(str(exc)) from exc
@@ -86,6 +104,20 @@
         self._response.close()
         self._close_own_pool()
 
+    def _is_event_stream(self) -> bool:
+        content_encoding = self.headers.get("content-encoding")
+        return is_event_stream(
+            self.headers.get("content-type", "").encode("latin-1"),
+            content_encoding.encode("latin-1") if content_encoding is not None else None,
+        )
+
+    def _check_stream_end(self, splitter: EventSplitter) -> None:
+        framing = find_framing(self.status, {name.encode("latin-1") for name in self.headers})
+        ends_with_connection = framing is BodyFraming.CONNECTION
+        truncation = splitter.find_truncation(ends_with_connection=ends_with_connection)
+        if truncation is not None:
+            raise TruncatedResponseError(truncation)
+
     def _release(self) -> None:
         self._response.release_conn()
         self._close_own_pool()
@@ -152,7 +184,8 @@
             return Err(CallError(sent=True, timed_out=True, message=str(exc)))
         except (HTTPError, OSError) as exc:
             return Err(CallError(sent=True, timed_out=False, message=str(exc)))
-        return Ok(Answer(response, None if self._keep_alive else pool))
+        own_pool = None if self._keep_alive else pool
+        return Ok(Answer(response, own_pool, has_body=method != "HEAD"))
 
     def close(self) -> None:
         """Close idle pooled connections."""
--- a/standins/server.py
+++ b/standins/server.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from dalehollow.aio import BodyFraming, CallerConnection, CallerRequest
+from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.framing import BodyFraming
 
 EVENT_COUNT = 6
 _CUT_EVENT_COUNT = 2
--- a/tests/nasty_upstream.py
+++ b/tests/nasty_upstream.py
@@ -13,23 +13,30 @@
 import threading
 import time
 
-RESPONSE_MODES = (
-    "plain",
-    "chunked",
-    "late",
-    "twice",
-    "twice_late",
-    "longer",
-    "cut_length",
-    "cut_chunked",
+from dalehollow.aio.sockets import set_reset_on_close
+
+PLAIN_MODES = ("plain", "chunked", "late", "twice", "twice_late", "longer", "unframed")
+STREAM_MODES = ("events_chunked", "events_length", "events_unframed")
+COMPLETE_MODES = (*PLAIN_MODES, *STREAM_MODES)
+BROKEN_PLAIN_MODES = ("cut_length", "cut_chunked", "cut_between_chunks", "reset_unframed")
+# The framing of these streams does not show that they were broken off.
+BROKEN_STREAM_MODES = (
+    "events_cut_chunked",
+    "events_cut_length",
+    "events_cut_unframed",
+    "no_events_unframed",
 )
-COMPLETE_MODES = ("plain", "chunked", "late", "twice", "twice_late", "longer")
+RESPONSE_MODES = (*COMPLETE_MODES, *BROKEN_PLAIN_MODES, *BROKEN_STREAM_MODES)
 _DELAY_S = 0.004
+_UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
-def make_response(number: int) -> bytes:
+def make_response(number: int, mode: str = "plain") -> bytes:
     """Return the correct response body for a request."""
-    return f"answer-{number}-{hashlib.sha256(str(number).encode()).hexdigest()}".encode()
+    digest = hashlib.sha256(str(number).encode()).hexdigest()
+    if mode in STREAM_MODES:
+        return f"id: 1\ndata: {number}\n\nid: 2\ndata: {digest}\n\n".encode()
+    return f"answer-{number}-{digest}".encode()
 
 
 class MisbehavingUpstream:
@@ -62,7 +69,11 @@
                     if name.lower() == b"content-length":
                         length = int(value)
                 request = json.loads(stream.read(length))
-                if not self._send_response(sock, request["mode"], make_response(request["number"])):
+                number, mode = request["number"], request["mode"]
+                if "events" in mode:
+                    _send_stream(sock, mode, make_response(number, "events_chunked"))
+                    return
+                if not self._send_response(sock, mode, make_response(number)):
                     return
 
     def _send_response(self, sock: socket.socket, mode: str, response: bytes) -> bool:
@@ -89,7 +100,32 @@
             case "cut_length":
                 sock.sendall(head + response[:10])
                 return False
-            case _:
+            case "cut_chunked":
                 sock.sendall(chunked + piece[:15])
                 return False
+            case "cut_between_chunks":
+                sock.sendall(chunked + piece)
+                return False
+            case "unframed":
+                sock.sendall(_UNFRAMED + response)
+                return False
+            case "reset_unframed":
+                sock.sendall(_UNFRAMED + response[:10])
+                set_reset_on_close(sock, is_on=True)
+                return False
+            case _:
+                raise ValueError(f"unknown response mode {mode!r}")
         return True
+
+
+def _send_stream(sock: socket.socket, mode: str, stream: bytes) -> None:
+    """Send an event stream, after which the connection is closed; it may end inside an event."""
+    body = stream[:-5] if "cut" in mode else b"" if "no_events" in mode else stream
+    head = _UNFRAMED[:-2] + b"Content-Type: text/event-stream\r\n"
+    if mode.endswith("length"):
+        sock.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+    elif mode.endswith("chunked"):
+        chunk = b"%x\r\n%b\r\n" % (len(body), body)
+        sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n")
+    else:
+        sock.sendall(head + b"\r\n" + body)
--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from result import Err
+from result import Err, Result
 
 from dalehollow.clock import read_clock
 from dalehollow.config import apply_text
@@ -20,7 +20,7 @@
 from dalehollow.platform.keyvalue import HttpKeyValue
 from dalehollow.settings import Settings
 from dalehollow.sidecar import Sidecar
-from dalehollow.web import HttpClient, HttpServer
+from dalehollow.web import Answer, CallError, HttpClient, HttpServer
 from standins.hall import digest_key
 from standins.keyvalue import KeyValueStandIn
 from tests.nasty_upstream import COMPLETE_MODES, RESPONSE_MODES, MisbehavingUpstream, make_response
@@ -79,9 +79,9 @@
         for process in (self.entry, self.sidecar):
             wait_for(lambda p=process: p.holder.version == 1, "configuration")  # type: ignore[misc]
 
-    def send_request(self, number: int, mode: str) -> bytes | None:
-        """Return the complete response body that a caller received, or None."""
-        call = self.callers.call(
+    def call(self, number: int, mode: str) -> Result[Answer, CallError]:
+        """Send a caller's request and return the response, whose body is still to be read."""
+        return self.callers.call(
             "POST",
             self.entry.server.address,
             "/gate/x",
@@ -89,6 +89,10 @@
             body=json.dumps({"number": number, "mode": mode}).encode(),
             timeout_s=20,
         )
+
+    def send_request(self, number: int, mode: str) -> bytes | None:
+        """Return the complete response body that a caller received, or None."""
+        call = self.call(number, mode)
         if isinstance(call, Err):
             return None
         try:
@@ -122,10 +126,24 @@
 
 def test_each_caller_gets_its_own_complete_response_or_none(chain: ProxyChain) -> None:
     for number, mode, response in chain.send_requests(REQUEST_COUNT, RESPONSE_MODES, seed=1):
-        expected = make_response(number) if mode in COMPLETE_MODES else None
+        expected = make_response(number, mode) if mode in COMPLETE_MODES else None
         assert response == expected, f"request {number}, response mode {mode}"
 
 
+def test_broken_stream_ends_with_an_error_event_after_whole_events(chain: ProxyChain) -> None:
+    """Guards against an error event that is appended to an event of which only a part arrived."""
+    answer = chain.call(7, "events_cut_unframed").unwrap()
+    received = b""
+    with pytest.raises(ConnectionError):
+        for piece in answer.stream():
+            received += piece
+    first, error, rest = received.split(b"\n\n")
+    assert first + b"\n\n" == make_response(7, "events_chunked")[: len(first) + 2]
+    assert error.startswith(b"event: error\ndata: ")
+    assert json.loads(error.partition(b"data: ")[2])["error"]["reason"] == "upstream_failed"
+    assert rest == b""
+
+
 def test_seeded_fault_reused_upstream_connections_mix_responses(chain: ProxyChain) -> None:
     """Check that the test detects mixed-up responses if connections to upstreams are reused.
 
