Reset the connection of an HTTP/1.0 caller whose stream from an entry was broken off

An HTTP/1.0 caller of an entry has the end of a stream told by the close of its connection, and a stream that broke off was closed in the same way. The gateway had the same fault on the caller's side.

As at the gateway, the socket resets on each close until the last chunk is written, also when the process is killed; cheroot's own close, which sends a FIN first, is left out then. The two cases of a broken stream in tests/test_web.py failed before, the whole stream passed before and passes now.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -13,8 +13,8 @@
 import httptools
 
 from dalehollow.aio.headers import Headers, find_header
-from dalehollow.aio.sockets import set_reset_on_close, tune_socket
 from dalehollow.framing import BodyFraming, find_framing
+from dalehollow.sockets import set_reset_on_close, tune_socket
 
 _LOG = logging.getLogger(__name__)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -11,8 +11,8 @@
 import httptools
 
 from dalehollow.aio.headers import Headers, find_header
-from dalehollow.aio.sockets import tune_socket
 from dalehollow.framing import BodyFraming, find_framing
+from dalehollow.sockets import tune_socket
 
 _FIRST_FINAL_STATUS = 200
 MAX_BUFFERED_BYTES = 256 * 1024
--- a/dalehollow/aio/sockets.py
+++ b/dalehollow/sockets.py
@@ -1,4 +1,4 @@
-"""Set the socket options that turn an unresponsive peer into a connection error."""
+"""Set the socket options that bound the wait for a peer and show it a broken response."""
 
 from __future__ import annotations
 
@@ -24,6 +24,15 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def resets_on_close(sock: socket.socket) -> bool:
+    """Return whether a close resets the connection."""
+    size_bytes = struct.calcsize(_LINGER_FORMAT)
+    is_on, _ = struct.unpack(
+        _LINGER_FORMAT, sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, size_bytes)
+    )
+    return bool(is_on)
+
+
 def tune_socket(transport: asyncio.BaseTransport) -> None:
     """Disable Nagle's algorithm and bound how long sent bytes may stay unacknowledged."""
     sock = transport.get_extra_info("socket")
--- a/dalehollow/web/server.py
+++ b/dalehollow/web/server.py
@@ -12,6 +12,7 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPServer
 
+from dalehollow.sockets import set_reset_on_close
 from dalehollow.web.messages import Handler, HttpRequest
 from dalehollow.web.strict import StrictConnection
 from dalehollow.web.threads import MAX_THREADS, ThreadPerRequest
@@ -140,16 +141,27 @@
         for chunk in chunks:
             if not chunk:
                 continue
-            req.ensure_headers_sent()
+            _send_stream_head(req)
             _write_chunk(req, chunk)
+        _send_stream_head(req)
+        set_reset_on_close(req.conn.socket, is_on=False)
     finally:
         # A source that fails before its first chunk gives a truncated response, not an error one.
-        req.ensure_headers_sent()
+        _send_stream_head(req)
         close = getattr(chunks, "close", None)
         if close is not None:
             close()
 
 
+def _send_stream_head(req: Any) -> None:
+    """Send the head once; until the body is complete, a close resets an HTTP/1.0 connection."""
+    if req.sent_headers:
+        return
+    req.ensure_headers_sent()
+    if not req.chunked_write:
+        set_reset_on_close(req.conn.socket, is_on=True)
+
+
 def _convert_request(req: Any, body: bytes) -> HttpRequest:
     sock = req.conn.socket
     # Forward the target undecoded: a decoded '?' or '/' would change its meaning upstream.
--- a/dalehollow/web/threads.py
+++ b/dalehollow/web/threads.py
@@ -9,6 +9,7 @@
 from cheroot.server import HTTPServer
 
 from dalehollow.clock import read_clock
+from dalehollow.sockets import resets_on_close
 
 MAX_THREADS = 1024
 _LINGER_S = 1.0
@@ -65,12 +66,17 @@
 
 
 def _close_lingering(conn: Any) -> None:
-    """Close after the peer has read the response.
+    """Close after the peer has read the response, or reset at once if the response is broken.
 
     Closing a socket with unread input would reset the connection and could lose the response.
     """
     deadline_s = read_clock() + _LINGER_S
     try:
+        if resets_on_close(conn.socket):
+            # Makes cheroot leave out its own close, which would send a FIN first.
+            conn.linger = True
+            conn.socket.close()
+            return
         conn.socket.shutdown(socket.SHUT_WR)
         conn.socket.settimeout(_LINGER_S)
         while read_clock() < deadline_s and conn.socket.recv(_LINGER_CHUNK_BYTES):
--- a/tests/nasty_upstream.py
+++ b/tests/nasty_upstream.py
@@ -13,7 +13,7 @@
 import threading
 import time
 
-from dalehollow.aio.sockets import set_reset_on_close
+from dalehollow.sockets import set_reset_on_close
 
 PLAIN_MODES = ("plain", "chunked", "late", "twice", "twice_late", "longer", "unframed")
 STREAM_MODES = ("events_chunked", "events_length", "events_unframed")
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -27,6 +27,8 @@
         self.served += 1
         if req.path == "/cut":
             return HttpResponse(200, {}, _send_truncated())
+        if req.path == "/stream":
+            return HttpResponse(200, {}, iter((b"half", b" and half")))
         if req.path == "/cut-at-once":
             return HttpResponse(200, {}, _send_nothing())
         if req.path.startswith("/target"):
@@ -115,6 +117,28 @@
     assert answer.unwrap().read() == b"ok"
 
 
+@pytest.mark.parametrize(
+    ("path", "is_whole"), [("/stream", True), ("/cut", False), ("/cut-at-once", False)]
+)
+def test_broken_stream_of_an_http_1_0_caller_ends_with_a_reset(
+    echo: tuple[EchoHandler, str], path: str, is_whole: bool
+) -> None:
+    """Guards against a close that an HTTP/1.0 caller takes for the end of its stream."""
+    host, port = echo[1].split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(f"GET {path} HTTP/1.0\r\nHost: x\r\n\r\n".encode())
+        received = b""
+        try:
+            while data := sock.recv(65536):
+                received += data
+            is_reset = False
+        except ConnectionResetError:
+            is_reset = True
+    assert is_reset != is_whole
+    if is_whole:
+        assert received.endswith(b"\r\n\r\nhalf and half")
+
+
 def test_chunked_body_over_the_limit_is_rejected(echo: tuple[EchoHandler, str]) -> None:
     handler, address = echo
     chunk = b"%x\r\n" % (1024 * 1024) + b"a" * (1024 * 1024) + b"\r\n"
