Count a rank's state that cannot be decoded as a failed call

A rank's report that was broken off without framing ends like a whole one and does not decode: the planner's round ended with DecodeError wherever it was, within a switch too, and the planner began anew after its restart pause. The reads of counts and maps had the same gap. A failed call is what the planner is written for.

--- a/dalehollow/platform/ranks.py
+++ b/dalehollow/platform/ranks.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
 from dalehollow.aio import ConnectError, ResponseError, connect
 from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankReport
+from dalehollow.telemetry.logs import log_event
 
 CONNECT_TIMEOUT_S = 0.12
 ORDER_TIMEOUT_S = 0.12
@@ -21,6 +23,10 @@
 _OK_STATUS = 200
 GROUP_OPEN = "open"
 
+_LOG = logging.getLogger(__name__)
+
+_T = TypeVar("_T")
+
 
 class _Group(msgspec.Struct):
     epoch: int = 0
@@ -104,10 +110,9 @@
 
     async def read_report(self, rank: int) -> RankReport | None:
         """Return a rank's report, or None if the call failed."""
-        body = await self._get(rank, "/report")
-        if body is None:
+        report = await self._read(rank, "/report", _Report)
+        if report is None:
             return None
-        report = msgspec.json.decode(body, type=_Report)
         armed = report.armed or _Armed()
         return RankReport(
             epoch=report.group.epoch,
@@ -123,10 +128,9 @@
 
     async def read_counts(self, rank: int) -> RankCounts | None:
         """Return a rank's token counts by layer, or None if the call failed."""
-        body = await self._get(rank, "/picked")
-        if body is None:
+        reply = await self._read(rank, "/picked", _Counts)
+        if reply is None:
             return None
-        reply = msgspec.json.decode(body, type=_Counts)
         self.counts_read += len(reply.counts)
         width = len(reply.counts) // self._layers
         layers = (reply.counts[i * width : (i + 1) * width] for i in range(self._layers))
@@ -134,10 +138,9 @@
 
     async def read_layers(self, rank: int) -> tuple[tuple[int, ...], ...] | None:
         """Return the experts a rank holds by layer, or None if the call failed."""
-        body = await self._get(rank, "/picked?lists=1")
-        if body is None:
+        lists = await self._read(rank, "/picked?lists=1", _Lists)
+        if lists is None:
             return None
-        lists = msgspec.json.decode(body, type=_Lists)
         return tuple(tuple(layer) for layer in lists.map.experts)
 
     async def _order(self, rank: int, order: dict[str, Any]) -> OrderReply:
@@ -150,9 +153,19 @@
             return OrderReply.UNANSWERED
         return OrderReply.ACCEPTED if response[0] in _TAKEN_STATUSES else OrderReply.REFUSED
 
-    async def _get(self, rank: int, path: str) -> bytes | None:
+    async def _read(self, rank: int, path: str, kind: type[_T]) -> _T | None:
+        """Read and decode a rank's state; return None if the call failed."""
         response = await self._call(rank, "GET", path, b"", READ_TIMEOUT_S)
-        return response[1] if response is not None and response[0] == _OK_STATUS else None
+        if response is None or response[0] != _OK_STATUS:
+            return None
+        try:
+            return msgspec.json.decode(response[1], type=kind)
+        except msgspec.MsgspecError as exc:
+            # An unframed answer that was broken off ends like a whole one.
+            log_event(
+                _LOG, "rank_answer_unusable", logging.WARNING, rank=rank, path=path, error=exc
+            )
+            return None
 
     async def _call(
         self, rank: int, method: str, path: str, body: bytes, timeout_s: float
