Refuse a value of the key-value service whose end cannot be known

Values are opaque bytes that say nothing of their end, so only the framing can: an unframed value is an error now, and is read again as after any failed call. A delete whose answer was truncated raised; it is reported as one that may have written, like every other write.

--- a/dalehollow/platform/keyvalue.py
+++ b/dalehollow/platform/keyvalue.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from dalehollow.errors import PlatformError
+from dalehollow.framing import BodyFraming
 from dalehollow.web import Answer, CallError, HttpClient
 
 _REVISION_HEADER = "kv-revision"
@@ -92,7 +93,10 @@
         call = self._http.call("DELETE", self._address, f"/kv/{key}", timeout_s=timeout_s)
         if isinstance(call, Err):
             return Err(PlatformError(call.err_value.message, may_have_written=call.err_value.sent))
-        call.ok_value.read()
+        try:
+            call.ok_value.read()
+        except ConnectionError as exc:
+            return Err(PlatformError(str(exc), may_have_written=True))
         return Ok(None)
 
     def watch(self, key: str, *, after_revision: int, wait_ms: int) -> Result[Entry, PlatformError]:
@@ -114,6 +118,9 @@
         return Ok(Entry(b"", 0))
     if answer.status != 200:
         return Err(PlatformError(f"status {answer.status}", may_have_written=False))
+    if answer.framing is BodyFraming.CONNECTION:
+        message = "the value has neither a length nor chunks, so it may be truncated"
+        return Err(PlatformError(message, may_have_written=False))
     return Ok(Entry(body, int(answer.headers.get(_REVISION_HEADER, "0"))))
 
 
--- a/dalehollow/web/client.py
+++ b/dalehollow/web/client.py
@@ -58,6 +58,11 @@
         """Return all headers except the hop-by-hop ones."""
         return {k: v for k, v in self.headers.items() if k not in _HOP_HEADERS}
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return what marks the end of the body."""
+        return find_framing(self.status, {name.encode("latin-1") for name in self.headers})
+
     def can_be_buffered(self) -> bool:
         """Return whether the body has a known length and is small enough to be buffered."""
         length = self.headers.get("content-length", "")
@@ -112,8 +117,7 @@
         )
 
     def _check_stream_end(self, splitter: EventSplitter) -> None:
-        framing = find_framing(self.status, {name.encode("latin-1") for name in self.headers})
-        ends_with_connection = framing is BodyFraming.CONNECTION
+        ends_with_connection = self.framing is BodyFraming.CONNECTION
         truncation = splitter.find_truncation(ends_with_connection=ends_with_connection)
         if truncation is not None:
             raise TruncatedResponseError(truncation)
--- a/tests/test_rank_client.py
+++ b/tests/test_rank_client.py
@@ -44,5 +44,5 @@
 
 @pytest.mark.parametrize("cut_bytes", [1, 10, 40])
 def test_broken_answer_without_framing_counts_as_none(cut_bytes: int) -> None:
-    """Guards against a half report that raises in the planner and ends it with its duty held."""
+    """Guards against half a report that raises and ends a planning round, even within a switch."""
     assert _read_all(cut_bytes) == [None, None, None]
