Let servers of the soak break answers off in each framing, and resets pass its proxies

Servers that fail now also answer without framing, whole, closed inside an event, closed empty and reset, and end streams inside an event by their own framing; a proxy passes a reset on as one.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,11 +19,18 @@
 import fire
 
 from soak.callers import LoadGenerator, count_served
-from soak.defects import DEFECTS, PROPAGATION_DEFECTS, RETRY_DEFECTS, SIGNAL_DEFECTS
+from soak.defects import (
+    DEFECTS,
+    PROPAGATION_DEFECTS,
+    RETRY_DEFECTS,
+    SIGNAL_DEFECTS,
+    STREAM_DEFECTS,
+)
 from soak.faults import (
     PROPAGATION_CHAINS,
     RETRY_CHAINS,
     SIGNAL_CHAINS,
+    STREAM_CHAINS,
     Fault,
     draw_faults,
     inject_fault,
@@ -118,7 +125,7 @@
 def chains(seeds: int = 2) -> None:
     """Run each named fault sequence; exit with status 1 if a guarantee was violated."""
     failed_runs = 0
-    all_chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | RETRY_CHAINS
+    all_chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | STREAM_CHAINS | RETRY_CHAINS
     for name, faults in all_chains.items():
         print(name)
         for seed in range(1, seeds + 1):
@@ -143,6 +150,7 @@
     for group, group_chains in (
         (PROPAGATION_DEFECTS, PROPAGATION_CHAINS),
         (SIGNAL_DEFECTS, SIGNAL_CHAINS),
+        (STREAM_DEFECTS, STREAM_CHAINS),
         (RETRY_DEFECTS, RETRY_CHAINS),
     ):
         if name in group:
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -12,6 +12,7 @@
 
 from dalehollow import cli
 from dalehollow.aio import client
+from dalehollow.events import EventSplitter
 from dalehollow.gateway import outcome, table
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.crashes import CrashWatch
@@ -91,6 +92,11 @@
     LimitTokens._choose_allocator = lambda tokens, *args: tokens._name  # type: ignore[method-assign]
 
 
+def _ignore_incomplete_events() -> None:
+    """Take the end of a body for the end of a stream."""
+    EventSplitter.find_truncation = lambda *args, **kwargs: None  # type: ignore[method-assign]
+
+
 def _start_with_full_budget() -> None:
     """Give each gateway process its full retry budget at startup."""
     RetryWindow._count_allowed = (  # type: ignore[method-assign]
@@ -109,12 +115,15 @@
     "no_signals": _ignore_upstream_signals,
     "no_crashes": _disable_crash_detection,
     "own_tokens": _allocate_tokens_locally,
+    "any_stream_end": _ignore_incomplete_events,
     "full_budget_at_start": _start_with_full_budget,
 }
 PROPAGATION_DEFECTS = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
 """Defects in the propagation of store changes, detected only by the timing checks."""
 SIGNAL_DEFECTS = frozenset({"no_signals", "no_crashes", "own_tokens"})
 """Those that only the bounds in time can show, of what servers say in answers."""
+STREAM_DEFECTS = frozenset({"any_stream_end"})
+"""Defects that only streams which end too early can expose."""
 RETRY_DEFECTS = frozenset({"full_budget_at_start"})
 """Defects that only a large number of retries can expose."""
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,13 @@
     ResponseMode.CUT_UNANSWERED,
     ResponseMode.CUT_IN_EVENT,
     ResponseMode.CUT_BODY,
+    ResponseMode.LENGTH,
+    ResponseMode.LENGTH_CUT_IN_EVENT,
+    ResponseMode.CHUNKED_ENDS_IN_EVENT,
+    ResponseMode.UNFRAMED,
+    ResponseMode.UNFRAMED_CLOSED_IN_EVENT,
+    ResponseMode.UNFRAMED_CLOSED_EMPTY,
+    ResponseMode.UNFRAMED_RESET,
     ResponseMode.OTHERS_ANSWER_FIRST,
     ResponseMode.SURPLUS,
     ResponseMode.HANG,
@@ -343,6 +350,12 @@
     return next(fits)
 
 
+def _make_failure_target(server: int, way: ResponseMode) -> int:
+    """Return a target that selects one of four servers and the first of its failure ways."""
+    ways = FAILURE_WAYS
+    return next(t for t in range(100) if t % 4 == server and ways[t % len(ways)] is way)
+
+
 ONE_CHANGE_INDEX, MANY_CHANGES_INDEX = 0, 2
 PROPAGATION_CHAINS: dict[str, tuple[Fault, ...]] = {
     "the relay killed as a change comes": (
@@ -413,6 +426,28 @@
 }
 """Fault sequences with signals in response headers and requests that crash servers."""
 
+STREAM_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "servers that break streams off, in each framing": tuple(
+        Fault(0.5 + 3.0 * wave, 2.8, "server", _make_failure_target(server, way))
+        for wave, ways in enumerate(
+            (
+                (
+                    ResponseMode.UNFRAMED_CLOSED_IN_EVENT,
+                    ResponseMode.CHUNKED_ENDS_IN_EVENT,
+                    ResponseMode.CUT_IN_EVENT,
+                ),
+                (
+                    ResponseMode.UNFRAMED_CLOSED_EMPTY,
+                    ResponseMode.LENGTH_CUT_IN_EVENT,
+                    ResponseMode.UNFRAMED_RESET,
+                ),
+            )
+        )
+        for server, way in enumerate(ways)
+    ),
+}
+"""Fault sequences with streams that end too early; one server always answers as usual."""
+
 RETRY_CHAINS: dict[str, tuple[Fault, ...]] = {
     "gateways killed in series while servers fail": (
         *(Fault(0.5, 9.0, "server", target) for target in range(4)),
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,6 +6,8 @@
 import enum
 import math
 
+from dalehollow.sockets import set_reset_on_close
+
 CHUNK_BYTES = 65_536
 
 
@@ -50,7 +52,7 @@
         self._mode = mode
         if mode is Mode.RESET:
             for writer in list(self._writers):
-                writer.transport.abort()
+                _reset(writer)
         self._mode_changed.set()
         self._mode_changed = asyncio.Event()
 
@@ -82,6 +84,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self._mode is Mode.RESET:
+            _reset(writer)
             return
         host, _, port = self.target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(host, int(port))
@@ -99,7 +102,10 @@
         finally:
             for forwarder in forwarders:
                 forwarder.cancel()
-            await asyncio.gather(*forwarders, return_exceptions=True)
+            results = await asyncio.gather(*forwarders, return_exceptions=True)
+            if isinstance(results[1], ConnectionError):
+                # A reset must not reach the caller as a close, which may be the end of a response.
+                _reset(writer)
             target_writer.transport.abort() if self._mode is Mode.RESET else target_writer.close()
             self._writers.discard(target_writer)
             if self._mode is not Mode.RESET:
@@ -120,3 +126,10 @@
                 await self._mode_changed.wait()
             writer.write(data)
             await writer.drain()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, even if nothing is left to send on it."""
+    if not writer.transport.is_closing():
+        set_reset_on_close(writer.get_extra_info("socket"), is_on=True)
+    writer.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,14 @@
 import pytest
 
 from soak.__main__ import run_seed
-from soak.faults import FAULT_MODES, INJECTORS, PROPAGATION_CHAINS, SIGNAL_CHAINS, draw_faults
+from soak.faults import (
+    FAULT_MODES,
+    INJECTORS,
+    PROPAGATION_CHAINS,
+    SIGNAL_CHAINS,
+    STREAM_CHAINS,
+    draw_faults,
+)
 from soak.promises import (
     CRASHING_ID,
     PLAIN_BODY,
@@ -206,7 +213,8 @@
 
 
 def test_chains_use_known_faults_and_select_the_intended_target() -> None:
-    faults = [fault for chain in (PROPAGATION_CHAINS | SIGNAL_CHAINS).values() for fault in chain]
+    chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | STREAM_CHAINS
+    faults = [fault for chain in chains.values() for fault in chain]
     assert {fault.kind for fault in faults} <= set(INJECTORS)
     silent = PROPAGATION_CHAINS["the relay's way to the store silent"][0]
     assert silent.target % 4 == 0
