Say truncated in the new code and tests, and move checks of bodies out of the exchange

Tests are renamed: test_truncated_stream_never_looks_complete was test_stream_broken_off_by_its_upstream_never_looks_complete, test_truncated_stream_resumes_at_another_upstream was test_stream_broken_off_by_its_upstream_resumes_at_another. The metric's label end is complete or truncated.

--- a/dalehollow/events.py
+++ b/dalehollow/events.py
@@ -1,4 +1,4 @@
-"""Split a stream into complete events, and tell a stream that was broken off from a whole one."""
+"""Split a stream into complete events, and tell a truncated stream from a whole one."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 _ID_FIELD = b"id:"
 # Lines end with CRLF, LF or CR. A final CR after CRLF or LF may be the first half of a CRLF.
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n)(?>\r\n|\n|\r(?!\Z))|\r(?!\n)(?>\r\n|\r)")
+# Blank lines and comments, which belong to no event.
 _NO_FIELDS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
-"""Blank lines and comments, which belong to no event."""
 _FINAL_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)\Z")
 
 
@@ -60,14 +60,15 @@
         return pending[:done]
 
     def find_truncation(self, *, ends_with_connection: bool) -> str | None:
-        """Return how the stream was broken off if its body ends now, None if it is complete.
+        """Return why the stream is truncated if its body ends now, None if it is whole.
 
         `ends_with_connection` says that only the end of the connection marks the end of the body.
         """
-        has_rest = _NO_FIELDS.fullmatch(self._partial) is None
-        if has_rest and not _FINAL_BLANK_LINE.search(self._partial):
+        has_partial = _NO_FIELDS.fullmatch(self._partial) is None
+        if has_partial and not _FINAL_BLANK_LINE.search(self._partial):
             return "the stream ended inside an event"
-        if ends_with_connection and not self._body_has_event and not has_rest:
+        # Without framing, an upstream that failed looks like one that had nothing to send.
+        if ends_with_connection and not self._body_has_event and not has_partial:
             return "the connection was closed before the first event"
         return None
 
--- /dev/null
+++ b/dalehollow/gateway/bodies.py
@@ -0,0 +1,37 @@
+"""Tell whether the body of an upstream's answer is an event stream, and whether it is whole."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from dalehollow.aio import ResponseError, ResponseHead
+from dalehollow.events import EVENT_STREAM, EventSplitter, is_event_stream
+from dalehollow.framing import BodyFraming
+from dalehollow.gateway.table import RequestKind, Route
+
+
+def is_relayed_as_stream(route: Route, head: ResponseHead) -> bool:
+    """Return whether an answer is relayed event by event; others are buffered."""
+    if route.kind is not RequestKind.STREAM or head.status != HTTPStatus.OK:
+        return False
+    return _has_events(head, head.get(b"content-type") or EVENT_STREAM)
+
+
+def check_buffered(head: ResponseHead, body: bytes) -> None:
+    """Raise ResponseError if a buffered body is a truncated event stream."""
+    if _has_events(head, head.get(b"content-type") or b""):
+        splitter = EventSplitter()
+        splitter.feed(body)
+        check_stream_end(head, splitter)
+
+
+def check_stream_end(head: ResponseHead, splitter: EventSplitter) -> None:
+    """Raise ResponseError if a stream whose body has ended is truncated."""
+    ends_with_connection = head.framing is BodyFraming.CONNECTION
+    truncation = splitter.find_truncation(ends_with_connection=ends_with_connection)
+    if truncation is not None:
+        raise ResponseError(truncation)
+
+
+def _has_events(head: ResponseHead, content_type: bytes) -> bool:
+    return is_event_stream(content_type, head.get(b"content-encoding"))
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -6,15 +6,8 @@
 import logging
 from http import HTTPStatus
 
-from dalehollow.aio import (
-    CallerConnection,
-    CallerRequest,
-    ResponseError,
-    ResponseHead,
-)
-from dalehollow.events import EVENT_STREAM, EventSplitter, is_event_stream
-from dalehollow.framing import BodyFraming
-from dalehollow.gateway import outcome
+from dalehollow.aio import CallerConnection, CallerRequest, ResponseError, ResponseHead
+from dalehollow.gateway import bodies, outcome
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
@@ -23,7 +16,6 @@
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
-from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstream import Move, MoveReason, Upstream
 from dalehollow.telemetry.logs import log_event
 
@@ -235,7 +227,7 @@
         """Relay an answer; return False if the request is to be retried instead."""
         head, connection = answered.head, answered.connection
         self._progress.framing = head.framing
-        is_stream = self._is_stream(head)
+        is_stream = bodies.is_relayed_as_stream(self._job.route, head)
         if self._caller.has_sent_head and not is_stream:
             raise ResponseError(
                 f"upstream answered status {head.status} to a request to resume a stream"
@@ -245,7 +237,7 @@
             upstream.record_answer(failed=False)
         else:
             body = await connection.read_body()
-            self._check_events(head, body)
+            bodies.check_buffered(head, body)
             self._record_answer_end(is_complete=True)
             self._record_answer_latency()
             if self._record_status(upstream, head) and self._take_retry(is_answered=True):
@@ -256,21 +248,6 @@
         outcome.record_completed(self._state, self._job, self._progress, head.status)
         return True
 
-    def _is_stream(self, head: ResponseHead) -> bool:
-        """Return whether an answer is relayed event by event."""
-        if self._job.route.kind is not RequestKind.STREAM or head.status != HTTPStatus.OK:
-            return False
-        content_type = head.get(b"content-type") or EVENT_STREAM
-        return is_event_stream(content_type, head.get(b"content-encoding"))
-
-    def _check_events(self, head: ResponseHead, body: bytes) -> None:
-        """Raise ResponseError if a buffered body is an event stream that was broken off."""
-        content_type = head.get(b"content-type") or b""
-        if is_event_stream(content_type, head.get(b"content-encoding")):
-            splitter = EventSplitter()
-            splitter.feed(body)
-            _check_stream_end(splitter, head)
-
     def _record_status(self, upstream: Upstream, head: ResponseHead) -> bool:
         """Record a complete answer as a success or failure; return whether it is a failure."""
         if head.status < _MIN_SERVER_ERROR_STATUS:
@@ -299,7 +276,7 @@
                     self._record_answer_latency()
                 last_s = now_s
             await self._caller.send_piece(events)
-        _check_stream_end(splitter, head)
+        bodies.check_stream_end(head, splitter)
         self._record_answer_end(is_complete=True)
         await self._caller.send_piece(splitter.flush())
         self._caller.end_stream()
@@ -366,13 +343,5 @@
         )
 
 
-def _check_stream_end(splitter: EventSplitter, head: ResponseHead) -> None:
-    """Raise ResponseError if a stream whose body has ended was broken off."""
-    ends_with_connection = head.framing is BodyFraming.CONNECTION
-    truncation = splitter.find_truncation(ends_with_connection=ends_with_connection)
-    if truncation is not None:
-        raise ResponseError(truncation)
-
-
 def _end_to_end_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
     return [(k, v) for k, v in head.headers if k not in HOP_HEADERS]
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -165,7 +165,7 @@
     state: GatewayState, job: Job, progress: Progress, *, is_complete: bool
 ) -> None:
     """Count the end of the body of an upstream's answer."""
-    end = "complete" if is_complete else "broken"
+    end = "complete" if is_complete else "truncated"
     framing = str(progress.framing)
     state.metrics.count("answer_bodies", service=job.service, framing=framing, end=end)
 
--- a/dalehollow/platform/ranks.py
+++ b/dalehollow/platform/ranks.py
@@ -161,7 +161,7 @@
         try:
             return msgspec.json.decode(response[1], type=kind)
         except msgspec.MsgspecError as exc:
-            # An unframed answer that was broken off ends like a whole one.
+            # A truncated answer without framing ends like a whole one.
             log_event(
                 _LOG, "rank_answer_unusable", logging.WARNING, rank=rank, path=path, error=exc
             )
--- a/dalehollow/sockets.py
+++ b/dalehollow/sockets.py
@@ -1,4 +1,4 @@
-"""Set the socket options that bound the wait for a peer and show it a broken response."""
+"""Set the socket options that bound the wait for a peer and show it a truncated body."""
 
 from __future__ import annotations
 
--- a/dalehollow/web/threads.py
+++ b/dalehollow/web/threads.py
@@ -66,7 +66,7 @@
 
 
 def _close_lingering(conn: Any) -> None:
-    """Close after the peer has read the response, or reset at once if the response is broken.
+    """Close after the peer has read the response, or reset at once if the response is truncated.
 
     Closing a socket with unread input would reset the connection and could lose the response.
     """
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -427,7 +427,7 @@
 """Fault sequences with signals in response headers and requests that crash servers."""
 
 STREAM_CHAINS: dict[str, tuple[Fault, ...]] = {
-    "servers that break streams off, in each framing": tuple(
+    "servers that truncate streams, in each framing": tuple(
         Fault(0.5 + 3.0 * wave, 2.8, "server", _make_failure_target(server, way))
         for wave, ways in enumerate(
             (
--- a/tests/nasty_upstream.py
+++ b/tests/nasty_upstream.py
@@ -18,15 +18,15 @@
 PLAIN_MODES = ("plain", "chunked", "late", "twice", "twice_late", "longer", "unframed")
 STREAM_MODES = ("events_chunked", "events_length", "events_unframed")
 COMPLETE_MODES = (*PLAIN_MODES, *STREAM_MODES)
-BROKEN_PLAIN_MODES = ("cut_length", "cut_chunked", "cut_between_chunks", "reset_unframed")
-# The framing of these streams does not show that they were broken off.
-BROKEN_STREAM_MODES = (
+TRUNCATED_PLAIN_MODES = ("cut_length", "cut_chunked", "cut_between_chunks", "reset_unframed")
+# The framing of these streams does not show that they are truncated.
+TRUNCATED_STREAM_MODES = (
     "events_cut_chunked",
     "events_cut_length",
     "events_cut_unframed",
     "no_events_unframed",
 )
-RESPONSE_MODES = (*COMPLETE_MODES, *BROKEN_PLAIN_MODES, *BROKEN_STREAM_MODES)
+RESPONSE_MODES = (*COMPLETE_MODES, *TRUNCATED_PLAIN_MODES, *TRUNCATED_STREAM_MODES)
 _DELAY_S = 0.004
 _UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,4 +1,4 @@
-"""Test that an answer which its upstream broke off never looks complete, however it was framed."""
+"""Test that a truncated answer never looks complete, however its upstream framed it."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     ResponseMode.LENGTH_ENDS_IN_EVENT,
     ResponseMode.LENGTH_CUT_IN_EVENT,
 )
-BROKEN_STREAMS = (
+TRUNCATED_STREAMS = (
     *ENDS_IN_EVENT,
     ResponseMode.UNFRAMED_CLOSED_EMPTY,
     ResponseMode.UNFRAMED_RESET,
@@ -34,11 +34,11 @@
         bench.gateway.state.upstreams.adjust_others(f"s{idx}", idx)
 
 
-def test_stream_broken_off_by_its_upstream_never_looks_complete() -> None:
+def test_truncated_stream_never_looks_complete() -> None:
     """Guards against a stream that ends inside an event and is completed for its caller."""
     looked_complete = []
 
-    for mode in BROKEN_STREAMS:
+    for mode in TRUNCATED_STREAMS:
 
         async def scenario(bench: GatewayBench, mode: ResponseMode = mode) -> None:
             await _start_servers(bench, mode)
@@ -53,11 +53,11 @@
     assert looked_complete == []
 
 
-def test_stream_broken_off_by_its_upstream_resumes_at_another() -> None:
+def test_truncated_stream_resumes_at_another_upstream() -> None:
     """Guards against a resumable stream that is not resumed since it was taken for complete."""
     not_resumed = []
 
-    for mode in BROKEN_STREAMS:
+    for mode in TRUNCATED_STREAMS:
 
         async def scenario(bench: GatewayBench, mode: ResponseMode = mode) -> None:
             await _start_servers(bench, mode, ResponseMode.UNFRAMED)
@@ -168,7 +168,7 @@
 @pytest.mark.parametrize(
     "mode", [ResponseMode.CUT_IN_EVENT, ResponseMode.UNFRAMED_CLOSED_IN_EVENT, ResponseMode.HANG]
 )
-def test_broken_stream_of_an_http_1_0_caller_ends_with_a_reset(mode: ResponseMode) -> None:
+def test_truncated_stream_of_an_http_1_0_caller_ends_with_a_reset(mode: ResponseMode) -> None:
     """Guards against a close that an HTTP/1.0 caller takes for the end of its stream."""
 
     async def scenario(bench: GatewayBench) -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -181,7 +181,7 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "is_broken", "is_broken_unframed"),
+    ("body", "is_truncated", "is_truncated_unframed"),
     [
         (b"", False, True),
         (b"id: 1\ndata: a\n\n", False, False),
@@ -197,13 +197,15 @@
         (b"id: 1\ndata: a\n\n: a comment", True, True),
     ],
 )
-def test_stream_that_ends_inside_an_event_is_broken_off(
-    body: bytes, is_broken: bool, is_broken_unframed: bool
+def test_stream_that_ends_inside_an_event_is_truncated(
+    body: bytes, is_truncated: bool, is_truncated_unframed: bool
 ) -> None:
     splitter = EventSplitter()
     splitter.feed(body)
-    assert (splitter.find_truncation(ends_with_connection=False) is not None) == is_broken
-    assert (splitter.find_truncation(ends_with_connection=True) is not None) == is_broken_unframed
+    framed, unframed = (
+        splitter.find_truncation(ends_with_connection=is_unframed) for is_unframed in (False, True)
+    )
+    assert (framed is not None, unframed is not None) == (is_truncated, is_truncated_unframed)
 
 
 def test_an_incomplete_event_is_discarded_when_its_connection_breaks() -> None:
--- a/tests/test_keyvalue_client.py
+++ b/tests/test_keyvalue_client.py
@@ -1,4 +1,4 @@
-"""Test the client of the key-value service against answers that are broken off."""
+"""Test the client of the key-value service against truncated answers."""
 
 from __future__ import annotations
 
--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -130,7 +130,7 @@
         assert response == expected, f"request {number}, response mode {mode}"
 
 
-def test_broken_stream_ends_with_an_error_event_after_whole_events(chain: ProxyChain) -> None:
+def test_truncated_stream_ends_with_an_error_event_after_whole_events(chain: ProxyChain) -> None:
     """Guards against an error event that is appended to an event of which only a part arrived."""
     answer = chain.call(7, "events_cut_unframed").unwrap()
     received = b""
--- a/tests/test_rank_client.py
+++ b/tests/test_rank_client.py
@@ -1,4 +1,4 @@
-"""Test the client of ranks against answers that are whole, broken off or malformed."""
+"""Test the client of ranks against answers that are whole or truncated."""
 
 from __future__ import annotations
 
@@ -43,6 +43,6 @@
 
 
 @pytest.mark.parametrize("cut_bytes", [1, 10, 40])
-def test_broken_answer_without_framing_counts_as_none(cut_bytes: int) -> None:
+def test_truncated_answer_without_framing_counts_as_none(cut_bytes: int) -> None:
     """Guards against half a report that raises and ends a planning round, even within a switch."""
     assert _read_all(cut_bytes) == [None, None, None]
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -120,7 +120,7 @@
 @pytest.mark.parametrize(
     ("path", "is_whole"), [("/stream", True), ("/cut", False), ("/cut-at-once", False)]
 )
-def test_broken_stream_of_an_http_1_0_caller_ends_with_a_reset(
+def test_truncated_stream_of_an_http_1_0_caller_ends_with_a_reset(
     echo: tuple[EchoHandler, str], path: str, is_whole: bool
 ) -> None:
     """Guards against a close that an HTTP/1.0 caller takes for the end of its stream."""
