--- a/dalehollow/events.py
+++ b/dalehollow/events.py
@@ -54,9 +54,10 @@
             if event_id is not None:
                 self.last_id = event_id
                 self.count += 1
+            if not self._body_has_event:
+                self._body_has_event = _NO_FIELDS.fullmatch(pending, done, end) is None
             done = end
         self._partial = pending[done:]
-        self._body_has_event = self._body_has_event or done > 0
         return pending[:done]
 
     def find_truncation(self, *, ends_with_connection: bool) -> str | None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -191,6 +191,8 @@
         (b"id: 1\ndata: a\n\n\n", False, False),
         (b"id: 1\ndata: a\n\n: a comment\n", False, False),
         (b": a comment\n", False, True),
+        (b": a comment\n\n", False, True),
+        (b": a comment\n\nid: 1\ndata: a\n\n", False, False),
         (b"id: 1\ndata: a\n\nid", True, True),
         (b"id: 1\ndata: a\n", True, True),
         (b"id: 1\ndata: a\r\n", True, True),
