--- a/dalehollow/sockets.py
+++ b/dalehollow/sockets.py
@@ -10,8 +10,7 @@
 """Time after which unacknowledged bytes break a connection. Longer than three retransmissions at
 the round-trip time between halls, shorter than the shortest pause after which callers abandon a
 stream."""
-
-
+# `struct linger` of SO_LINGER: whether a close waits, and for how many seconds; 0 s resets.
 _LINGER_FORMAT = "ii"
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -102,8 +102,8 @@
         finally:
             for forwarder in forwarders:
                 forwarder.cancel()
-            results = await asyncio.gather(*forwarders, return_exceptions=True)
-            if isinstance(results[1], ConnectionError):
+            _, from_target = await asyncio.gather(*forwarders, return_exceptions=True)
+            if isinstance(from_target, ConnectionError):
                 # A reset must not reach the caller as a close, which may be the end of a response.
                 _reset(writer)
             target_writer.transport.abort() if self._mode is Mode.RESET else target_writer.close()
--- a/standins/server.py
+++ b/standins/server.py
@@ -43,10 +43,11 @@
     UNFRAMED_CLOSED_IN_EVENT = "unframed_closed_in_event"
     UNFRAMED_CLOSED_EMPTY = "unframed_closed_empty"
     UNFRAMED_RESET = "unframed_reset"
+    # A connection closed before the length of its answer is reached.
+    LENGTH_CUT_IN_EVENT = "length_cut_in_event"
     # Answers that are complete by their framing, though their last event is not.
     CHUNKED_ENDS_IN_EVENT = "chunked_ends_in_event"
     LENGTH_ENDS_IN_EVENT = "length_ends_in_event"
-    LENGTH_CUT_IN_EVENT = "length_cut_in_event"
     OTHERS_ANSWER_FIRST = "others_answer_first"
     OTHERS_REFUSAL_FIRST = "others_refusal_first"
     SURPLUS = "surplus"
@@ -241,7 +242,8 @@
         if shape.framing is BodyFraming.CHUNKED:
             response_headers.append(_CHUNKED)
         elif shape.framing is BodyFraming.LENGTH:
-            length = sum(map(len, sent if shape.end is CallerConnection.end_stream else events))
+            is_length_reached = shape.end is CallerConnection.end_stream
+            length = sum(map(len, sent if is_length_reached else events))
             response_headers.append((b"content-length", str(length).encode()))
         caller.begin_body(200, response_headers)
         for piece in sent:
