--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 
 import pytest
@@ -69,6 +70,26 @@
     assert not_resumed == []
 
 
+def test_truncated_stream_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a truncated stream that leaves no trace, since it was taken for complete."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_servers(bench, ResponseMode.UNFRAMED_CLOSED_IN_EVENT, ResponseMode.UNFRAMED)
+        answer = await bench.send_request("/stream/1")
+        assert answer.is_whole
+        counts = bench.gateway.state.metrics.counts()
+        for end in ("truncated", "complete"):
+            labels = f'{{end="{end}",framing="connection",service="desk"}}'
+            assert counts["answer_bodies" + labels] == 1
+        assert counts['attempts_failed{event="answer_broken",service="desk"}'] == 1
+
+    with caplog.at_level(logging.INFO):
+        run_bench(scenario)
+    (line,) = [r.getMessage() for r in caplog.records if "event=answer_broken" in r.getMessage()]
+    assert 'reason="the stream ended inside an event"' in line
+    assert "framing=connection events=2 last_event=2 partial_bytes=9" in line
+
+
 @pytest.mark.parametrize("longer", ["s0", "s1"])
 def test_resumed_stream_does_not_keep_the_length_of_its_first_body(longer: str) -> None:
     """Guards against a resumed stream cut at, or never reaching, the length of its first body."""
