Test that a truncated stream is not stored as the response of its key

Run by hand with entry, sidecar and HTTP client as they were before the fix: both requests of the key got 200 with half a stream, the second one replayed. Now the first gets 502 with verdict RAN, the second 409 key_outcome_unknown.

--- a/tests/test_own_answer.py
+++ b/tests/test_own_answer.py
@@ -8,7 +8,7 @@
 
 import json
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -24,7 +24,7 @@
 from standins.hall import digest_key
 from standins.keyvalue import KeyValueStandIn
 from tests.nasty_upstream import COMPLETE_MODES, RESPONSE_MODES, MisbehavingUpstream, make_response
-from tests.payment_bench import wait_for
+from tests.payment_bench import make_timestamped_key, wait_for
 
 REQUEST_COUNT = 2_000
 BATCH_SIZE = 200
@@ -79,13 +79,15 @@
         for process in (self.entry, self.sidecar):
             wait_for(lambda p=process: p.holder.version == 1, "configuration")  # type: ignore[misc]
 
-    def call(self, number: int, mode: str) -> Result[Answer, CallError]:
+    def call(
+        self, number: int, mode: str, headers: Mapping[str, str] | None = None
+    ) -> Result[Answer, CallError]:
         """Send a caller's request and return the response, whose body is still to be read."""
         return self.callers.call(
             "POST",
             self.entry.server.address,
             "/gate/x",
-            headers={"authorization": "Bearer k"},
+            headers={"authorization": "Bearer k", **(headers or {})},
             body=json.dumps({"number": number, "mode": mode}).encode(),
             timeout_s=20,
         )
@@ -144,6 +146,15 @@
     assert rest == b""
 
 
+def test_truncated_stream_is_not_stored_as_the_response_of_its_key(chain: ProxyChain) -> None:
+    """Guards against half a stream that is replayed to each caller retry with the same key."""
+    headers = {"idempotency-key": make_timestamped_key()}
+    first, second = (chain.call(7, "events_cut_unframed", headers).unwrap() for _ in range(2))
+    assert (first.status, first.headers["dalehollow-verdict"]) == (502, "RAN")
+    assert (second.status, second.headers["dalehollow-reason"]) == (409, "key_outcome_unknown")
+    assert "dalehollow-replayed" not in second.headers
+
+
 def test_seeded_fault_reused_upstream_connections_mix_responses(chain: ProxyChain) -> None:
     """Check that the test detects mixed-up responses if connections to upstreams are reused.
 
