--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -111,7 +111,8 @@
         gateway: GatewayProcess, store: MetadataStandIn, servers: list[ServerStandIn]
     ) -> None:
         for server in servers:
-            server.response_delay_s = 0.2
+            # The stream cannot end within the timeout of its route.
+            server.response_delay_s = 1.0
         host, _, port = gateway.http.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = f"GET /stream/1 HTTP/1.0\r\nHost: {HOST}\r\nX-Request-Id: r1\r\nX-Key: {KEY}\r\n\r\n"
