Reword comments of the change after a last reading, and name the sidecar's log line as the glossary does

A sidecar logged answer_cut where its upstream truncated an answer; explain would have said of a 502 that its response was cut off after it had begun. answer_broken is the gateway's word for it. Comments and docstrings that needed the change's history to be understood are rewritten, and a test's tuple with one use is folded into the other.

--- a/dalehollow/events.py
+++ b/dalehollow/events.py
@@ -11,11 +11,12 @@
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n)(?>\r\n|\n|\r(?!\Z))|\r(?!\n)(?>\r\n|\r)")
 # Blank lines and comments, which belong to no event.
 _NO_FIELDS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
+# At the end of a body, a final CR is a line end of its own.
 _FINAL_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)\Z")
 
 
 def is_event_stream(content_type: bytes, content_encoding: bytes | None) -> bool:
-    """Return whether the events of a body can be read."""
+    """Return whether a body is an event stream without a content encoding."""
     media_type = content_type.partition(b";")[0].strip().lower()
     return media_type == EVENT_STREAM and content_encoding in (None, b"identity")
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -261,7 +261,7 @@
         splitter = self._progress.splitter
         splitter.begin_body()
         if not self._caller.has_sent_head:
-            # Its length is not passed on: a resumed stream may continue in a body of another one.
+            # The length of this body is not passed on: a resumed stream continues in another body.
             self._caller.begin_stream(head.status, _end_to_end_headers(head))
         pass_times = self._state.pass_times_of(upstream.listed)
         last_s = None
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -198,4 +198,4 @@
 
 
 def _log_truncated(call: InnerCall, error: TruncatedResponseError) -> None:
-    log_event(_log, "answer_cut", logging.WARNING, request_id=call.request_id, reason=error)
+    log_event(_log, "answer_broken", logging.WARNING, request_id=call.request_id, reason=error)
--- a/dalehollow/sockets.py
+++ b/dalehollow/sockets.py
@@ -1,4 +1,4 @@
-"""Set the socket options that bound the wait for a peer and show it a truncated body."""
+"""Set socket options: a bounded wait for acknowledgements, and a reset instead of a close."""
 
 from __future__ import annotations
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -68,8 +68,8 @@
 class _StreamShape:
     """Describe how a stream is framed, where its data stops and how its connection ends.
 
-    `whole_events` is the number of events before the data stops, of which the next one is sent in
-    part if `has_partial_event` is set; None means all events.
+    `whole_events` is the number of events that are sent whole, None for all of them. With
+    `has_partial_event`, the beginning of one more event follows.
     """
 
     framing: BodyFraming = BodyFraming.CHUNKED
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -11,15 +11,12 @@
 from standins.server import ResponseMode, make_stream_body
 from tests.gateway_bench import HOST, KEY, GatewayBench, make_config, run_bench
 
-ENDS_IN_EVENT = (
+TRUNCATED_STREAMS = (
     ResponseMode.CUT_IN_EVENT,
     ResponseMode.UNFRAMED_CLOSED_IN_EVENT,
     ResponseMode.CHUNKED_ENDS_IN_EVENT,
     ResponseMode.LENGTH_ENDS_IN_EVENT,
     ResponseMode.LENGTH_CUT_IN_EVENT,
-)
-TRUNCATED_STREAMS = (
-    *ENDS_IN_EVENT,
     ResponseMode.UNFRAMED_CLOSED_EMPTY,
     ResponseMode.UNFRAMED_RESET,
 )
