Log the prompt parts and events of each attempt that broke at a crash

Whose requests crash upstreams could not be told from the logs: a suspicion had a fingerprint of the whole request, and no line named the parts of its prompt, whether the upstream had begun to answer, how the crash was detected, or what cleared a request. No decision reads the new values.

Run: tests/test_crash_watch.py, test_crashing_requests.py, test_signals.py, test_gateway.py, test_gateway_parts.py, test_logs.py: 165 passed.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from dalehollow.aio.headers import Headers, find_header
+from dalehollow.aio.headers import Headers, find_header, list_values
 from dalehollow.framing import BodyFraming, find_framing
 from dalehollow.sockets import set_reset_on_close, tune_socket
 
@@ -55,6 +55,10 @@
         """Return the first value of a header."""
         return find_header(self.headers, name)
 
+    def list_values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, including those of comma-separated lists."""
+        return list_values(self.headers, name)
+
 
 Handler = Callable[["CallerConnection", CallerRequest], Coroutine[Any, Any, None]]
 
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from dalehollow.aio.headers import Headers, find_header
+from dalehollow.aio.headers import Headers, find_header, list_values
 from dalehollow.framing import BodyFraming, find_framing
 from dalehollow.sockets import tune_socket
 
@@ -52,6 +52,10 @@
         """Return the first value of a header."""
         return find_header(self.headers, name)
 
+    def list_values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, including those of comma-separated lists."""
+        return list_values(self.headers, name)
+
     @property
     def framing(self) -> BodyFraming:
         """Return what marks the end of the body."""
--- a/dalehollow/aio/headers.py
+++ b/dalehollow/aio/headers.py
@@ -12,3 +12,9 @@
         if key == name:
             return value
     return None
+
+
+def list_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Return all values of a header, including those of comma-separated lists."""
+    lines = (value for key, value in headers if key == name)
+    return [part.strip() for line in lines for part in line.split(b",")]
--- a/dalehollow/gateway/admit.py
+++ b/dalehollow/gateway/admit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -15,6 +16,9 @@
 _MAX_PRIORITY = 9
 _ROUTE_PRIORITIES = 3
 _DEFAULT_PRIORITY = 5
+_PART_ID = re.compile(rb"[0-9A-Fa-f]{1,64}")
+MAX_SHARED_PARTS = 32
+"""Bounds the work per request; callers choose the length of the list."""
 NOT_READY_RETRY_AFTER_S = 0.5
 """Usual time for a process that has just started to load its configuration."""
 
@@ -37,6 +41,8 @@
     caller_time_left_s: float
     table_version: int
     expected_tokens: int
+    # IDs of the prompt's parts that other requests may share.
+    shared_parts: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -85,6 +91,7 @@
         caller_time_left_s=time_left_ms / _MS_PER_S,
         table_version=table.version,
         expected_tokens=_read_expected_tokens(request, names),
+        shared_parts=_read_shared_parts(request, names),
     )
 
 
@@ -111,6 +118,19 @@
     return min(figures, default=0) if hint.isdigit() else 0
 
 
+def _read_shared_parts(request: CallerRequest, names: HeaderNames) -> tuple[bytes, ...]:
+    """Return the IDs of all parts of the prompt but the last, without duplicates.
+
+    A malformed list is treated like an absent one, because only the caller's other requests depend
+    on it.
+    """
+    parts = [part.strip().partition(b":") for part in request.list_values(names.prompt_parts)]
+    if not all(_PART_ID.fullmatch(part_id) and tokens.isdigit() for part_id, _, tokens in parts):
+        return ()
+    shared = (part_id.lower() for part_id, _, _ in parts[:-1])
+    return tuple(dict.fromkeys(shared))[:MAX_SHARED_PARTS]
+
+
 def _combine_priority(holder: KeyHolder | None, route: Route) -> int:
     """Rank by account first and route second, within the range that engines accept."""
     account = holder.priority if holder is not None else _DEFAULT_PRIORITY
--- a/dalehollow/gateway/crashes.py
+++ b/dalehollow/gateway/crashes.py
@@ -58,12 +58,26 @@
 
 
 @dataclass(frozen=True)
+class AttemptDetails:
+    """Identify an attempt in logs; `events` were received from this upstream."""
+
+    request_id: bytes = b""
+    shared_parts: tuple[bytes, ...] = ()
+    events: int = 0
+
+
+_NO_DETAILS = AttemptDetails()
+
+
+@dataclass
 class _BrokenAttempt:
     """Describe an attempt whose connection broke before an answer was complete."""
 
     fingerprint: Fingerprint
     at_s: float
     listed: ListedUpstream
+    details: AttemptDetails
+    is_logged: bool = False
 
 
 @dataclass
@@ -120,7 +134,10 @@
         self._known_good_at_s: dict[Fingerprint, float] = {}
 
     def record_broken_attempt(
-        self, fingerprint: Callable[[], Fingerprint], upstream: Upstream
+        self,
+        fingerprint: Callable[[], Fingerprint],
+        upstream: Upstream,
+        details: AttemptDetails = _NO_DETAILS,
     ) -> None:
         """Record an attempt that ended without an answer, unless the upstream is leaving."""
         if upstream.is_leaving():
@@ -128,14 +145,14 @@
         now_s, listed = self._clock(), upstream.listed
         while self._broken_attempts and now_s - self._broken_attempts[0].at_s > RESTART_S:
             self._broken_attempts.popleft()
-        self._broken_attempts.append(_BrokenAttempt(fingerprint(), now_s, listed))
+        self._broken_attempts.append(_BrokenAttempt(fingerprint(), now_s, listed, details))
         newest = self._starts.get(listed.address)
         if newest is not None and now_s - newest[1] < RESTART_S and _is_restart(listed, newest[0]):
-            self._record_crash(listed)
+            self._record_crash(listed, "start")
 
     def record_port_closed(self, listed: ListedUpstream) -> None:
         """Record a crash of an upstream whose port refuses connections."""
-        self._record_crash(listed)
+        self._record_crash(listed, "port")
 
     def record_started(self, listed: ListedUpstream) -> None:
         """Record the start of an upstream and the crash of any instance that it replaces."""
@@ -146,7 +163,7 @@
         ended = {_name_run(c.listed): c.listed for c in self._broken_attempts}
         for earlier in ended.values():
             if _is_restart(earlier, listed):
-                self._record_crash(earlier)
+                self._record_crash(earlier, "start")
 
     def record_answered(self, name: Fingerprint) -> None:
         """Record a successful answer to a request."""
@@ -156,7 +173,7 @@
         if len(self._known_good_at_s) > MAX_KNOWN_GOOD:
             del self._known_good_at_s[next(iter(self._known_good_at_s))]
         if name in self._suspects:
-            self._clear(name, now_s)
+            self._clear(name, now_s, "answer")
 
     def may_be_retried(self, fingerprint: Callable[[], Fingerprint]) -> bool:
         """Return whether a request may be retried after its connection broke."""
@@ -212,7 +229,7 @@
                 self._add_crash(name, crash, now_s - age_s)
         self._discard_expired(now_s)
 
-    def _record_crash(self, listed: ListedUpstream) -> None:
+    def _record_crash(self, listed: ListedUpstream, detected_by: str) -> None:
         """Suspect the requests whose connections broke when an upstream crashed."""
         crash = _name_run(listed)
         broken_attempts = [c for c in self._broken_attempts if _name_run(c.listed) == crash]
@@ -222,9 +239,28 @@
             for c in broken_attempts
             if last_s - c.at_s <= CONNECTION_BREAK_SPREAD_S
         }
+        self._log_crash(crash, detected_by, [c for c in broken_attempts if not c.is_logged])
         for name, at_s in names.items():
             self._add_crash(name, crash, at_s, in_flight=len(names))
 
+    def _log_crash(
+        self, crash: str, detected_by: str, broken_attempts: list[_BrokenAttempt]
+    ) -> None:
+        """Log the attempts that broke at a crash, each of them once."""
+        for attempt in broken_attempts:
+            attempt.is_logged = True
+            details = attempt.details
+            log_event(
+                _LOG,
+                "broke_at_crash",
+                request=details.request_id.decode("latin-1"),
+                crashed=crash,
+                detected_by=detected_by,
+                fingerprint=attempt.fingerprint.hex(),
+                shared_parts=b",".join(details.shared_parts).decode("latin-1"),
+                events=details.events,
+            )
+
     def _add_crash(
         self, name: Fingerprint, crash: str, at_s: float, in_flight: int | None = None
     ) -> None:
@@ -232,7 +268,7 @@
         if crash in suspect.crashes or at_s <= suspect.cleared_at_s:
             return
         if at_s - self._known_good_at_s.get(name, float("-inf")) < KNOWN_GOOD_S:
-            self._clear(name, self._clock())
+            self._clear(name, self._clock(), "earlier_answer")
             return
         suspect.crashes[crash] = at_s
         # Move the suspect to the end: suspects are ordered by their most recent crash.
@@ -250,10 +286,16 @@
         )
         self._on_change()
 
-    def _clear(self, name: Fingerprint, at_s: float) -> None:
+    def _clear(self, name: Fingerprint, at_s: float, cleared_by: str) -> None:
         """Clear a request and report that to other gateways."""
         suspect = self._suspects[name]
-        log_event(_LOG, "request_cleared", fingerprint=name.hex(), crashes=len(suspect.crashes))
+        log_event(
+            _LOG,
+            "request_cleared",
+            fingerprint=name.hex(),
+            crashes=len(suspect.crashes),
+            cleared_by=cleared_by,
+        )
         suspect.clear(at_s)
         self._on_change()
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -11,7 +11,7 @@
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
-from dalehollow.gateway.crashes import Fingerprint, make_fingerprint
+from dalehollow.gateway.crashes import AttemptDetails, Fingerprint, make_fingerprint
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
@@ -61,6 +61,8 @@
         self._progress = progress
         self._clock = asyncio.get_running_loop().time
         self._sent_at_s = 0.0
+        # Events received from earlier upstreams.
+        self._events_before = 0
         # Time at which a retry was taken from the budget, while it has not been sent.
         self._retry_taken_at_s: float | None = None
 
@@ -121,7 +123,7 @@
         self._count_attempt()
         resume_after = progress.splitter.last_id if self._caller.has_sent_head else None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
-        self._sent_at_s = self._clock()
+        self._sent_at_s, self._events_before = self._clock(), progress.splitter.count
         move = Move()
         if self._is_movable():
             upstream.moves.add(move)
@@ -151,7 +153,7 @@
             # The caller disconnected or the deadline passed. A crashed upstream may merely have
             # stopped responding, so an attempt without any output still counts as broken off.
             if not progress.first_piece_at_s:
-                state.crashes.record_broken_attempt(self._make_fingerprint, upstream)
+                self._record_broken_attempt(upstream)
             raise
         finally:
             upstream.moves.discard(move)
@@ -169,9 +171,17 @@
         """Record a broken connection and check whether the upstream crashed."""
         if move.reason is MoveReason.SLOW_RANK:
             return
-        self._state.crashes.record_broken_attempt(self._make_fingerprint, upstream)
+        self._record_broken_attempt(upstream)
         await self._state.check_for_crash(upstream.listed)
 
+    def _record_broken_attempt(self, upstream: Upstream) -> None:
+        details = AttemptDetails(
+            self._job.request_id,
+            self._job.shared_parts,
+            self._progress.splitter.count - self._events_before,
+        )
+        self._state.crashes.record_broken_attempt(self._make_fingerprint, upstream, details)
+
     def _make_fingerprint(self) -> Fingerprint:
         return make_fingerprint(self._job)
 
--- a/dalehollow/gateway/headers.py
+++ b/dalehollow/gateway/headers.py
@@ -20,6 +20,7 @@
     seal: bytes
     token_counts: bytes
     length_hint: bytes
+    prompt_parts: bytes
     last_event_id: bytes
     retry_after_s: bytes
     faulty_upstream: bytes
--- a/dalehollow/gateway/signals.py
+++ b/dalehollow/gateway/signals.py
@@ -40,7 +40,7 @@
     limits = _parse_values(head, names.limit_per_s)
     return Signals(
         backoff_s=min(MAX_BACKOFF_S, max(backoffs.usable, default=0.0)),
-        is_leaving=_IS_LEAVING in _list_values(head, names.leaving),
+        is_leaving=_IS_LEAVING in head.list_values(names.leaving),
         limit_per_s=min(limits.usable, default=None),
         is_limit_unusable=bool(limits.unusable) and not limits.usable,
         unusable=backoffs.unusable + limits.unusable,
@@ -52,12 +52,6 @@
     return float(value) if _DECIMAL.fullmatch(value) else None
 
 
-def _list_values(head: ResponseHead, name: bytes) -> list[bytes]:
-    """Return all values of a header, including those of comma-separated lists."""
-    lines = (value for key, value in head.headers if key == name)
-    return [part.strip() for line in lines for part in line.split(b",")]
-
-
 @dataclass(frozen=True)
 class _Values:
     usable: tuple[float, ...]
@@ -65,7 +59,7 @@
 
 
 def _parse_values(head: ResponseHead, name: bytes) -> _Values:
-    values = _list_values(head, name)
+    values = head.list_values(name)
     parsed = [(value, parse_decimal(value)) for value in values]
     return _Values(
         tuple(number for _, number in parsed if number is not None),
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -28,6 +28,9 @@
     token_counts=b"x-token-counts",
     # The caller's estimate of the number of generated tokens.
     length_hint=b"x-length-hint",
+    # ID:TOKENS of each part of the prompt in order, separated by commas. Despite the name it lists
+    # the whole prompt: the last part belongs to the request or its session alone.
+    prompt_parts=b"x-prompt-prefix",
     last_event_id=b"last-event-id",
     retry_after_s=b"retry-after",
     # The upstream that a refusal concerns, which may differ from the one that sent it.
