Refuse requests by what they share with others that crashed upstreams

Callers saw: the judging desk was down for most of 80 s. Requests that were not alike but shared one part of their prompts crashed 16 model servers one after the other, and none was refused.

Cause: a suspicion was kept by a hash of path, account and body. It blamed what had a name, the request as a whole, and not what the requests in flight at the crashes had in common: 285 suspicions of one crash each.

Change: a request has a fingerprint for each part of its prompt that others may share, beside the one of the whole. Each is a suspect; a complete answer (status below 400) clears all of its request. Crashes are explained by as few culprits as possible, so that a rare part in flight at several of them is not refused for another's sake; parts that only came together are refused only together; what withstood answers is not blamed before the first complete one. Reports put repeated suspects first, so that requests that never come again displace nothing. The state moves to dalehollow/crashes/, which knows nothing of gateways; gateway/crashes.py keeps the detection.

Tests of test_crash_watch.py use real requests where they had bare fingerprints; what they assert is unchanged.

--- /dev/null
+++ b/dalehollow/crashes/__init__.py
@@ -0,0 +1,13 @@
+"""Find out what requests that crash upstreams have in common."""
+
+from dalehollow.crashes.fingerprints import Fingerprint, make_fingerprints
+from dalehollow.crashes.suspects import PROBE_TIMEOUT_S, CrashEvidence, Ruling, Suspects
+
+__all__ = [
+    "PROBE_TIMEOUT_S",
+    "CrashEvidence",
+    "Fingerprint",
+    "Ruling",
+    "Suspects",
+    "make_fingerprints",
+]
--- /dev/null
+++ b/dalehollow/crashes/suspects.py
@@ -0,0 +1,414 @@
+"""Decide which requests are refused because what they have in common crashes upstreams.
+
+When an upstream crashes, it is unknown which of the requests in flight was the cause, and what of
+it: the request as a whole, which its caller may repeat, or a part of its prompt that others share.
+Each of their fingerprints becomes a suspect. A complete answer clears all fingerprints of its
+request; one that was answered shortly before a crash is not suspected.
+
+A suspect with three crashes is a culprit unless other culprits explain its crashes: crashes are
+explained by as few culprits as possible, because a sound part may be in flight at several crashes
+that another one caused. Fingerprints that only occurred together cannot be told apart, so requests
+are refused if they contain the culprit and all of its companions. A refusal grows with each further
+crash. After each period one probe is admitted to test whether it still crashes upstreams.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+from dalehollow.crashes.fingerprints import Fingerprint
+from dalehollow.protocol.reports import Suspicion
+from dalehollow.telemetry.logs import log_event
+
+MAX_CRASHES = 3
+MAX_CRASHES_FOR_RETRY = 2
+"""Number of crashes after which a gateway no longer retries a request; its caller still may."""
+MIN_WITHSTOOD = 3
+"""Answers that began without a crash, after which a suspect is not a culprit."""
+REFUSAL_S = 60.0
+REFUSAL_FACTOR = 4.0
+MAX_REFUSAL_S = 3600.0
+"""The first refusal, after the third crash, lasts `REFUSAL_S`; each further crash multiplies the
+duration. This allows three probes within an hour, while a request that was in flight at three
+crashes by coincidence is refused for one minute."""
+PROBE_TIMEOUT_S = 10.0
+"""Longest duration of a probe; until then no gateway starts another one."""
+SUSPICION_RETENTION_S = 300.0
+"""Retention of a suspicion after the last crash or the end of the refusals."""
+KNOWN_GOOD_S = 60.0
+"""What was answered within this period is not suspected. Many requests may share it, so that it is
+in flight at many crashes."""
+MAX_KNOWN_GOOD = 8_000
+MAX_SUSPECTS = 1_000
+MAX_REPORTED_SUSPECTS = 64
+MAX_COMPANIONS = 8
+CLEARED_RETENTION_S = 30.0
+MAX_REPORT_TRANSIT_S = 0.1
+"""Upper bound of the usual transit time of a report, by which received ages are too low."""
+
+_NEVER_S = float("-inf")
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class CrashEvidence:
+    """Describe an attempt that broke when its upstream crashed.
+
+    `begun` is what `Suspects.record_begun` returned, None if the upstream had not begun to answer.
+    """
+
+    fingerprints: tuple[Fingerprint, ...]
+    at_s: float
+    begun: frozenset[Fingerprint] | None = None
+
+
+@dataclass(frozen=True)
+class Ruling:
+    """State how long a request is refused, 0 if it is not, and whether it is used as a probe."""
+
+    refused_s: float = 0.0
+    is_probe: bool = False
+
+
+@dataclass
+class _Suspect:
+    """Track the crashes of a fingerprint, its last complete answer and its last probe.
+
+    `companions` are the fingerprints without an answer that were in every request with this one,
+    None before the first crash. `withstood` counts the answers that upstreams began since then
+    without a crash, as seen by this process.
+    """
+
+    crashes: dict[str, float] = field(default_factory=dict)
+    companions: frozenset[Fingerprint] | None = None
+    answered_at_s: float = _NEVER_S
+    probed_at_s: float = _NEVER_S
+    withstood: int = 0
+
+    def is_innocent(self) -> bool:
+        """Return whether upstreams began answers without a crash."""
+        return self.withstood >= MIN_WITHSTOOD
+
+    def last_crash_s(self) -> float:
+        """Return the time of the last crash."""
+        return max(self.crashes.values(), default=_NEVER_S)
+
+    def refused_until_s(self) -> float:
+        """Return until when a culprit is refused; a past time if it has too few crashes."""
+        more = len(self.crashes) - MAX_CRASHES
+        if more < 0:
+            return _NEVER_S
+        refused_s = min(MAX_REFUSAL_S, REFUSAL_S * REFUSAL_FACTOR**more)
+        return max(self.last_crash_s() + refused_s, self.probed_at_s + PROBE_TIMEOUT_S)
+
+    def clear(self, at_s: float) -> None:
+        """Discard the crashes before a complete answer at `at_s`."""
+        self.answered_at_s = max(self.answered_at_s, at_s)
+        self.crashes = {name: s for name, s in self.crashes.items() if s > self.answered_at_s}
+        if not self.crashes:
+            self.companions, self.withstood = None, 0
+
+    def intersect_companions(self, others: Collection[Fingerprint]) -> None:
+        """Keep only companions that are also in `others`."""
+        known = self.companions
+        self.companions = frozenset(others) if known is None else known & frozenset(others)
+
+    def retained_until_s(self) -> float:
+        """Return the time after which this suspect can be discarded."""
+        return max(
+            self.last_crash_s() + SUSPICION_RETENTION_S,
+            self.refused_until_s() + SUSPICION_RETENTION_S,
+            self.answered_at_s + CLEARED_RETENTION_S,
+        )
+
+
+def _do_nothing() -> None:
+    pass
+
+
+class Suspects:
+    """Track suspected fingerprints and rule on requests that contain them."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        on_change: Callable[[], None] = _do_nothing,
+    ) -> None:
+        """Initialize without suspects.
+
+        `on_change` is called when what peers should know changes.
+        """
+        self._clock = clock
+        # Number of changes that peers should know.
+        self.changes = 0
+        self._on_change = on_change
+        # Ordered by the most recent change.
+        self._suspects: dict[Fingerprint, _Suspect] = {}
+        # Time of the last complete answer, the most recent last.
+        self._known_good_at_s: dict[Fingerprint, float] = {}
+        self._culprits: dict[Fingerprint, _Suspect] = {}
+
+    def record_crash(self, crash: str, attempts: Collection[CrashEvidence]) -> None:
+        """Suspect what the attempts contain that broke when an upstream crashed.
+
+        Peers are told first what was answered, then the prompt parts of requests that were not.
+        """
+        for attempt in sorted(attempts, key=lambda attempt: attempt.begun is None):
+            unanswered = [f for f in attempt.fingerprints if not self._is_known_good(f)]
+            for name in attempt.fingerprints:
+                companions = [f for f in unanswered if f != name][:MAX_COMPANIONS]
+                self._add_crash(name, crash, attempt.at_s, companions)
+            for name in attempt.begun or ():
+                if name in self._suspects:
+                    self._suspects[name].withstood -= 1
+        for name in {f for a in attempts for f in a.fingerprints if self._is_known_good(f)}:
+            self._move_to_end(name)
+        self._update()
+
+    def record_begun(self, fingerprints: Collection[Fingerprint]) -> frozenset[Fingerprint]:
+        """Record that an upstream began to answer a request; return the suspects in it."""
+        begun = frozenset(name for name in fingerprints if name in self._suspects)
+        for name in begun:
+            self._suspects[name].withstood += 1
+        if any(self._culprits[name].is_innocent() for name in begun & self._culprits.keys()):
+            self._update()
+        return begun
+
+    def record_answered(self, fingerprints: Collection[Fingerprint]) -> None:
+        """Record a complete answer of an upstream to a request."""
+        now_s = self._clock()
+        for name in fingerprints:
+            self._known_good_at_s.pop(name, None)
+            self._known_good_at_s[name] = now_s
+            if len(self._known_good_at_s) > MAX_KNOWN_GOOD:
+                del self._known_good_at_s[next(iter(self._known_good_at_s))]
+        cleared = [name for name in fingerprints if name in self._suspects]
+        for name in cleared:
+            self._clear(name, now_s, "answer")
+        if self._suspects:
+            self._discard_companions(fingerprints)
+        if cleared:
+            self._update()
+
+    def may_be_retried(self, fingerprints: Collection[Fingerprint]) -> bool:
+        """Return whether a request may be retried after its connection broke."""
+        suspects = [self._suspects[name] for name in fingerprints if name in self._suspects]
+        return all(len(s.crashes) < MAX_CRASHES_FOR_RETRY or s.is_innocent() for s in suspects)
+
+    def check_request(self, fingerprints: Collection[Fingerprint]) -> Ruling:
+        """Rule on a new request, which may be used as a probe."""
+        culprits = self._list_culprits_of(fingerprints)
+        if not culprits:
+            return Ruling()
+        left_s = max(map(self._refusal_left_s, culprits))
+        if left_s > 0:
+            return Ruling(left_s)
+        now_s = self._clock()
+        for name in culprits:
+            self._culprits[name].probed_at_s = now_s
+            crashes = len(self._culprits[name].crashes)
+            log_event(_LOG, "request_probed", fingerprint=name.hex(), crashes=crashes)
+        self._record_change()
+        return Ruling(is_probe=True)
+
+    def describe(self) -> dict[str, dict[str, object]]:
+        """Return the suspects with crashes by fingerprint, for state dumps."""
+        return {
+            name.hex(): {
+                "crashed": list(s.crashes),
+                "companions": sorted(c.hex() for c in s.companions or ()),
+                "is_culprit": name in self._culprits,
+            }
+            for name, s in self._suspects.items()
+            if s.crashes
+        }
+
+    def count_culprits(self) -> int:
+        """Return the number of fingerprints that requests are refused for."""
+        return len(self._culprits)
+
+    def export_suspicions(self, count: int = MAX_REPORTED_SUSPECTS) -> dict[Fingerprint, Suspicion]:
+        """Return the most important suspicions for a report to peers."""
+        now_s = self._clock()
+        self._discard_expired(now_s)
+        ranked = self._rank_by_importance()[:count]
+        return {name: _encode_suspect(self._suspects[name], now_s) for name in ranked}
+
+    def merge_reported(self, reported: Mapping[Fingerprint, Suspicion]) -> None:
+        """Merge the suspicions reported by a peer."""
+        now_s = self._clock()
+        for name, suspicion in reported.items():
+            suspect = self._suspects.setdefault(name, _Suspect())
+            answered_at_s = _decode_age(suspicion.cleared_age_s, now_s)
+            if answered_at_s > suspect.answered_at_s + MAX_REPORT_TRANSIT_S:
+                suspect.clear(answered_at_s)
+            probed_at_s = _decode_age(suspicion.probe_age_s, now_s)
+            if probed_at_s > suspect.probed_at_s + MAX_REPORT_TRANSIT_S:
+                suspect.probed_at_s = probed_at_s
+            for crash, age_s in suspicion.crashes.items():
+                self._add_crash(name, crash, now_s - age_s, suspicion.companions)
+        if reported:
+            self._discard_expired(now_s)
+            self._update()
+
+    def _add_crash(
+        self, name: Fingerprint, crash: str, at_s: float, companions: Collection[Fingerprint]
+    ) -> bool:
+        """Add a crash to a suspect; return False if it is known or does not count."""
+        suspect = self._suspects.setdefault(name, _Suspect())
+        if at_s <= suspect.answered_at_s:
+            return False
+        if at_s - self._known_good_at_s.get(name, _NEVER_S) < KNOWN_GOOD_S:
+            self._clear(name, self._clock(), "earlier_answer")
+            return False
+        suspect.intersect_companions(companions)
+        if crash in suspect.crashes:
+            return False
+        suspect.crashes[crash] = at_s
+        self._move_to_end(name)
+        if len(suspect.crashes) >= MAX_CRASHES_FOR_RETRY:
+            crashed = ",".join(suspect.crashes)
+            log_event(_LOG, "request_suspected", fingerprint=name.hex(), crashed=crashed)
+        self._record_change()
+        return True
+
+    def _clear(self, name: Fingerprint, at_s: float, cleared_by: str) -> None:
+        """Clear a suspect and report that to peers."""
+        suspect = self._suspects[name]
+        if len(suspect.crashes) >= MAX_CRASHES_FOR_RETRY:
+            log_event(
+                _LOG,
+                "request_cleared",
+                fingerprint=name.hex(),
+                crashes=len(suspect.crashes),
+                cleared_by=cleared_by,
+            )
+        suspect.clear(at_s)
+        self._move_to_end(name)
+        self._record_change()
+
+    def _record_change(self) -> None:
+        self.changes += 1
+        self._on_change()
+
+    def _move_to_end(self, name: Fingerprint) -> None:
+        if name in self._suspects:
+            self._suspects[name] = self._suspects.pop(name)
+
+    def _discard_companions(self, answered: Collection[Fingerprint]) -> None:
+        names = frozenset(answered)
+        for suspect in self._suspects.values():
+            if suspect.companions and not names.isdisjoint(suspect.companions):
+                suspect.companions -= names
+
+    def _update(self) -> None:
+        """Select the culprits again, after the suspects have changed."""
+        self._discard_expired(self._clock())
+        before, self._culprits = self._culprits, self._select_culprits()
+        for name in before.keys() - self._culprits.keys():
+            log_event(_LOG, "request_no_longer_refused", fingerprint=name.hex())
+        for name, suspect in self._culprits.items():
+            if name not in before:
+                self._log_culprit(name, suspect)
+
+    def _select_culprits(self) -> dict[Fingerprint, _Suspect]:
+        """Return few suspects that explain the crashes of all suspects with enough of them.
+
+        Those in most crashes come first, among equals those least likely to be sound: they
+        withstood fewer answers, and their last complete answer, if there ever was one, is older.
+        """
+        candidates = [
+            (name, s)
+            for name, s in self._suspects.items()
+            if len(s.crashes) >= MAX_CRASHES and not s.is_innocent()
+        ]
+        candidates.sort(
+            key=lambda c: (
+                -len(c[1].crashes),
+                c[1].withstood,
+                self._last_answered_s(c[0]),
+                c[0],
+            )
+        )
+        culprits: dict[Fingerprint, _Suspect] = {}
+        explained: set[str] = set()
+        for name, suspect in candidates:
+            if len(suspect.crashes.keys() - explained) >= MAX_CRASHES:
+                culprits[name] = suspect
+                explained |= suspect.crashes.keys()
+        return culprits
+
+    def _log_culprit(self, name: Fingerprint, suspect: _Suspect) -> None:
+        log_event(
+            _LOG,
+            "request_refused_for_crashes",
+            logging.WARNING,
+            fingerprint=name.hex(),
+            companions=",".join(sorted(c.hex() for c in suspect.companions or ())),
+            crashed=",".join(suspect.crashes),
+            for_s=round(suspect.refused_until_s() - self._clock(), 1),
+        )
+
+    def _list_culprits_of(self, fingerprints: Collection[Fingerprint]) -> list[Fingerprint]:
+        """Return the culprits that a request contains together with all of their companions."""
+        if not self._culprits:
+            return []
+        contained = frozenset(fingerprints)
+        return [
+            name
+            for name in fingerprints
+            if name in self._culprits and (self._culprits[name].companions or set()) <= contained
+        ]
+
+    def _refusal_left_s(self, name: Fingerprint) -> float:
+        """Return for how long this process refuses requests with a culprit."""
+        return self._culprits[name].refused_until_s() - self._clock()
+
+    def _is_known_good(self, name: Fingerprint) -> bool:
+        return self._clock() - self._last_answered_s(name) < KNOWN_GOOD_S
+
+    def _last_answered_s(self, name: Fingerprint) -> float:
+        suspect = self._suspects.get(name)
+        reported_s = suspect.answered_at_s if suspect is not None else _NEVER_S
+        return max(reported_s, self._known_good_at_s.get(name, _NEVER_S))
+
+    def _rank_by_importance(self) -> list[Fingerprint]:
+        """Return the suspects with culprits first, then repeated suspects, then the most recent.
+
+        Most suspects are requests that are never repeated; they must not displace the others.
+        """
+
+        def rank(name: Fingerprint) -> tuple[bool, bool]:
+            is_repeated = len(self._suspects[name].crashes) >= MAX_CRASHES_FOR_RETRY
+            return name not in self._culprits, not is_repeated
+
+        return sorted(reversed(self._suspects), key=rank)
+
+    def _discard_expired(self, now_s: float) -> None:
+        kept = {n: s for n, s in self._suspects.items() if s.retained_until_s() > now_s}
+        if len(kept) > MAX_SUSPECTS:
+            self._suspects = kept
+            important = set(self._rank_by_importance()[:MAX_SUSPECTS])
+            kept = {n: s for n, s in kept.items() if n in important}
+        self._suspects = kept
+        self._culprits = {n: s for n, s in self._culprits.items() if n in kept}
+
+
+def _encode_suspect(suspect: _Suspect, now_s: float) -> Suspicion:
+    return Suspicion(
+        {crash: round(now_s - at_s, 3) for crash, at_s in suspect.crashes.items()},
+        _encode_age(suspect.answered_at_s, now_s),
+        _encode_age(suspect.probed_at_s, now_s),
+        sorted(suspect.companions or ()),
+    )
+
+
+def _encode_age(at_s: float, now_s: float) -> float | None:
+    return round(now_s - at_s, 3) if at_s > _NEVER_S else None
+
+
+def _decode_age(age_s: float | None, now_s: float) -> float:
+    return now_s - age_s if age_s is not None else _NEVER_S
--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -47,6 +47,8 @@
 """Interval between probes of a broken group while other groups of the service are healthy. Its
 recovery is normally learned from the list of upstreams; probes cover lost reports."""
 COMPLETION_INTERVAL_WEIGHT = 0.1
+CRASHES_UPSTREAMS = "crashes_upstreams"
+"""Reason of a refusal because of what a request has in common with others."""
 
 
 @dataclass(frozen=True)
--- a/dalehollow/gateway/admit.py
+++ b/dalehollow/gateway/admit.py
@@ -6,9 +6,11 @@
 import re
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import cached_property
 from http import HTTPStatus
 
 from dalehollow.aio import CallerRequest
+from dalehollow.crashes import Fingerprint, make_fingerprints
 from dalehollow.gateway.headers import HeaderNames
 from dalehollow.gateway.table import KeyHolder, Route, RoutingTable, Target
 
@@ -44,6 +46,12 @@
     # IDs of the prompt's parts that other requests may share.
     shared_parts: tuple[bytes, ...] = ()
 
+    @cached_property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the whole request and of its prompt's shared parts."""
+        path = self.request.target.partition(b"?")[0]
+        return make_fingerprints(path, self.account, self.request.body, self.shared_parts)
+
 
 @dataclass(frozen=True)
 class Refusal:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -7,11 +7,11 @@
 from http import HTTPStatus
 
 from dalehollow.aio import CallerConnection, CallerRequest, ResponseError, ResponseHead
+from dalehollow.crashes import Fingerprint
 from dalehollow.gateway import bodies, outcome
-from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
+from dalehollow.gateway.admission import CRASHES_UPSTREAMS, AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
-from dalehollow.gateway.crashes import AttemptDetails, Fingerprint, make_fingerprint
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
 from dalehollow.gateway.pass_times import PassTimes
@@ -33,10 +33,10 @@
     if isinstance(admitted, Refusal):
         outcome.refuse(state, caller, request, admitted)
         return
-    refused_s = state.crashes.check_request(lambda: make_fingerprint(admitted))
-    if refused_s:
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-        outcome.refuse(state, caller, request, Refusal(status, "crashes_upstreams", refused_s))
+    ruling = state.suspects.check_request(admitted.fingerprints)
+    if ruling.refused_s:
+        refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, CRASHES_UPSTREAMS, ruling.refused_s)
+        outcome.refuse(state, caller, request, refusal)
         return
     progress = Progress()
     try:
@@ -61,8 +61,9 @@
         self._progress = progress
         self._clock = asyncio.get_running_loop().time
         self._sent_at_s = 0.0
-        # Events received from earlier upstreams.
+        # Events received from earlier upstreams, and what this one began to answer.
         self._events_before = 0
+        self._begun: frozenset[Fingerprint] | None = None
         # Time at which a retry was taken from the budget, while it has not been sent.
         self._retry_taken_at_s: float | None = None
 
@@ -124,6 +125,7 @@
         resume_after = progress.splitter.last_id if self._caller.has_sent_head else None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
         self._sent_at_s, self._events_before = self._clock(), progress.splitter.count
+        self._begun = None
         move = Move()
         if self._is_movable():
             upstream.moves.add(move)
@@ -175,15 +177,10 @@
         await self._state.check_for_crash(upstream.listed)
 
     def _record_broken_attempt(self, upstream: Upstream) -> None:
-        details = AttemptDetails(
-            self._job.request_id,
-            self._job.shared_parts,
-            self._progress.splitter.count - self._events_before,
+        events = self._progress.splitter.count - self._events_before
+        self._state.crashes.record_broken_attempt(
+            self._job, upstream, events=events, begun=self._begun
         )
-        self._state.crashes.record_broken_attempt(self._make_fingerprint, upstream, details)
-
-    def _make_fingerprint(self) -> Fingerprint:
-        return make_fingerprint(self._job)
 
     async def _relay_or_drop(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
         """Relay an answer; return False if it broke off and another attempt may continue it."""
@@ -253,11 +250,15 @@
             if self._record_status(upstream, head) and self._take_retry(is_answered=True):
                 return False
             self._caller.send_response(head.status, _end_to_end_headers(head), body)
-        if head.status < _MIN_SERVER_ERROR_STATUS:
-            self._state.crashes.record_answered(self._make_fingerprint())
+        if head.status < HTTPStatus.BAD_REQUEST:
+            self._record_answered(upstream, head)
         outcome.record_completed(self._state, self._job, self._progress, head.status)
         return True
 
+    def _record_answered(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Record that the upstream answered the request without crashing."""
+        self._state.suspects.record_answered(self._job.fingerprints)
+
     def _record_status(self, upstream: Upstream, head: ResponseHead) -> bool:
         """Record a complete answer as a success or failure; return whether it is a failure."""
         if head.status < _MIN_SERVER_ERROR_STATUS:
@@ -278,6 +279,8 @@
         while (piece := await connection.read_piece()) is not None:
             events = splitter.feed(piece)
             if events:
+                if self._begun is None:
+                    self._begun = self._state.suspects.record_begun(self._job.fingerprints)
                 now_s = self._clock()
                 if last_s is not None:
                     self._record_pause(pass_times, now_s - last_s)
@@ -306,7 +309,7 @@
             return False
         if (progress.may_have_run or is_answered) and not job.route.is_repeatable:
             return False
-        if not self._state.crashes.may_be_retried(self._make_fingerprint):
+        if not self._state.suspects.may_be_retried(job.fingerprints):
             return False
         if self._state.admission(job.service).is_broken():
             # Every rank of a broken group refuses requests, so a retry cannot succeed.
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -11,6 +11,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.clock import read_clock
+from dalehollow.crashes import Suspects
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
@@ -56,6 +57,10 @@
         """Create the parts; no socket is opened before `run`."""
         self._settings = settings
         rng = random.Random(f"{settings.name}{time.time_ns()}")
+        suspects = Suspects(
+            read_clock,
+            on_change=lambda: self._reports.schedule_report(),
+        )
         self.state = GatewayState(
             names=HEADERS,
             rng=rng,
@@ -67,7 +72,7 @@
                 gateways=settings.gateways_expected,
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
-            crashes=CrashWatch(read_clock, lambda: self._reports.schedule_report()),
+            crashes=CrashWatch(read_clock, suspects),
             started_at_s=read_clock(),
         )
         # Bound addresses, valid once `listening` is set; port 0 in the settings picks a free port.
@@ -101,7 +106,7 @@
             self._feed,
             self._copies,
             self._members,
-            self.state.crashes,
+            suspects,
         )
         tokens = LimitTokens(
             settings.name,
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -18,8 +18,8 @@
 
 import msgspec
 
+from dalehollow.crashes import Suspects
 from dalehollow.gateway.copies import StoreCopies
-from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.limit_tokens import LimitTokens, Peer
@@ -54,6 +54,9 @@
 """The end of an upstream's limit is reported for this time, so that it reaches other halls."""
 SIGNALS_SHARE = 0.5
 """Limits and suspicions may take this share of `remote_bytes_per_s`, on top of the load totals."""
+MAX_SUSPECTS_TO_HALLS = 16
+SUSPECTS_INTERVAL_S = 1.0
+"""Interval at which unchanged suspicions are repeated within a hall."""
 REPRESENTATIVE_SILENT_S = 1.0
 """A gateway of another hall that is silent for this time is no longer its hall's representative."""
 
@@ -101,13 +104,13 @@
         feed: HallFeed,
         copies: StoreCopies,
         members: Members,
-        crashes: CrashWatch,
+        suspects: Suspects,
     ) -> None:
         """Create the exchange; `on_change` is called after each report received.
 
         Load totals to other halls stay within `remote_bytes_per_s`. Of a received report, the store
         state goes to `feed`, the revision to `copies`, the sender to `members`, and the suspected
-        requests to `crashes`.
+        fingerprints to `suspects`.
         """
         self._name = name
         self._hall = hall
@@ -120,7 +123,8 @@
         feed.on_revision_advanced = self.schedule_report
         self._copies = copies
         self._members = members
-        self._crashes = crashes
+        self._suspects = suspects
+        self._suspects_sent_at_s, self._suspects_changes_sent = float("-inf"), 0
         # Set by the owner if limits of upstreams are shared among gateways.
         self.tokens: LimitTokens | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -231,7 +235,7 @@
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.record_untracked(incarnation, unknown, now_s - age_s)
         self._update_limits(report.limits)
-        self._crashes.merge_reported(report.suspects)
+        self._suspects.merge_reported(report.suspects)
         self._feed.record_peer(report.sender)
         self._record_view(report.view, self._hall_peers.get(report.sender))
         if report.relay is not None:
@@ -261,7 +265,7 @@
         if signals.hall == self._hall:
             return
         self._update_limits(signals.limits)
-        self._crashes.merge_reported(signals.suspects)
+        self._suspects.merge_reported(signals.suspects)
         if not signals.is_passed_on:
             self.send_to_hall(msgspec.structs.replace(signals, is_passed_on=True))
 
@@ -325,7 +329,7 @@
         }
         view = self._feed.view()
         limits = self._list_limits(now_s)
-        suspects = self._crashes.export_suspicions()
+        suspects = self._suspects.export_suspicions() if self._must_send_suspects(now_s) else {}
         report = LoadReport(
             self._name, in_flight_counts, served, refused, unknown, relay, view, limits, suspects
         )
@@ -344,11 +348,21 @@
             self._next_total_at_s = (
                 now_s + self._send_to_halls(total, now_s) / self._remote_bytes_per_s
             )
+        suspects = self._suspects.export_suspicions(MAX_SUSPECTS_TO_HALLS)
         if (limits or suspects) and now_s >= self._next_signals_at_s:
             size = self._send_to_halls(HallSignals(self._hall, limits, suspects), now_s)
             pause_s = size / (SIGNALS_SHARE * self._remote_bytes_per_s)
             self._next_signals_at_s = now_s + max(IDLE_INTERVAL_S, pause_s)
 
+    def _must_send_suspects(self, now_s: float) -> bool:
+        """Return whether suspicions have changed, or may have been lost with a datagram."""
+        changes = self._suspects.changes
+        is_repetition = now_s - self._suspects_sent_at_s >= SUSPECTS_INTERVAL_S
+        if changes == self._suspects_changes_sent and not is_repetition:
+            return False
+        self._suspects_sent_at_s, self._suspects_changes_sent = now_s, changes
+        return True
+
     def _sum_hall_load(self, in_flight_counts: Mapping[str, int]) -> dict[str, int]:
         """Return the requests in flight of all gateways of the hall, this one included."""
         total = Counter(in_flight_counts)
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ConnectError, connect
+from dalehollow.crashes import Suspects
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.headers import HeaderNames
@@ -80,6 +81,11 @@
     _max_gateways: int = 1
     _crash_checks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    @property
+    def suspects(self) -> Suspects:
+        """Return what is suspected of crashing upstreams."""
+        return self.crashes.suspects
+
     def apply_table(self, table: RoutingTable) -> None:
         """Apply a configuration unless its version is already applied or older."""
         before = self.table.version if self.table is not None else 0
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -51,7 +51,8 @@
     metrics.watch_gauge("in_hand", lambda: sum(u.in_flight for u in state.upstreams))
     metrics.watch_gauge("upstreams_resting", lambda: _count_resting(state, loop.time()))
     metrics.watch_gauge("upstreams_limited", lambda: _count_limited(state))
-    metrics.watch_gauge("requests_suspected", lambda: len(state.crashes.describe()))
+    metrics.watch_gauge("requests_suspected", lambda: len(state.suspects.describe()))
+    metrics.watch_gauge("requests_refused_for_crashes", state.suspects.count_culprits)
     metrics.watch_gauge("waiting", lambda: sum(len(a.waiting) for a in state.admissions.values()))
     metrics.watch_gauge("log_lines_left_out", sources.lines_left_out)
     metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
@@ -83,7 +84,7 @@
         "planners": {
             name: {"changes": p.changes, "copies": p.copies} for name, p in sources.planners.items()
         },
-        "suspected_requests": state.crashes.describe(),
+        "suspected_requests": state.suspects.describe(),
         "upstreams": {
             u.listed.incarnation: {
                 "service": u.listed.service,
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -45,11 +45,15 @@
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """Report how long ago a request crashed upstreams, was answered, and was used as a probe."""
+    """Report how long ago requests with a fingerprint crashed upstreams, were answered and probed.
+
+    `companions` are other fingerprints without an answer that all of these requests contained.
+    """
 
     crashes: dict[str, float]
     cleared_age_s: float | None = None
     probe_age_s: float | None = None
+    companions: list[bytes] = []
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
@@ -68,7 +72,7 @@
     relay: RelayState | None = None
     view: StoreView | None = None
     limits: dict[str, Limit] = {}
-    # Requests suspected of crashing upstreams, by fingerprint.
+    # What is suspected of crashing upstreams, by fingerprint.
     suspects: dict[bytes, Suspicion] = {}
 
 
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -115,6 +115,22 @@
         finally:
             connection.abort()
 
+    def start_requests(
+        self, parts: Sequence[str], path: str, count: int
+    ) -> asyncio.Future[list[Answer]]:
+        """Send requests that stay in flight while their upstreams delay their answers."""
+        for upstream in self.upstreams:
+            upstream.server.response_delay_s = 0.02
+        sent = [self.send(self.gateways[0], parts, path) for _ in range(count)]
+        return asyncio.gather(*sent)
+
+    async def crash_upstream(self, number: int) -> None:
+        """Crash an upstream while it works on a request, for a cause of its own."""
+        server = self.upstreams[number].server
+        runs = len(server.runs)
+        await self.bench.wait_until(lambda: len(server.runs) > runs)
+        server.crash()
+
     def count_arrivals(self, part: str = CRASHING) -> int:
         """Return how many requests with a part reached upstreams."""
         return sum(
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from dalehollow.crashes import Suspects
 from dalehollow.gateway.admission import AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.crashes import CrashWatch
@@ -68,7 +69,7 @@
         self.world, self.name, self.hall, self.port = world, name, hall, port
         self.upstreams = UpstreamSet(rng, hall)
         limits = RetryLimits(10.0, 0.2, 90.0, 8)
-        crashes = CrashWatch(loop.time, lambda: None)
+        crashes = CrashWatch(loop.time, Suspects(loop.time))
         self.state = GatewayState(HEADERS, rng, self.upstreams, limits, 1.0, crashes)
         feed = HallFeed(name, loop.time, rng, lambda changes: self.reports.send_to_hall(changes))
         self.members = Members(loop.time, lambda n, m: self.reports.record_member(n, m))
@@ -82,7 +83,7 @@
             feed=feed,
             copies=StoreCopies(feed, rng),
             members=self.members,
-            crashes=crashes,
+            suspects=crashes.suspects,
         )
         self.state.on_change = self.reports.schedule_report
         self.tokens = LimitTokens(
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from dalehollow.crashes import Suspects
 from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.upstreams import UpstreamSet
@@ -149,7 +150,7 @@
 
     def _make_state(self, started_at_s: float) -> GatewayState:
         limits = RetryLimits(WINDOW_S, SHARE, self._size.extra, GATEWAYS_EXPECTED)
-        crashes = CrashWatch(lambda: 0.0, lambda: None)
+        crashes = CrashWatch(lambda: 0.0, Suspects(lambda: 0.0))
         upstreams = UpstreamSet(self._rng, "hall")
         return GatewayState(
             HEADERS, self._rng, upstreams, limits, 1.0, crashes, started_at_s=started_at_s
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -7,9 +7,11 @@
 import pytest
 
 from dalehollow.aio import CallerRequest
+from dalehollow.crashes import Suspects
+from dalehollow.crashes import suspects as suspects_module
 from dalehollow.gateway import crashes as crashes_module
 from dalehollow.gateway.admit import Job
-from dalehollow.gateway.crashes import CrashWatch, make_fingerprint
+from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.table import RequestKind, Route
 from dalehollow.gateway.upstream import ReportedState, Upstream
@@ -35,25 +37,26 @@
 
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.change_count = 0
-        self.watch = CrashWatch(self.clock, self._record_change)
+        self.suspects = Suspects(self.clock)
+        self.watch = CrashWatch(self.clock, self.suspects)
 
-    def _record_change(self) -> None:
-        self.change_count += 1
-
-    def crash(self, number: int, *names: bytes) -> None:
+    def crash(self, number: int, *bodies: bytes) -> None:
         """Crash an upstream while some requests are in flight."""
         upstream = _upstream(number)
-        for name in names:
-            self.watch.record_broken_attempt(lambda n=name: n, upstream)  # type: ignore[misc]
+        for body in bodies:
+            self.watch.record_broken_attempt(_job_of(body), upstream)
         self.watch.record_started(_restart(upstream))
 
-    def count(self, name: bytes) -> int:
-        suspicion = self.watch.export_suspicions().get(name)
+    def count(self, body: bytes) -> int:
+        suspicion = self.suspects.export_suspicions().get(_job_of(body).fingerprints[0])
         return len(suspicion.crashes) if suspicion is not None else 0
 
-    def refused_s(self, name: bytes) -> float:
-        return self.watch.check_request(lambda: name)
+    def refused_s(self, body: bytes) -> float:
+        return self.suspects.check_request(_job_of(body).fingerprints).refused_s
+
+
+def _job_of(body: bytes) -> Job:
+    return _make_job(b"/a", "ana", body)
 
 
 def _make_job(target: bytes, account: str, body: bytes) -> Job:
@@ -64,16 +67,16 @@
 
 
 def test_a_request_is_identified_by_path_account_and_body() -> None:
-    name = make_fingerprint(_make_job(b"/a?x=1", "ana", b"b"))
-    assert name == make_fingerprint(_make_job(b"/a?x=2", "ana", b"b"))
+    name = _make_job(b"/a?x=1", "ana", b"b").fingerprints
+    assert name == _make_job(b"/a?x=2", "ana", b"b").fingerprints
     others = [(b"/c", "ana", b"b"), (b"/a", "bo", b"b"), (b"/a", "ana", b""), (b"/aa", "na", b"b")]
-    assert name not in {make_fingerprint(_make_job(*other)) for other in others}
+    assert name not in {_make_job(*other).fingerprints for other in others}
 
 
 def test_a_broken_connection_alone_is_no_crash() -> None:
     bench = _CrashWatchBench()
     for number in range(5):
-        bench.watch.record_broken_attempt(lambda: CRASHING, _upstream(number))
+        bench.watch.record_broken_attempt(_job_of(CRASHING), _upstream(number))
     assert bench.count(CRASHING) == 0
     assert bench.refused_s(CRASHING) == 0.0
 
@@ -83,7 +86,7 @@
     by_list, by_answer = _upstream(1, is_leaving=True), _upstream(2)
     by_answer.reported_state.is_leaving = True
     for upstream in (by_list, by_answer):
-        bench.watch.record_broken_attempt(lambda: CRASHING, upstream)
+        bench.watch.record_broken_attempt(_job_of(CRASHING), upstream)
         bench.watch.record_port_closed(upstream.listed)
         bench.watch.record_started(_restart(upstream))
     assert bench.count(CRASHING) == 0
@@ -107,7 +110,7 @@
         started = replace(upstream.listed, **changes)  # type: ignore[arg-type]
         if is_known_before:
             bench.watch.record_started(started)
-        bench.watch.record_broken_attempt(lambda: CRASHING, upstream)
+        bench.watch.record_broken_attempt(_job_of(CRASHING), upstream)
         if not is_known_before:
             bench.watch.record_started(started)
         assert bench.count(CRASHING) == crashes
@@ -115,18 +118,18 @@
 
 def test_only_requests_broken_off_at_the_crash_are_suspected() -> None:
     bench, upstream = _CrashWatchBench(), _upstream()
-    bench.watch.record_broken_attempt(lambda: HARMLESS, upstream)
+    bench.watch.record_broken_attempt(_job_of(HARMLESS), upstream)
     bench.clock.now_s += 5.0
-    bench.watch.record_broken_attempt(lambda: CRASHING, upstream)
+    bench.watch.record_broken_attempt(_job_of(CRASHING), upstream)
     bench.watch.record_port_closed(upstream.listed)
     assert (bench.count(CRASHING), bench.count(HARMLESS)) == (1, 0)
 
 
 def test_old_broken_attempts_are_discarded() -> None:
     bench, upstream = _CrashWatchBench(), _upstream()
-    bench.watch.record_broken_attempt(lambda: CRASHING, upstream)
+    bench.watch.record_broken_attempt(_job_of(CRASHING), upstream)
     bench.clock.now_s += crashes_module.RESTART_S + 1
-    bench.watch.record_broken_attempt(lambda: HARMLESS, _upstream(1))
+    bench.watch.record_broken_attempt(_job_of(HARMLESS), _upstream(1))
     bench.watch.record_started(_restart(upstream))
     assert bench.count(CRASHING) == 0
 
@@ -135,12 +138,12 @@
     bench, other = _CrashWatchBench(), _CrashWatchBench()
     upstream = _upstream()
     for watch in (bench.watch, other.watch):
-        watch.record_broken_attempt(lambda: CRASHING, upstream)
+        watch.record_broken_attempt(_job_of(CRASHING), upstream)
         watch.record_port_closed(upstream.listed)
         watch.record_started(_restart(upstream))
     for _ in range(3):
-        bench.watch.merge_reported(other.watch.export_suspicions())
-        other.watch.merge_reported(bench.watch.export_suspicions())
+        bench.suspects.merge_reported(other.suspects.export_suspicions())
+        other.suspects.merge_reported(bench.suspects.export_suspicions())
     assert bench.count(CRASHING) == other.count(CRASHING) == 1
 
 
@@ -150,7 +153,7 @@
         benches[number].crash(number, CRASHING)
     for sender in benches[:3]:
         for bench in benches:
-            bench.watch.merge_reported(sender.watch.export_suspicions())
+            bench.suspects.merge_reported(sender.suspects.export_suspicions())
     assert [bench.count(CRASHING) for bench in benches] == [3] * 4
     assert all(bench.refused_s(CRASHING) > 0 for bench in benches)
 
@@ -159,17 +162,17 @@
     bench, other = _CrashWatchBench(), _CrashWatchBench()
     for number in range(2):
         bench.crash(number, CRASHING, HARMLESS)
-    other.watch.merge_reported(bench.watch.export_suspicions())
-    before = bench.watch.export_suspicions()
+    other.suspects.merge_reported(bench.suspects.export_suspicions())
+    before = bench.suspects.export_suspicions()
     for gateway in (bench, other):
         gateway.clock.now_s += 1.0
-    bench.watch.record_answered(HARMLESS)
-    other.watch.merge_reported(bench.watch.export_suspicions())
+    bench.suspects.record_answered(_job_of(HARMLESS).fingerprints)
+    other.suspects.merge_reported(bench.suspects.export_suspicions())
     assert other.count(HARMLESS) == 0
     # An outdated report from a third gateway does not restore the cleared suspicion.
     late = {name: replace_ages(suspicion, 1.0) for name, suspicion in before.items()}
-    other.watch.merge_reported(late)
-    bench.watch.merge_reported(late)
+    other.suspects.merge_reported(late)
+    bench.suspects.merge_reported(late)
     assert (bench.count(HARMLESS), other.count(HARMLESS)) == (0, 0)
     assert (bench.count(CRASHING), other.count(CRASHING)) == (2, 2)
 
@@ -180,34 +183,34 @@
     for number in range(4):
         upstream = _upstream(number)
         for gateway in (bench, other):
-            gateway.watch.record_broken_attempt(lambda: HARMLESS, upstream)
-            gateway.watch.record_broken_attempt(lambda: CRASHING, upstream)
+            gateway.watch.record_broken_attempt(_job_of(HARMLESS), upstream)
+            gateway.watch.record_broken_attempt(_job_of(CRASHING), upstream)
         # Only one of the gateways sees it answered.
-        bench.watch.record_answered(HARMLESS)
+        bench.suspects.record_answered(_job_of(HARMLESS).fingerprints)
         for gateway in (bench, other):
             gateway.clock.now_s += 1.0
             gateway.watch.record_started(_restart(upstream))
-        bench.watch.merge_reported(other.watch.export_suspicions())
-        other.watch.merge_reported(bench.watch.export_suspicions())
+        bench.suspects.merge_reported(other.suspects.export_suspicions())
+        other.suspects.merge_reported(bench.suspects.export_suspicions())
     assert (bench.count(CRASHING), other.count(CRASHING)) == (4, 4)
     assert (bench.count(HARMLESS), other.count(HARMLESS)) == (0, 0)
 
 
-def replace_ages(suspicion: crashes_module.Suspicion, more_s: float) -> crashes_module.Suspicion:
+def replace_ages(suspicion: suspects_module.Suspicion, more_s: float) -> suspects_module.Suspicion:
     """Return a suspicion as it would be reported later."""
     ages = {name: age_s + more_s for name, age_s in suspicion.crashes.items()}
-    return crashes_module.Suspicion(ages)
+    return suspects_module.Suspicion(ages)
 
 
 def test_a_request_is_not_retried_after_two_crashes_and_refused_after_three() -> None:
     bench = _CrashWatchBench()
     bench.crash(0, CRASHING)
-    assert bench.watch.may_be_retried(lambda: CRASHING)
+    assert bench.suspects.may_be_retried(_job_of(CRASHING).fingerprints)
     bench.crash(1, CRASHING)
-    assert not bench.watch.may_be_retried(lambda: CRASHING)
+    assert not bench.suspects.may_be_retried(_job_of(CRASHING).fingerprints)
     assert bench.refused_s(CRASHING) == 0.0
     bench.crash(2, CRASHING)
-    assert bench.refused_s(CRASHING) == pytest.approx(crashes_module.REFUSAL_S)
+    assert bench.refused_s(CRASHING) == pytest.approx(suspects_module.REFUSAL_S)
 
 
 def test_refusals_grow_after_each_probe_and_probes_do_not_overlap() -> None:
@@ -220,10 +223,10 @@
         waits_s.append(refused_s)
         bench.clock.now_s += refused_s + 0.1
         other.clock.now_s = bench.clock.now_s
-        other.watch.merge_reported(bench.watch.export_suspicions())
+        other.suspects.merge_reported(bench.suspects.export_suspicions())
         assert bench.refused_s(CRASHING) == 0.0
         assert bench.refused_s(CRASHING) > 0.0
-        other.watch.merge_reported(bench.watch.export_suspicions())
+        other.suspects.merge_reported(bench.suspects.export_suspicions())
         assert other.refused_s(CRASHING) > 0.0
         bench.crash(number, CRASHING)
     assert waits_s == pytest.approx([60.0, 240.0, 960.0])
@@ -233,19 +236,19 @@
     bench = _CrashWatchBench()
     for number in range(3):
         bench.crash(number, HARMLESS)
-    bench.clock.now_s += crashes_module.REFUSAL_S + 0.1
+    bench.clock.now_s += suspects_module.REFUSAL_S + 0.1
     assert bench.refused_s(HARMLESS) == 0.0
-    bench.watch.record_answered(HARMLESS)
+    bench.suspects.record_answered(_job_of(HARMLESS).fingerprints)
     assert bench.refused_s(HARMLESS) == 0.0
     assert bench.count(HARMLESS) == 0
 
 
 def test_suspicions_are_limited_in_number_and_expire() -> None:
     bench = _CrashWatchBench()
-    for number in range(crashes_module.MAX_SUSPECTS + 100):
+    for number in range(suspects_module.MAX_SUSPECTS + 100):
         bench.crash(number, b"%d" % number)
-    assert len(bench.watch._suspects) == crashes_module.MAX_SUSPECTS
-    assert len(bench.watch.export_suspicions()) == crashes_module.MAX_REPORTED_SUSPECTS
-    bench.clock.now_s += crashes_module.SUSPICION_RETENTION_S + 1
-    assert bench.watch.export_suspicions() == {}
-    assert bench.watch._suspects == {}
+    assert len(bench.suspects._suspects) == suspects_module.MAX_SUSPECTS
+    assert len(bench.suspects.export_suspicions()) == suspects_module.MAX_REPORTED_SUSPECTS
+    bench.clock.now_s += suspects_module.SUSPICION_RETENTION_S + 1
+    assert bench.suspects.export_suspicions() == {}
+    assert bench.suspects._suspects == {}
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from dalehollow.crashes import Suspects
 from dalehollow.errors import SettingsError
 from dalehollow.events import EventSplitter
 from dalehollow.gateway.crashes import CrashWatch
@@ -273,7 +274,7 @@
             upstreams=UpstreamSet(random.Random(1)),
             retry_limits=RetryLimits(10.0, 0.2, 90.0, 1),
             connect_timeout_s=0.1,
-            crashes=CrashWatch(lambda: 0.0, lambda: None),
+            crashes=CrashWatch(lambda: 0.0, Suspects(lambda: 0.0)),
         )
         engine = {"slots": 4, "step_ms": 10.0, "per_seq_ms": 0, "context_per_k": 0}
         service = {"name": "desk", "maxConnections": 9}
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from dalehollow.crashes import Suspects
 from dalehollow.gateway import reports
 from dalehollow.gateway.copies import StoreCopies
-from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -50,7 +50,7 @@
     socket: _RecordingSocket
     clock: ManualClock
     members: Members
-    crashes: CrashWatch
+    suspects: Suspects
 
     def receive(self, message: PeerMessage, address: tuple[str, int] = NEAR) -> None:
         self.reports.datagram_received(msgspec.msgpack.encode(message), address)
@@ -74,7 +74,7 @@
         clock = ManualClock()
         feed = HallFeed("gw", clock, random.Random(1), lambda c: peer_reports.send_to_hall(c))
         members = Members(clock, lambda name, member: peer_reports.record_member(name, member))
-        crashes = CrashWatch(clock, lambda: None)
+        suspects = Suspects(clock)
         peer_reports = PeerReports(
             "gw",
             "hall-1",
@@ -85,11 +85,11 @@
             feed=feed,
             copies=StoreCopies(feed, random.Random(1)),
             members=members,
-            crashes=crashes,
+            suspects=suspects,
         )
         socket = _RecordingSocket()
         peer_reports._transport = socket  # type: ignore[assignment]
-        bench = _Bench(peer_reports, upstreams, feed, socket, clock, members, crashes)
+        bench = _Bench(peer_reports, upstreams, feed, socket, clock, members, suspects)
         for name, address, hall in (
             ("near", NEAR, "hall-1"),
             ("near-2", NEAR_2, "hall-1"),
@@ -273,7 +273,7 @@
         bench.receive(message, FAR)
         (upstream,) = bench.upstreams
         assert upstream.reported_state.limit_per_s == 2.0
-        assert bench.crashes.check_request(lambda: b"f") > 0
+        assert bench.suspects.check_request([b"f"]).refused_s > 0
         passed_on = msgspec.structs.replace(message, is_passed_on=True)
         assert bench.socket.sent == [(passed_on, NEAR), (passed_on, NEAR_2)]
         bench.socket.sent.clear()
