Let an unframed answer clear its request only while its upstream lives

Callers saw: the same crashes, where upstreams answer without a length or chunks.

Cause: the end of the connection ends such a body, also where a crash closed it. A stream that a crash closed between two events counted as a complete answer, so it cleared the part that had caused the crash, and kept it from being suspected for a minute.

Change: the end of an unframed answer is kept like that of a broken attempt until a connection to the upstream's port tells whether it crashed. The connection is opened only where something of the request is suspected, or a part of its prompt had no answer for a minute.

--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from dalehollow.crashes.fingerprints import Fingerprint
@@ -193,6 +193,14 @@
         if cleared:
             self._update()
 
+    def needs_answer(self, fingerprints: Sequence[Fingerprint]) -> bool:
+        """Return whether a complete answer to a request would change what is known.
+
+        It would if something of it is suspected, or if a part of its prompt has no recent answer.
+        """
+        is_suspected = any(f in self._suspects and self._suspects[f].crashes for f in fingerprints)
+        return is_suspected or not all(map(self._is_known_good, fingerprints[1:]))
+
     def may_be_retried(self, fingerprints: Collection[Fingerprint]) -> bool:
         """Return whether a request may be retried after its connection broke."""
         suspects = [self._suspects[name] for name in fingerprints if name in self._suspects]
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, ResponseError, ResponseHead
 from dalehollow.crashes import Fingerprint
+from dalehollow.framing import BodyFraming
 from dalehollow.gateway import bodies, outcome
 from dalehollow.gateway.admission import CRASHES_UPSTREAMS, AdmissionRefusal, AdmissionRequest
 from dalehollow.gateway.admit import Job, Refusal, admit
@@ -257,7 +258,12 @@
 
     def _record_answered(self, upstream: Upstream, head: ResponseHead) -> None:
         """Record that the upstream answered the request without crashing."""
-        self._state.suspects.record_answered(self._job.fingerprints)
+        if head.framing is BodyFraming.CONNECTION:
+            # A crash may have ended the body, too.
+            self._record_broken_attempt(upstream)
+            self._state.confirm_answer(upstream.listed, self._job.fingerprints)
+        else:
+            self._state.suspects.record_answered(self._job.fingerprints)
 
     def _record_status(self, upstream: Upstream, head: ResponseHead) -> bool:
         """Record a complete answer as a success or failure; return whether it is a failure."""
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ConnectError, connect
-from dalehollow.crashes import Suspects
+from dalehollow.crashes import Fingerprint, Suspects
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.headers import HeaderNames
@@ -213,12 +213,24 @@
 
     async def check_for_crash(self, listed: ListedUpstream) -> None:
         """Check for a closed port; return after `CRASH_CHECK_TIMEOUT_S` at the latest."""
-        check = asyncio.get_running_loop().create_task(self._check_for_crash(listed))
+        await asyncio.wait(
+            {self._start_crash_check(listed, _do_nothing)}, timeout=CRASH_CHECK_TIMEOUT_S
+        )
+
+    def confirm_answer(self, listed: ListedUpstream, fingerprints: tuple[Fingerprint, ...]) -> None:
+        """Count an answer as complete if its upstream is found not to have crashed."""
+        if self.suspects.needs_answer(fingerprints):
+            self._start_crash_check(listed, lambda: self.suspects.record_answered(fingerprints))
+
+    def _start_crash_check(
+        self, listed: ListedUpstream, on_alive: Callable[[], None]
+    ) -> asyncio.Task[None]:
+        check = asyncio.get_running_loop().create_task(self._check_for_crash(listed, on_alive))
         self._crash_checks.add(check)
         check.add_done_callback(self._crash_checks.discard)
-        await asyncio.wait({check}, timeout=CRASH_CHECK_TIMEOUT_S)
+        return check
 
-    async def _check_for_crash(self, listed: ListedUpstream) -> None:
+    async def _check_for_crash(self, listed: ListedUpstream, on_alive: Callable[[], None]) -> None:
         try:
             connection = await connect(listed.address, self.connect_timeout_s)
         except ConnectError as exc:
@@ -226,6 +238,7 @@
                 self.crashes.record_port_closed(listed)
             return
         connection.abort()
+        on_alive()
 
     def move_from_slow_ranks(self, group_key: str) -> None:
         """Move requests away from slow ranks, where each of them slows down the whole group.
