Check before each attempt whether a request is refused by now

Callers saw: a request that was admitted before the third crash could still be sent after it.

Cause: a request was checked against what crashes upstreams when it arrived, not after it had waited for a slot, nor before a retry that had been granted before. What was decided from old knowledge was carried out later without a second look.

Evidence: a request that waits while three crashes with its part become known kept waiting and timed out with 504 in the new test; it is refused at once now, with a time to come back. That requests which broke off, were resumed or moved are not sent again held before, by the bound on retries, and is tested.

Change: one check stands after admission, before each attempt, and once more after a failed one. Waiting requests are refused as soon as more is refused, also when a companion is cleared.

--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -136,20 +136,24 @@
         self,
         clock: Callable[[], float],
         on_change: Callable[[], None] = _do_nothing,
+        on_culprit: Callable[[], None] = _do_nothing,
     ) -> None:
         """Initialize without suspects.
 
-        `on_change` is called when what peers should know changes.
+        `on_change` is called when what peers should know changes, and `on_culprit` when more
+        requests are refused.
         """
         self._clock = clock
         # Number of changes that peers should know.
         self.changes = 0
         self._on_change = on_change
+        self._on_culprit = on_culprit
         # Ordered by the most recent change.
         self._suspects: dict[Fingerprint, _Suspect] = {}
         # Time of the last complete answer, the most recent last.
         self._known_good_at_s: dict[Fingerprint, float] = {}
         self._culprits: dict[Fingerprint, _Suspect] = {}
+        self._refused: frozenset[frozenset[Fingerprint]] = frozenset()
 
     def record_crash(self, crash: str, attempts: Collection[CrashEvidence]) -> None:
         """Suspect what the attempts contain that broke when an upstream crashed.
@@ -206,6 +210,15 @@
         suspects = [self._suspects[name] for name in fingerprints if name in self._suspects]
         return all(len(s.crashes) < MAX_CRASHES_FOR_RETRY or s.is_innocent() for s in suspects)
 
+    def refused_s(self, fingerprints: Collection[Fingerprint]) -> float:
+        """Return how long a request is refused, 0 if it is not."""
+        culprits = self._list_culprits_of(fingerprints)
+        if not culprits:
+            return 0.0
+        left_s = max(map(self._refusal_left_s, culprits))
+        # Once the refusal has ended, requests are only admitted as probes.
+        return left_s if left_s > 0 else PROBE_TIMEOUT_S
+
     def check_request(self, fingerprints: Collection[Fingerprint]) -> Ruling:
         """Rule on a new request, which may be used as a probe."""
         culprits = self._list_culprits_of(fingerprints)
@@ -316,11 +329,19 @@
         """Select the culprits again, after the suspects have changed."""
         self._discard_expired(self._clock())
         before, self._culprits = self._culprits, self._select_culprits()
+        refused_before, self._refused = self._refused, self._list_refused()
         for name in before.keys() - self._culprits.keys():
             log_event(_LOG, "request_no_longer_refused", fingerprint=name.hex())
-        for name, suspect in self._culprits.items():
-            if name not in before:
-                self._log_culprit(name, suspect)
+        for name in self._culprits.keys() - before.keys():
+            self._log_culprit(name, self._culprits[name])
+        if self._refused - refused_before:
+            self._on_culprit()
+
+    def _list_refused(self) -> frozenset[frozenset[Fingerprint]]:
+        """Return the sets of fingerprints that a refused request contains one of."""
+        return frozenset(
+            frozenset({name}) | (s.companions or frozenset()) for name, s in self._culprits.items()
+        )
 
     def _select_culprits(self) -> dict[Fingerprint, _Suspect]:
         """Return few suspects that explain the crashes of all suspects with enough of them.
--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
+from dalehollow.crashes import Fingerprint
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.limit_tokens import MAX_REQUESTED_TOKENS, TOKEN_REQUEST_LIFETIME_S
 from dalehollow.gateway.upstream import Upstream
@@ -64,6 +65,7 @@
     time_left_s: float
     caller_time_left_s: float
     expected_duration_s: float = 0.0
+    fingerprints: tuple[Fingerprint, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -177,6 +179,13 @@
                 # No slot is free for a first attempt, so none is free for the requests behind it.
                 return
 
+    def refuse_crashing(self, find_refused_s: Callable[[Collection[Fingerprint]], float]) -> None:
+        """Refuse waiting requests that turned out to crash upstreams."""
+        for waiter in list(self.waiting):
+            refused_s = find_refused_s(waiter.request.fingerprints)
+            if refused_s and not waiter.granted.done():
+                self._end_wait(waiter, AdmissionRefusal(CRASHES_UPSTREAMS, refused_s))
+
     def _end_wait(self, waiter: _Waiter, outcome: Upstream | AdmissionRefusal) -> None:
         self.waiting.remove(waiter)
         waiter.granted.set_result(outcome)
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -39,7 +39,7 @@
         refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, CRASHES_UPSTREAMS, ruling.refused_s)
         outcome.refuse(state, caller, request, refusal)
         return
-    progress = Progress()
+    progress = Progress(is_probe=ruling.is_probe)
     try:
         async with asyncio.timeout_at(admitted.deadline_s):
             await _Exchange(state, caller, admitted, progress).run()
@@ -84,6 +84,9 @@
             self._progress.waited_s += self._clock() - began_s
             if isinstance(granted, AdmissionRefusal):
                 return self._give_up(granted.reason, granted.retry_after_s)
+            if refused_s := self._refused_s():
+                admission.release(granted)
+                return self._give_up(CRASHES_UPSTREAMS, refused_s)
             self._record_chosen(granted)
             self._state.on_change()
             try:
@@ -93,11 +96,22 @@
                 self._state.on_change()
             if is_done:
                 return None
+            if refused_s := self._refused_s():
+                return self._give_up(CRASHES_UPSTREAMS, refused_s)
             if self._retry_taken_at_s is None and not self._take_retry():
                 return self._give_up(
                     "no_try_left", admission.suggest_retry_after_s(self._make_admission_request())
                 )
 
+    def _refused_s(self) -> float:
+        """Return how long the request is refused by now, 0 if it is not or is itself the probe.
+
+        What was learned while it waited or was in flight counts before each attempt.
+        """
+        if self._progress.is_probe and not self._progress.tried:
+            return 0.0
+        return self._state.suspects.refused_s(self._job.fingerprints)
+
     def _record_chosen(self, upstream: Upstream) -> None:
         progress = self._progress
         progress.tried.append(upstream.listed.incarnation)
@@ -117,6 +131,7 @@
             expected_duration_s=self._state.expected_run_s(
                 job.service, job.expected_tokens, events
             ),
+            fingerprints=job.fingerprints,
         )
 
     async def _run_attempt(self, upstream: Upstream) -> bool:
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -30,6 +30,8 @@
     """Track the progress of a request; times are seconds on the monotonic clock."""
 
     tried: list[str] = field(default_factory=list)
+    # Whether the request tests if a culprit still crashes upstreams.
+    is_probe: bool = False
     may_have_run: bool = False
     waited_s: float = 0.0
     # State of the last upstream when it was chosen: its load, the remainder of its backoff, and
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -60,6 +60,7 @@
         suspects = Suspects(
             read_clock,
             on_change=lambda: self._reports.schedule_report(),
+            on_culprit=lambda: self.state.refuse_crashing(),
         )
         self.state = GatewayState(
             names=HEADERS,
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -259,6 +259,11 @@
         for admission in self.admissions.values():
             admission.grant()
 
+    def refuse_crashing(self) -> None:
+        """Refuse waiting requests that turned out to crash upstreams."""
+        for admission in self.admissions.values():
+            admission.refuse_crashing(self.suspects.refused_s)
+
     def _own_extra(self) -> float:
         return self.retry_limits.extra * ALLOCATED_SHARE / self._count_gateways()
 
