Let gateways probe a culprit in turns

Callers would have seen: once a refusal ended, each gateway that had such a request at hand sent it as a probe before it heard of another's, so as many upstreams crashed as there are gateways.

Cause: a probe was begun by whoever came first, and told to the others by the next report; with requests that share a part at every gateway, all come at the same moment. (By reading; requests of one repeated kind rarely came to two gateways within a report's time.)

Change: turns as long as a probe may take, in rendezvous order of the culprit; a turn ends a second early, as views of when the refusal ended differ by a report's time. A gateway without such requests loses its turn, so a culprit that only one gateway sees is probed within five minutes.

--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -129,6 +129,10 @@
     pass
 
 
+def _probe_at_once(fingerprint: Fingerprint, since_s: float) -> bool:
+    return True
+
+
 class Suspects:
     """Track suspected fingerprints and rule on requests that contain them."""
 
@@ -137,17 +141,20 @@
         clock: Callable[[], float],
         on_change: Callable[[], None] = _do_nothing,
         on_culprit: Callable[[], None] = _do_nothing,
+        is_probe_turn: Callable[[Fingerprint, float], bool] = _probe_at_once,
     ) -> None:
         """Initialize without suspects.
 
         `on_change` is called when what peers should know changes, and `on_culprit` when more
-        requests are refused.
+        requests are refused. `is_probe_turn` returns whether this process may probe a culprit,
+        given the time since its refusal ended.
         """
         self._clock = clock
         # Number of changes that peers should know.
         self.changes = 0
         self._on_change = on_change
         self._on_culprit = on_culprit
+        self._is_probe_turn = is_probe_turn
         # Ordered by the most recent change.
         self._suspects: dict[Fingerprint, _Suspect] = {}
         # Time of the last complete answer, the most recent last.
@@ -227,6 +234,8 @@
         left_s = max(map(self._refusal_left_s, culprits))
         if left_s > 0:
             return Ruling(left_s)
+        if not all(self._is_probe_turn(name, -self._refusal_left_s(name)) for name in culprits):
+            return Ruling(PROBE_TIMEOUT_S)
         now_s = self._clock()
         for name in culprits:
             self._culprits[name].probed_at_s = now_s
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -11,7 +11,7 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.clock import read_clock
-from dalehollow.crashes import Suspects
+from dalehollow.crashes import PROBE_TIMEOUT_S, Fingerprint, Suspects
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
@@ -35,6 +35,7 @@
 from dalehollow.platform.names import ALL_KEYS_PREFIX, HEADERS
 from dalehollow.platform.session import Session
 from dalehollow.platform.store import StoreEra
+from dalehollow.rendezvous import count_before
 from dalehollow.telemetry.logs import log_event
 
 _MS_PER_S = 1000
@@ -44,6 +45,10 @@
 twice, once per second. Later requests are refused: they may not end within the grace period."""
 STOPPING_RETRY_AFTER_S = 0.05
 """Another gateway can take the request at once; the delay lets the balancer choose another."""
+MAX_PROBE_TURNS = 30
+"""More gateways than these share turns, so that each has one within five minutes."""
+PROBE_TURN_MARGIN_S = 1.0
+"""Longer than a report takes to any gateway, by which their turns differ."""
 STOP_MARGIN_S = 0.6
 """Time reserved at the end of the grace period to close connections."""
 
@@ -61,6 +66,7 @@
             read_clock,
             on_change=lambda: self._reports.schedule_report(),
             on_culprit=lambda: self.state.refuse_crashing(),
+            is_probe_turn=self._is_probe_turn,
         )
         self.state = GatewayState(
             names=HEADERS,
@@ -264,6 +270,17 @@
             count=len(self._members.current),
         )
 
+    def _is_probe_turn(self, fingerprint: Fingerprint, since_s: float) -> bool:
+        """Return whether this gateway may probe a culprit, as each may in turn.
+
+        A turn is as long as a probe, so that the others hear of it before theirs begins.
+        """
+        names = self._members.current.keys() - {self._settings.name}
+        turns = min(len(names) + 1, MAX_PROBE_TURNS)
+        own_turn = count_before(names, self._settings.name, fingerprint.hex()) % turns
+        turn, elapsed_s = divmod(since_s, PROBE_TIMEOUT_S)
+        return turn % turns == own_turn and elapsed_s < PROBE_TIMEOUT_S - PROBE_TURN_MARGIN_S
+
     async def _listen(
         self, address: str, handler: Handler, connections: set[CallerConnection]
     ) -> asyncio.Server:
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -124,3 +124,21 @@
         assert (answer.status, answer.is_whole) == (200, True)
 
     run_crash_world(scenario)
+
+
+def test_at_most_one_gateway_at_a_time_probes_a_culprit() -> None:
+    """Guards against a probe by every gateway before one of them hears of another's."""
+    fingerprint = b"culprit"
+
+    async def scenario(world: CrashWorld) -> None:
+        await world.bench.wait_until(
+            lambda: all(len(g._members.current) == len(world.gateways) for g in world.gateways)
+        )
+        for tenth_s in range(2 * 10 * 10 * len(world.gateways)):
+            turns = [g._is_probe_turn(fingerprint, tenth_s / 10) for g in world.gateways]
+            assert sum(turns) <= 1
+        for gateway in world.gateways:
+            seconds = range(10 * len(world.gateways))
+            assert any(gateway._is_probe_turn(fingerprint, s) for s in seconds)
+
+    run_crash_world(scenario, 3)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 
 from dalehollow.crashes import CrashEvidence, Suspects
 from dalehollow.crashes import suspects as suspects_module
@@ -14,9 +15,13 @@
 class _Bench:
     """Provide the suspects of one gateway, on a manual clock that gateways may share."""
 
-    def __init__(self, clock: ManualClock | None = None) -> None:
+    def __init__(
+        self,
+        clock: ManualClock | None = None,
+        is_probe_turn: Callable[[bytes, float], bool] = lambda name, since_s: True,
+    ) -> None:
         self.clock = clock or ManualClock()
-        self.suspects = Suspects(self.clock)
+        self.suspects = Suspects(self.clock, is_probe_turn=is_probe_turn)
         self._numbers = itertools.count()
         self._crashes = itertools.count()
 
@@ -117,3 +122,18 @@
         restarted.crash((SHARED_BY_ALL,), name=f"b{number}")
         restarted.suspects.merge_reported(bench.suspects.export_suspicions(count=16))
     assert not restarted.is_refused(SHARED_BY_ALL)
+
+
+def test_a_gateway_probes_a_culprit_only_in_its_turn() -> None:
+    """Guards against a probe by every gateway before one of them hears of another's."""
+    clock = ManualClock()
+    bench = _Bench(clock, is_probe_turn=lambda name, since_s: since_s >= 5.0)
+    for _ in range(3):
+        bench.crash((CRASHING,))
+    clock.now_s += suspects_module.REFUSAL_S + 0.1
+    ruling = bench.suspects.check_request((CRASHING,))
+    assert not ruling.is_probe
+    assert ruling.refused_s > 0
+    clock.now_s += 5.0
+    assert bench.suspects.check_request((CRASHING,)).is_probe
+    assert bench.suspects.check_request((CRASHING,)).refused_s > 0
