End attempts with a culprit that no upstream has begun to answer

Callers saw: after the third crash was known, requests with the same part that waited at other upstreams crashed those too, as soon as they were begun.

Cause: what was learned applied to requests that were still to be sent only.

Evidence: a request in flight at a silent upstream stayed there for its 5 s in the new test (504, two cases red); its attempt ends at once now.

Change: attempts that may be repeated and have no answer yet are listed, and ended when more is refused. Requests that must not run twice stay: ending one would lose an answer that may yet come.

Run: test_refused_on_the_way, test_crashing_parts, test_crashing_requests: 20 passed.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -145,6 +145,8 @@
         move = Move()
         if self._is_movable():
             upstream.moves.add(move)
+        if job.route.is_repeatable and not progress.is_probe:
+            state.unanswered[move] = job.fingerprints
         try:
             result = await send_attempt(
                 job,
@@ -175,6 +177,7 @@
             raise
         finally:
             upstream.moves.discard(move)
+            state.unanswered.pop(move, None)
 
     def _count_attempt(self) -> None:
         """Count an attempt in the retry window at the time it is sent."""
@@ -187,7 +190,7 @@
 
     async def _handle_broken_connection(self, upstream: Upstream, move: Move) -> None:
         """Record a broken connection and check whether the upstream crashed."""
-        if move.reason is MoveReason.SLOW_RANK:
+        if move.reason in (MoveReason.SLOW_RANK, MoveReason.CRASHES_UPSTREAMS):
             return
         self._record_broken_attempt(upstream)
         await self._state.check_for_crash(upstream.listed)
@@ -201,7 +204,7 @@
     async def _relay_or_drop(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
         """Relay an answer; return False if it broke off and another attempt may continue it."""
         try:
-            return await self._relay(upstream, answered)
+            return await self._relay(upstream, answered, move)
         except ResponseError as exc:
             await self._handle_broken_connection(upstream, move)
             body = outcome.describe_body(self._progress)
@@ -246,7 +249,7 @@
             log_event(_LOG, "group_broken", group=group_key)
         health.record_refused(group_key, self._clock())
 
-    async def _relay(self, upstream: Upstream, answered: Answered) -> bool:
+    async def _relay(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
         """Relay an answer; return False if the request is to be retried instead."""
         head, connection = answered.head, answered.connection
         self._progress.framing = head.framing
@@ -256,7 +259,7 @@
                 f"upstream answered status {head.status} to a request to resume a stream"
             )
         if is_stream:
-            await self._relay_stream(upstream, answered)
+            await self._relay_stream(upstream, answered, move)
             upstream.record_answer(failed=False)
         else:
             body = await connection.read_body()
@@ -288,7 +291,7 @@
         self._state.upstreams.record_failure(upstream, self._clock(), is_unreachable=False)
         return True
 
-    async def _relay_stream(self, upstream: Upstream, answered: Answered) -> None:
+    async def _relay_stream(self, upstream: Upstream, answered: Answered, move: Move) -> None:
         head, connection = answered.head, answered.connection
         splitter = self._progress.splitter
         splitter.begin_body()
@@ -301,6 +304,7 @@
             events = splitter.feed(piece)
             if events:
                 if self._begun is None:
+                    self._state.unanswered.pop(move, None)
                     self._begun = self._state.suspects.record_begun(self._job.fingerprints)
                 now_s = self._clock()
                 if last_s is not None:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -19,7 +19,7 @@
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.signals import Signals
 from dalehollow.gateway.table import EngineFigures, RoutingTable
-from dalehollow.gateway.upstream import MoveReason, Upstream
+from dalehollow.gateway.upstream import Move, MoveReason, Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.telemetry.logs import log_event
 from dalehollow.telemetry.metrics import Metrics
@@ -78,6 +78,8 @@
     # Returns the state of the store for the log lines of refused requests.
     describe_store: Callable[[], dict[str, object]] = dict
     _retries: dict[str, RetryWindow] = field(default_factory=dict)
+    # Attempts that may be repeated and that no upstream has begun to answer.
+    unanswered: dict[Move, tuple[Fingerprint, ...]] = field(default_factory=dict)
     _max_gateways: int = 1
     _crash_checks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -260,9 +262,12 @@
             admission.grant()
 
     def refuse_crashing(self) -> None:
-        """Refuse waiting requests that turned out to crash upstreams."""
+        """Refuse waiting requests that turned out to crash upstreams, and end their attempts."""
         for admission in self.admissions.values():
             admission.refuse_crashing(self.suspects.refused_s)
+        for move, fingerprints in list(self.unanswered.items()):
+            if self.suspects.refused_s(fingerprints):
+                move.request(MoveReason.CRASHES_UPSTREAMS)
 
     def _own_extra(self) -> float:
         return self.retry_limits.extra * ALLOCATED_SHARE / self._count_gateways()
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -22,10 +22,11 @@
 
 
 class MoveReason(enum.StrEnum):
-    """List the reasons for moving a request to another upstream."""
+    """List the reasons for ending an attempt early; only the last one forbids another."""
 
     SLOW_RANK = "slow_rank"
     RESTARTED = "upstream_restarted"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
 
 
 @dataclass(eq=False)
--- a/tests/test_refused_on_the_way.py
+++ b/tests/test_refused_on_the_way.py
@@ -115,3 +115,33 @@
         assert sum(len(server.received) for server in servers) == 1
 
     run_bench(scenario)
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/stream/1"])
+def test_an_attempt_is_ended_before_its_upstream_begins_to_answer(path: str) -> None:
+    """Guards against crashes by requests that wait at upstreams when the third crash is known."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        server = await bench.add_server("s0", ResponseMode.HANG)
+        sent = await _start(bench, path)
+        await server.request_received.wait()
+        _make_culprit(bench)
+        await server.handler_cancelled.wait()
+        assert (await sent).status == 502
+        assert len(server.received) == 1
+
+    run_bench(scenario)
+
+
+def test_an_attempt_that_must_not_repeat_is_not_ended() -> None:
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        server = await bench.add_server("s0")
+        server.response_delay_s = 0.05
+        sent = await _start(bench, "/pay/1")
+        await server.request_received.wait()
+        _make_culprit(bench)
+        assert (await sent).status == 200
+
+    run_bench(scenario)
