Keep culprits in the platform's store for gateways that all start again

Cause: what was learned was in the memory of processes only; a gateway that starts has it from its peers, but not where none of them is left.

Change: the first gateway in rendezvous order writes each culprit with the wall-clock times of its crashes, the next one if the store does not show it within 0.5 s. Records are read with all other items, before the configuration, so before the first request. An answer replaces the record of a culprit by an empty one. Two calls for each culprit, none otherwise; records end with a lease of ten minutes.

--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -260,6 +260,16 @@
         """Return the number of fingerprints that requests are refused for."""
         return len(self._culprits)
 
+    def export_culprits(self) -> dict[Fingerprint, Suspicion]:
+        """Return the suspicions that requests are refused for."""
+        now_s = self._clock()
+        return {name: _encode_suspect(s, now_s) for name, s in self._culprits.items()}
+
+    def is_cleared(self, name: Fingerprint) -> bool:
+        """Return whether a request with a suspect was answered after its last crash."""
+        suspect = self._suspects.get(name)
+        return suspect is not None and not suspect.crashes and suspect.answered_at_s > _NEVER_S
+
     def export_suspicions(self, count: int = MAX_REPORTED_SUSPECTS) -> dict[Fingerprint, Suspicion]:
         """Return the most important suspicions for a report to peers."""
         now_s = self._clock()
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -11,7 +11,8 @@
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
 from dalehollow.clock import read_clock
-from dalehollow.crashes import PROBE_TIMEOUT_S, Fingerprint, Suspects
+from dalehollow.config.spread import read_wall_clock_ms
+from dalehollow.crashes import PROBE_TIMEOUT_S, CulpritRecords, Fingerprint, Suspects
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
@@ -187,6 +188,7 @@
             self._apply_listed,
             self._planners.record_holder,
             self._planners.record_plan,
+            self._culprits.record_stored,
         )
         self._follower = Follower(
             self._settings.store, ALL_KEYS_PREFIX, listener, self._feed, self._era
@@ -204,6 +206,14 @@
         self._planners = GroupPlanners(
             self._settings, self.state, self._session, self._members.current
         )
+        self._culprits = CulpritRecords(
+            self.state.suspects,
+            read_clock,
+            read_wall_clock_ms,
+            self._session.store_culprit,
+            self._count_before,
+        )
+        self._tasks.append(keep_running("culprits", self._culprits.run))
         self._tasks.append(keep_running("reports", self._reports.run))
         self._tasks.append(keep_running("tokens", self._tokens.run))
 
@@ -275,12 +285,15 @@
 
         A turn is as long as a probe, so that the others hear of it before theirs begins.
         """
-        names = self._members.current.keys() - {self._settings.name}
-        turns = min(len(names) + 1, MAX_PROBE_TURNS)
-        own_turn = count_before(names, self._settings.name, fingerprint.hex()) % turns
+        turns = min(max(1, len(self._members.current)), MAX_PROBE_TURNS)
+        own_turn = self._count_before(fingerprint) % turns
         turn, elapsed_s = divmod(since_s, PROBE_TIMEOUT_S)
         return turn % turns == own_turn and elapsed_s < PROBE_TIMEOUT_S - PROBE_TURN_MARGIN_S
 
+    def _count_before(self, fingerprint: Fingerprint) -> int:
+        """Return how many gateways come before this one in what one does for all."""
+        return count_before(self._members.current, self._settings.name, fingerprint.hex())
+
     async def _listen(
         self, address: str, handler: Handler, connections: set[CallerConnection]
     ) -> asyncio.Server:
--- a/dalehollow/platform/items.py
+++ b/dalehollow/platform/items.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from dalehollow.crashes import StoredCulprit
 from dalehollow.gateway.contact import EXPIRY_GRACE_S
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -16,6 +17,7 @@
 from dalehollow.groups.ranks import StoredPlan
 from dalehollow.platform.names import (
     CONFIG_KEY,
+    CULPRIT_PREFIX,
     DUTY_PREFIX,
     MEMBER_PREFIX,
     PLAN_PREFIX,
@@ -50,6 +52,8 @@
     on_duty: Callable[[str, str | None], None]
     # A service and the inputs of the last plan for its group's map.
     on_plan: Callable[[str, StoredPlan], None]
+    # What crashes upstreams, by fingerprint in hexadecimal, or None once its record is gone.
+    on_culprit: Callable[[str, StoredCulprit | None], None] = lambda name, record: None
 
 
 @dataclass(frozen=True)
@@ -182,6 +186,9 @@
         elif key.startswith(DUTY_PREFIX):
             holder = value.decode() if value is not None else None
             self._listener.on_duty(key.removeprefix(DUTY_PREFIX), holder)
+        elif key.startswith(CULPRIT_PREFIX):
+            record = msgspec.json.decode(value, type=StoredCulprit) if value is not None else None
+            self._listener.on_culprit(key.removeprefix(CULPRIT_PREFIX), record)
         else:
             return False
         return True
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -43,3 +43,4 @@
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
 PLAN_PREFIX = "dalehollow/plans/"
+CULPRIT_PREFIX = "dalehollow/culprits/"
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -15,11 +15,12 @@
 import msgspec
 
 from dalehollow.clock import read_clock
+from dalehollow.crashes import StoredCulprit
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.ranks import StoredPlan
-from dalehollow.platform.names import DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
+from dalehollow.platform.names import CULPRIT_PREFIX, DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store, StoreEra
 from dalehollow.protocol.revisions import format_revision, read_era
 from dalehollow.telemetry.logs import log_event
@@ -42,6 +43,8 @@
 """Peers detect a silent gateway by themselves; the list only says where to send reports."""
 MEMBER_RETRY_DELAY_S = 1.0
 """Retry delay after a failed registration or renewal of the member entry."""
+CULPRIT_TTL_S = 600.0
+"""Longest lease that the store grants."""
 DUTY_TIMES = LeaseTimes(ttl_s=1.0, renew_s=0.3, margin_s=0.2)
 """1 s is the shortest lease the store grants; a group may stall until its duty is taken over."""
 
@@ -200,6 +203,21 @@
         finally:
             store.close()
 
+    async def store_culprit(self, name: str, record: StoredCulprit) -> bool:
+        """Store what crashes upstreams; return whether that is confirmed."""
+        store = Store(self.address, self.era)
+        try:
+            lease, _ = await store.grant_lease(CULPRIT_TTL_S, CALL_TIMEOUT_S)
+            value = msgspec.json.encode(record)
+            await store.put(CULPRIT_PREFIX + name, value, CALL_TIMEOUT_S, lease=lease)
+        except (PlatformError, LeaseGoneError) as exc:
+            log_event(_LOG, "culprit_not_stored", fingerprint=name, error=exc)
+            return False
+        finally:
+            store.close()
+        log_event(_LOG, "culprit_stored", fingerprint=name, crashes=len(record.crashed_at_ms))
+        return True
+
     async def end(self) -> None:
         """Revoke all leases at a graceful shutdown so that other processes notice at once."""
         for duty in list(self._duties):
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -89,6 +89,22 @@
         await self.bench.wait_until(lambda: gateway.state.table is not None)
         await self.wait_for_starts()
 
+    async def restart_gateways(self) -> None:
+        """Kill all gateways and start as many others, which know only what the store holds."""
+        halls = [gateway._settings.hall for gateway in self.gateways]
+        self.bench.running.cancel()
+        for task in self.running:
+            task.cancel()
+        await asyncio.gather(self.bench.running, *self.running, return_exceptions=True)
+        self.gateways.clear()
+        for hall in halls:
+            await self.add_gateway(hall)
+
+    async def wait_for_record(self, fingerprint: str) -> None:
+        """Wait until the store holds the record of a culprit."""
+        key = f"dalehollow/culprits/{fingerprint}"
+        await self.bench.wait_until(lambda: key in self.bench.store.items)
+
     async def restart_upstreams(self) -> None:
         """Start crashed upstreams again and wait until all gateways know their starts."""
         for upstream in self.upstreams:
--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -26,7 +26,6 @@
 from dalehollow.aio.headers import Headers
 from dalehollow.crashes import Suspects
 from dalehollow.gateway.copies import StoreCopies
-from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.health import GroupHealth
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -253,7 +252,7 @@
             feed=feed,
             copies=copies,
             members=members,
-            crashes=CrashWatch(lambda: 0.0, Suspects(lambda: 0.0)),
+            suspects=Suspects(lambda: 0.0),
         )
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
         port = self._ports.setdefault(name, _FIRST_PORT + len(self._ports))
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -9,6 +9,7 @@
 import functools
 import itertools
 
+from dalehollow.crashes import make_fingerprints
 from standins.server import CrashPoint
 from tests.crash_world import CRASHING, SHARED_BY_ALL, UPSTREAMS, CrashWorld, run_crash_world
 
@@ -142,3 +143,23 @@
             assert any(gateway._is_probe_turn(fingerprint, s) for s in seconds)
 
     run_crash_world(scenario, 3)
+
+
+def test_gateways_that_all_start_again_refuse_what_crashed_upstreams_before() -> None:
+    """Guards against forgetting culprits with the processes that found them."""
+
+    async def scenario(world: CrashWorld) -> None:
+        parts = (SHARED_BY_ALL, CRASHING)
+        await world.send(world.gateways[0], (SHARED_BY_ALL, ACCOUNT_PART))
+        assert await _send_crashing(world, parts, "/stream/1") == 503
+        fingerprint = make_fingerprints(b"", "", b"", [CRASHING.encode()])[1].hex()
+        await world.wait_for_record(fingerprint)
+        arrivals = world.count_arrivals()
+        for _ in range(2):
+            await world.restart_gateways()
+            assert await _send_crashing(world, parts, "/stream/1") == 503
+        assert world.count_arrivals() == arrivals
+        answer = await world.send(world.gateways[0], (SHARED_BY_ALL, ACCOUNT_PART))
+        assert (answer.status, answer.is_whole) == (200, True)
+
+    run_crash_world(scenario, 3)
