Start a gateway with the libraries that are deployed with it

Seen: the second play of the record ended before it began, ModuleNotFoundError for "result": the gateway had come to import the configuration package of entries for one function, which needs a library that deploy/requirements.txt does not list.

Change: the wall clock is read in dalehollow/clock.py, as all time is. A test runs the imports of the gateway's program and names the libraries that are not deployed; it was red.

--- a/dalehollow/clock.py
+++ b/dalehollow/clock.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 
+_MS_PER_S = 1000
 _CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
@@ -17,6 +18,11 @@
     return time.clock_gettime(_CLOCK)
 
 
+def read_wall_clock_ms() -> int:
+    """Return the wall-clock time in Unix milliseconds."""
+    return int(time.time() * _MS_PER_S)
+
+
 class BootTimeEventLoop(asyncio.SelectorEventLoop):
     """Schedule by `read_clock`: timers that expire during a suspension fire at its end."""
 
--- a/dalehollow/config/spread.py
+++ b/dalehollow/config/spread.py
@@ -11,12 +11,12 @@
 import hashlib
 import logging
 import threading
-import time
 from collections.abc import Callable, Mapping
 
 import msgspec
 from result import Ok
 
+from dalehollow.clock import read_wall_clock_ms
 from dalehollow.config.holder import ConfigHolder
 from dalehollow.config.parts import count_bytes
 from dalehollow.config.store import Manifest, load_manifest, part_key, read_head
@@ -34,11 +34,6 @@
 _log = logging.getLogger(__name__)
 
 
-def read_wall_clock_ms() -> int:
-    """Return the wall-clock time in Unix milliseconds."""
-    return int(time.time() * 1000)
-
-
 def compute_poll_limit_ms(name: str, min_ms: int, max_ms: int) -> int:
     """Return the confirmation age at which the process of this name polls the head."""
     digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -11,10 +11,10 @@
 
 from result import Err, Ok, Result
 
-from dalehollow.clock import read_clock
+from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.config.holder import ActiveConfig, ConfigHolder
 from dalehollow.config.model import Account
-from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms, read_wall_clock_ms
+from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms
 from dalehollow.entry.admit import Job, admit, index_accounts_by_key_digest, read_request_id
 from dalehollow.entry.attempt import UpstreamClient
 from dalehollow.entry.pool import Pool
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -10,8 +10,7 @@
 from http import HTTPStatus
 
 from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
-from dalehollow.clock import read_clock
-from dalehollow.config.spread import read_wall_clock_ms
+from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.crashes import PROBE_TIMEOUT_S, CulpritRecords, Fingerprint, Suspects
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -9,9 +9,9 @@
 
 from result import Ok, Result
 
-from dalehollow.clock import read_clock
+from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.config.holder import ActiveConfig, ConfigHolder
-from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms, read_wall_clock_ms
+from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms
 from dalehollow.groups.host import HttpRankHost
 from dalehollow.limits import Gate, GateLimits
 from dalehollow.membership import PeerHeartbeats
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -26,6 +26,19 @@
 )
 from standins.server import ResponseMode, ServerStandIn, make_event, make_stream_body
 
+_MODULES_OF_LIBRARIES = {
+    "cheroot": ("cheroot",),
+    "fire": ("fire",),
+    "hdrhistogram": ("hdrh",),
+    "httptools": ("httptools",),
+    "msgspec": ("msgspec",),
+    "pyjson5": ("pyjson5",),
+    "pynng": ("pynng",),
+    "result": ("result",),
+    "urllib3": ("urllib3",),
+}
+"""The project's dependencies, and the modules that each of them provides."""
+
 Scenario = Callable[[GatewayProcess, MetadataStandIn, list[ServerStandIn]], Awaitable[None]]
 
 
@@ -133,3 +146,16 @@
     assert finished.returncode == 2
     assert "'http' is 'nowhere'" in finished.stderr and "'store' is missing" in finished.stderr
     assert "Traceback" not in finished.stderr
+
+
+def test_a_gateway_needs_only_the_libraries_that_are_deployed_with_it() -> None:
+    """Guards against a gateway that ends at its start where only those are installed."""
+    requirements = Path(__file__).parent.parent / "deploy" / "requirements.txt"
+    names = {line.partition("==")[0] for line in requirements.read_text().split()}
+    deployed = {module for name in names for module in _MODULES_OF_LIBRARIES[name]}
+    others = {m for modules in _MODULES_OF_LIBRARIES.values() for m in modules} - deployed
+    program = "import sys, dalehollow.gateway.__main__; print(*sys.modules)"
+    imported = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=True, text=True
+    ).stdout.split()
+    assert others.isdisjoint(imported), others & set(imported)
