Keep descriptors back from callers' connections, and close idle ones first

Callers saw: while most new connections come to one gateway and are kept open, it serves nothing for seconds, again and again, until its first connections run into the idle timeout.

Cause: callers' connections may take every file descriptor of the process. The gateway then accepts nothing, the balancer's checks included, and cannot connect to upstreams.

Change: three quarters of the sockets are for callers. A new connection above that takes the place of the one that was idle longest; where none is idle it is closed unread, which the balancer counts as not taken. Logged once a second (callers_at_limit), with gauges for open, closed and turned away.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -10,12 +10,14 @@
     ResponseHead,
     connect,
 )
+from dalehollow.aio.connections import Connections
 
 __all__ = [
     "CallerConnection",
     "CallerRequest",
     "ClientConnection",
     "ConnectError",
+    "Connections",
     "Handler",
     "Limits",
     "ResponseError",
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from dalehollow.aio.connections import Connections
 from dalehollow.aio.headers import Headers, find_header, list_values
 from dalehollow.framing import BodyFraming, find_framing
 from dalehollow.sockets import set_reset_on_close, tune_socket
@@ -70,9 +71,12 @@
         self,
         handler: Handler,
         read_limits: Callable[[], Limits],
-        connections: set[CallerConnection],
+        connections: Connections[CallerConnection],
     ) -> None:
-        """Create an unconnected protocol; it adds itself to `connections` while it is open."""
+        """Create an unconnected protocol; it adds itself to `connections` while it is open.
+
+        If there is no room for it, it is closed before anything is read.
+        """
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
@@ -104,8 +108,10 @@
         """Start the task that serves this connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if not self._connections.add(self):
+            transport.abort()
+            return
         tune_socket(transport)
-        self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -255,12 +261,13 @@
         """Return whether the response head for the current request was sent."""
         return self._head_sent
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection unless a request is in flight, queued or being received."""
         if self.is_busy or self._requests or self._is_reading_head or self._headers:
-            return
+            return False
         if self._transport is not None:
             self._transport.close()
+        return True
 
     # Serving task
 
@@ -270,6 +277,7 @@
             if request is None:
                 break
             self.is_busy, self._head_sent = True, False
+            self._connections.record_busy(self)
             self._is_http_1_0 = request.http_version == _HTTP_1_0
             try:
                 await self._handler(self, request)
@@ -279,6 +287,7 @@
                 self.abort()
             finally:
                 self.is_busy = False
+                self._connections.record_idle(self)
             if not self.keep_alive:
                 break
         if self._transport is not None:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, Handler, Limits
+from dalehollow.aio import CallerConnection, CallerRequest, Connections, Handler, Limits
 from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.crashes import PROBE_TIMEOUT_S, CulpritRecords, Fingerprint, Suspects
 from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.crashes import CrashWatch
+from dalehollow.gateway.descriptors import count_caller_connections, read_descriptor_limit
 from dalehollow.gateway.exchange import serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.limit_tokens import LimitTokens
@@ -45,6 +46,7 @@
 twice, once per second. Later requests are refused: they may not end within the grace period."""
 STOPPING_RETRY_AFTER_S = 0.05
 """Another gateway can take the request at once; the delay lets the balancer choose another."""
+FULL_LOG_INTERVAL_S = 1.0
 MAX_PROBE_TURNS = 30
 """More gateways than these share turns, so that each has one within five minutes."""
 PROBE_TURN_MARGIN_S = 1.0
@@ -89,8 +91,12 @@
         self.listening = asyncio.Event()
         self._is_stopping = False
         self.refuses_new = False
-        self._callers: set[CallerConnection] = set()
-        self._auxiliary_connections: set[CallerConnection] = set()
+        descriptor_limit = read_descriptor_limit(settings.max_descriptors)
+        self._callers = Connections[CallerConnection](
+            count_caller_connections(descriptor_limit), self._log_full
+        )
+        self._auxiliary_connections = Connections[CallerConnection]()
+        self._full_logged_at_s = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._members = Members(read_clock, self._record_member)
         outage_s = settings.heartbeat_ms / _MS_PER_S * EXPIRY_HEARTBEATS
@@ -167,6 +173,7 @@
             store_age_s=self._feed.age_s,
             store_calls=lambda: self._follower.calls,
             lines_left_out=self.lines_left_out,
+            callers=self._callers,
         )
         watch_gauges(sources)
         handler = make_status_handler(sources)
@@ -294,7 +301,7 @@
         return count_before(self._members.current, self._settings.name, fingerprint.hex())
 
     async def _listen(
-        self, address: str, handler: Handler, connections: set[CallerConnection]
+        self, address: str, handler: Handler, connections: Connections[CallerConnection]
     ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         return await asyncio.get_running_loop().create_server(
@@ -305,6 +312,22 @@
             reuse_address=True,
         )
 
+    def _log_full(self) -> None:
+        """Log that a caller's connection has no room, at most once per second."""
+        now_s = read_clock()
+        if now_s - self._full_logged_at_s < FULL_LOG_INTERVAL_S:
+            return
+        self._full_logged_at_s = now_s
+        log_event(
+            _LOG,
+            "callers_at_limit",
+            logging.WARNING,
+            open=len(self._callers),
+            limit=self._callers.max_count,
+            closed_idle=self._callers.closed_idle,
+            turned_away=self._callers.turned_away,
+        )
+
     def _read_limits(self) -> Limits:
         limits = self.state.table.limits if self.state.table is not None else CallerLimits()
         return Limits(
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -45,6 +45,8 @@
     connect_timeout_ms: int = 150
     # Interval at which upstreams renew their entries in the list.
     heartbeat_ms: int = 1_200
+    # File descriptors that the process may use, 0 to rely on its resource limit.
+    max_descriptors: int = 0
     # Bandwidth of this VM's link, and the byte rate of it for reports to other halls.
     link_mbps: float = 1000.0
     report_bytes_per_s: int = 16_000
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, Handler
+from dalehollow.aio import CallerConnection, CallerRequest, Connections, Handler
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.state import GatewayState
@@ -33,6 +33,7 @@
     store_age_s: Callable[[], float]
     store_calls: Callable[[], int]
     lines_left_out: Callable[[], int]
+    callers: Connections[CallerConnection]
 
 
 def watch_gauges(sources: StatusSources) -> None:
@@ -55,6 +56,9 @@
     metrics.watch_gauge("requests_refused_for_crashes", state.suspects.count_culprits)
     metrics.watch_gauge("waiting", lambda: sum(len(a.waiting) for a in state.admissions.values()))
     metrics.watch_gauge("log_lines_left_out", sources.lines_left_out)
+    metrics.watch_gauge("caller_connections", lambda: len(sources.callers))
+    metrics.watch_gauge("caller_connections_closed_idle", lambda: sources.callers.closed_idle)
+    metrics.watch_gauge("caller_connections_turned_away", lambda: sources.callers.turned_away)
     metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
     metrics.watch_gauge("expert_copies", lambda: sum(p.copies for p in sources.planners.values()))
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import json
+import resource
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,7 +18,7 @@
 import fire
 import msgspec
 
-from dalehollow.aio import CallerConnection, Handler, Limits, connect
+from dalehollow.aio import CallerConnection, Connections, Handler, Limits, connect
 from standins.metadata import MetadataStandIn
 from standins.server import ServerStandIn
 
@@ -45,9 +46,9 @@
         return await self.process.wait()
 
 
-async def listen(handler: Handler, connections: set[CallerConnection] | None = None) -> str:
+async def listen(handler: Handler) -> str:
     """Serve on a free loopback port and return the address."""
-    open_connections: set[CallerConnection] = connections if connections is not None else set()
+    open_connections = Connections[CallerConnection]()
     server = await asyncio.get_running_loop().create_server(
         lambda: CallerConnection(handler, lambda: _LIMITS, open_connections), "127.0.0.1", 0
     )
@@ -105,6 +106,8 @@
     name: str,
     directory: Path,
     program: Sequence[str] = ("-m", "dalehollow", "run"),
+    *,
+    descriptor_limit: int = 0,
     **changes: object,
 ) -> GatewayProcess:
     """Start a gateway and wait until it listens; its log is appended to an existing one."""
@@ -123,13 +126,23 @@
     with log_path.open("ab") as log:
         log_offset_bytes = log.tell()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, *program, str(path), stdout=log, stderr=log
+            sys.executable,
+            *program,
+            str(path),
+            stdout=log,
+            stderr=log,
+            preexec_fn=_make_limiter(descriptor_limit) if descriptor_limit else None,
         )
     started = await _wait_for_log_line(log_path, log_offset_bytes, "event=started", process)
     pairs = dict(word.split("=", 1) for word in started.split() if "=" in word)
     return GatewayProcess(process, path, log_path, pairs["http"], pairs["ready"], pairs["metrics"])
 
 
+def _make_limiter(descriptor_limit: int) -> Callable[[], None]:
+    limits = (descriptor_limit, descriptor_limit)
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 @asynccontextmanager
 async def start_gateway(
     store_address: str, name: str, directory: Path, **changes: object
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -7,7 +7,14 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from dalehollow.aio import CallerConnection, Limits, ResponseError, ResponseHead, connect
+from dalehollow.aio import (
+    CallerConnection,
+    Connections,
+    Limits,
+    ResponseError,
+    ResponseHead,
+    connect,
+)
 from dalehollow.gateway.process import Gateway
 from standins.server import CrashPoint, ServerStandIn, list_shared_parts, make_prompt_header
 from tests.gateway_bench import (
@@ -41,7 +48,7 @@
         return self.listening is None
 
     async def listen(self) -> None:
-        connections: set[CallerConnection] = set()
+        connections = Connections[CallerConnection]()
         self.listening = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self.server.handle, lambda: _LIMITS, connections),
             "127.0.0.1",
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,141 @@
+"""Test that a gateway keeps serving when most new connections of callers come to it.
+
+Guards against running out of file descriptors: a gateway then accepted nothing for seconds, reached
+no upstream and ejected the sound ones for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from dalehollow.aio import ClientConnection, Connections, ResponseError, connect
+from dalehollow.gateway.descriptors import count_caller_connections
+from standins.metadata import MetadataStandIn
+from standins.platform import (
+    HOST,
+    KEY,
+    GatewayProcess,
+    listen,
+    make_configuration,
+    start_gateway,
+    start_servers,
+    wait_until_ready,
+)
+from standins.server import ServerStandIn
+
+DESCRIPTOR_LIMIT = 120
+TIMEOUT_S = 30.0
+
+
+class _Connection:
+    """Stand for a connection that is idle or not."""
+
+    def __init__(self) -> None:
+        self.is_idle, self.is_closed = True, False
+
+    def close_if_idle(self) -> bool:
+        self.is_closed = self.is_idle
+        return self.is_idle
+
+
+def test_the_connection_that_was_idle_longest_makes_room() -> None:
+    connections = Connections[_Connection](3)
+    first, second, third, fourth = (_Connection() for _ in range(4))
+    for connection in (first, second, third):
+        assert connections.add(connection)
+    connections.record_busy(first)
+    connections.record_idle(first)
+    assert connections.add(fourth)
+    assert [c.is_closed for c in (first, second, third)] == [False, True, False]
+    assert (len(connections), connections.closed_idle) == (3, 1)
+
+
+def test_a_connection_without_room_is_turned_away() -> None:
+    connections = Connections[_Connection](2)
+    receiving, busy = _Connection(), _Connection()
+    for connection in (receiving, busy):
+        assert connections.add(connection)
+    connections.record_busy(busy)
+    receiving.is_idle = False
+    assert not connections.add(_Connection())
+    assert connections.turned_away == 1
+    connections.discard(busy)
+    assert connections.add(_Connection())
+
+
+@pytest.mark.parametrize(("limit", "callers"), [(0, None), (400, 262), (4_100, 2_925), (8, 5)])
+def test_some_descriptors_are_kept_for_other_uses(limit: int, callers: int | None) -> None:
+    assert count_caller_connections(limit) == callers
+
+
+def _make_request(number: int) -> bytes:
+    return (
+        f"POST /status/a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r{number}\r\n"
+        f"X-Deadline-Ms: 5000\r\nX-Key: {KEY}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+async def _send_on_new_connection(gateway: GatewayProcess, data: bytes) -> ClientConnection:
+    connection = await connect(gateway.http, TIMEOUT_S)
+    connection.send([data])
+    return connection
+
+
+def _run(directory: Path, scenario) -> None:  # type: ignore[no-untyped-def]
+    async def run() -> None:
+        store = MetadataStandIn()
+        store.put("op/config", make_configuration())
+        address = await listen(store.handle)
+        servers = await start_servers(store, ["s1", "s2", "s3"])
+        async with (
+            asyncio.timeout(TIMEOUT_S),
+            start_gateway(address, "gw", directory, descriptor_limit=DESCRIPTOR_LIMIT) as gateway,
+        ):
+            await wait_until_ready(gateway)
+            await scenario(gateway, servers)
+
+    asyncio.run(run())
+
+
+def test_requests_on_new_connections_are_served_while_others_are_kept_open(tmp_path: Path) -> None:
+    """Guards against a gateway that its callers' idle connections leave without descriptors."""
+
+    async def scenario(gateway: GatewayProcess, servers: list[ServerStandIn]) -> None:
+        kept = []
+        for number in range(3 * DESCRIPTOR_LIMIT):
+            connection = await _send_on_new_connection(gateway, _make_request(number))
+            kept.append(connection)
+            assert (await connection.read_head()).status == 200
+            assert await connection.read_body() == b"whole answer"
+        for connection in kept:
+            connection.abort()
+        log = gateway.log_path.read_text()
+        assert "event=callers_at_limit" in log
+        assert "event=upstream_ejected" not in log
+
+    _run(tmp_path, scenario)
+
+
+def test_a_connection_that_finds_all_others_busy_is_closed_unread(tmp_path: Path) -> None:
+    """Guards against callers that wait for a gateway which cannot read their requests."""
+
+    async def scenario(gateway: GatewayProcess, servers: list[ServerStandIn]) -> None:
+        limit = count_caller_connections(DESCRIPTOR_LIMIT)
+        assert limit is not None
+        request = _make_request(1)
+        half = len(request) // 2
+        busy = [await _send_on_new_connection(gateway, request[:half]) for _ in range(limit)]
+        # The gateway has read the halves once it answers.
+        await wait_until_ready(gateway)
+        turned_away = await _send_on_new_connection(gateway, request)
+        with pytest.raises(ResponseError):
+            await turned_away.read_head()
+        busy[0].send([request[half:]])
+        assert (await busy[0].read_head()).status == 200
+        for connection in busy:
+            connection.abort()
+
+    _run(tmp_path, scenario)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,7 +12,7 @@
 import itertools
 from collections.abc import Callable
 
-from dalehollow.aio import CallerConnection, Limits
+from dalehollow.aio import CallerConnection, Connections, Limits
 from standins.platform import listen
 from standins.server import ResponseMode, ServerStandIn
 from tests.gateway_bench import GatewayBench, make_config, run_bench
@@ -79,7 +79,7 @@
         for number in range(UPSTREAMS):
             name = f"s{number}"
             server = ServerStandIn(name, crash_body=CRASHES)
-            kept: set[CallerConnection] = set()
+            kept = Connections[CallerConnection]()
             listening = await asyncio.get_running_loop().create_server(
                 lambda s=server, k=kept: CallerConnection(s.handle, lambda: _LIMITS, k),
                 "127.0.0.1",
