Do not count a lack of descriptors as a failure of upstreams

Callers saw: after a gateway had run out of descriptors it refused requests, though the upstreams were sound and connections could be opened again.

Cause: an error in opening a connection counted as "unreachable", whoever caused it, so each attempt ejected another upstream, and the request's retry the next one.

Change: an error that tells of this process or VM (no descriptor, memory or local port) is told apart in the client, records nothing of the upstream, and ends the request at once with 503 and a short time to come back: the balancer leads to another gateway.

--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -15,6 +16,10 @@
 from dalehollow.sockets import tune_socket
 
 _FIRST_FINAL_STATUS = 200
+_OWN_ERRNOS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
+"""Errors of this process or VM: no descriptor, memory or local port is left."""
 MAX_BUFFERED_BYTES = 256 * 1024
 """Reading pauses above this size, so that a slow caller's data stays in the upstream."""
 PIECE_TIMEOUT_S = 0.5
@@ -28,13 +33,17 @@
 class ConnectError(ConnectionError):
     """Report that no connection was established; no byte of a request was sent.
 
-    `is_refused` is True if the host refused the connection because nothing listens on the port.
+    `is_refused` is True if the host refused the connection because nothing listens on the port,
+    `is_own_failure` if this process lacked the means to open a connection.
     """
 
-    def __init__(self, message: str, *, is_refused: bool = False) -> None:
-        """Store the message and whether the connection was refused."""
+    def __init__(
+        self, message: str, *, is_refused: bool = False, is_own_failure: bool = False
+    ) -> None:
+        """Store the message and the kind of failure."""
         super().__init__(message)
         self.is_refused = is_refused
+        self.is_own_failure = is_own_failure
 
 
 class ResponseError(ConnectionError):
@@ -229,5 +238,9 @@
             _, connection = await loop.create_connection(ClientConnection, host, int(port))
     except (OSError, TimeoutError) as exc:
         message = f"cannot connect to {address}: {exc or 'timed out'}"
-        raise ConnectError(message, is_refused=isinstance(exc, ConnectionRefusedError)) from exc
+        raise ConnectError(
+            message,
+            is_refused=isinstance(exc, ConnectionRefusedError),
+            is_own_failure=exc.errno in _OWN_ERRNOS,
+        ) from exc
     return connection
--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -28,7 +28,8 @@
 class NotRun:
     """Describe why a request is known not to have been executed.
 
-    `is_group_broken` is set if the upstream refused because of a failed rank of its group.
+    `is_group_broken` is set if the upstream refused because of a failed rank of its group,
+    `is_own_failure` if this process could not open a connection to any upstream.
     `signals` is None unless the upstream itself answered.
     """
 
@@ -36,6 +37,7 @@
     is_unreachable: bool = False
     is_other_upstream: bool = False
     is_group_broken: bool = False
+    is_own_failure: bool = False
     signals: Signals | None = None
 
 
@@ -91,7 +93,9 @@
     try:
         connection = await connect(upstream.listed.address, connect_timeout_s)
     except ConnectError as exc:
-        return NotRun(str(exc), is_unreachable=True)
+        return NotRun(
+            str(exc), is_unreachable=not exc.is_own_failure, is_own_failure=exc.is_own_failure
+        )
     move.connection = connection
     loop = asyncio.get_running_loop()
     is_handed_over = False
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -21,6 +21,8 @@
 from dalehollow.telemetry.logs import log_event
 
 _MIN_SERVER_ERROR_STATUS = 500
+ELSEWHERE_RETRY_AFTER_S = 0.05
+"""Another gateway can take the request at once; the delay lets the balancer choose another."""
 _MS_PER_S = 1000
 
 _LOG = logging.getLogger(__name__)
@@ -96,6 +98,8 @@
                 self._state.on_change()
             if is_done:
                 return None
+            if self._progress.is_own_failure:
+                return self._give_up("cannot_connect", ELSEWHERE_RETRY_AFTER_S)
             if refused_s := self._refused_s():
                 return self._give_up(CRASHES_UPSTREAMS, refused_s)
             if self._retry_taken_at_s is None and not self._take_retry():
@@ -229,6 +233,9 @@
             state.health.record_served(upstream.listed.group_key, now_s)
             return
         self._record_attempt(upstream, "attempt_failed", result.reason)
+        if isinstance(result, NotRun) and result.is_own_failure:
+            self._progress.is_own_failure = True
+            return
         if isinstance(result, MayHaveRun):
             state.upstreams.record_failure(upstream, now_s, is_unreachable=False)
             return
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -33,6 +33,8 @@
     # Whether the request tests if a culprit still crashes upstreams.
     is_probe: bool = False
     may_have_run: bool = False
+    # Whether this process could not connect to any upstream.
+    is_own_failure: bool = False
     waited_s: float = 0.0
     # State of the last upstream when it was chosen: its load, the remainder of its backoff, and
     # whether it is in another hall.
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -17,7 +17,7 @@
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.descriptors import count_caller_connections, read_descriptor_limit
-from dalehollow.gateway.exchange import serve_request
+from dalehollow.gateway.exchange import ELSEWHERE_RETRY_AFTER_S, serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -44,8 +44,6 @@
 MIN_STOP_S = 3.0
 """A gateway that shuts down accepts requests for this time, in which the balancer checks readiness
 twice, once per second. Later requests are refused: they may not end within the grace period."""
-STOPPING_RETRY_AFTER_S = 0.05
-"""Another gateway can take the request at once; the delay lets the balancer choose another."""
 FULL_LOG_INTERVAL_S = 1.0
 MAX_PROBE_TURNS = 30
 """More gateways than these share turns, so that each has one within five minutes."""
@@ -341,7 +339,7 @@
         if self._is_stopping:
             caller.keep_alive = False
         if self.refuses_new:
-            refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER_S)
+            refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", ELSEWHERE_RETRY_AFTER_S)
             refuse(self.state, caller, request, refusal)
             return
         await serve_request(self.state, caller, request)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from pathlib import Path
 
 import pytest
@@ -25,6 +26,7 @@
     wait_until_ready,
 )
 from standins.server import ServerStandIn
+from tests.gateway_bench import GatewayBench, make_config, run_bench
 
 DESCRIPTOR_LIMIT = 120
 TIMEOUT_S = 30.0
@@ -139,3 +141,28 @@
             connection.abort()
 
     _run(tmp_path, scenario)
+
+
+def test_a_lack_of_descriptors_ejects_no_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ejecting sound upstreams because this process cannot open a connection."""
+
+    async def fail(*args: object, **kwargs: object) -> None:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        for number in range(2):
+            await bench.add_server(f"s{number}")
+        connection = await bench.connect()
+        with monkeypatch.context() as patch:
+            patch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+            for _ in range(5):
+                answer = await bench.send_request("/pay/1", connection=connection)
+                assert answer.status == 503
+                assert float(answer.head.get(b"retry-after") or 9) < 0.1
+        assert not any(u.ejected_until_s for u in bench.gateway.state.upstreams)
+        assert (await bench.send_request("/pay/1", connection=connection)).status == 200
+
+    run_bench(scenario)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -74,6 +74,7 @@
         "{{internalPorts.0}}": "7000",
         "{{platform.address|json}}": '"10.0.0.9:3"',
         "{{limits.linkMbps|json}}": "20.5",
+        "{{limits.maxFds|json}}": "4200",
         "{{heartbeatMs|json}}": "1200",
         "{{bounds.graceS|json}}": "8",
         "{{bounds.budgetWindowS|json}}": "10",
@@ -85,6 +86,7 @@
     settings = parse_gateway_settings(text)
     assert settings.peer == "10.0.0.1:7000"
     assert settings.stop_grace_ms == 8_000
+    assert settings.max_descriptors == 4_200
     assert list_unknown(text) == []
 
 
