Measure how many requests with a crashing part reach upstreams, and how many sound ones are served

python -m benchmarks crashing_parts: 16 upstreams on loopback that start again a second after each crash, 5 requests a second with the part and 25 sound ones, 12 s a case.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 NAMES = {
     "amplification": "attempts per request when half of the upstreams fail",
     "burst": "no gate, a gate in each entry and a gate in the sidecar at ten times capacity",
+    "crashing_parts": "upstreams that crash on a shared prompt part, and sound requests beside",
     "choice": "queueing time under several upstream selection policies",
     "footprint": "resident memory of idle processes, unconfigured and at full size",
     "lateness": "propagation delay of changes under chains of failures and random schedules",
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -154,10 +155,30 @@
         await self.bench.wait_until(lambda: len(server.runs) > runs)
         server.crash()
 
-    def count_arrivals(self, part: str = CRASHING) -> int:
+    def restart_after_crashes(self, delay_s: float) -> list[float]:
+        """Start each upstream again some time after a crash; return the times of later crashes."""
+        loop = asyncio.get_running_loop()
+        crashes_s: list[float] = []
+
+        async def start_again(upstream: CrashingUpstream) -> None:
+            await asyncio.sleep(delay_s)
+            await upstream.listen()
+            self._list(upstream)
+
+        def record_crash(upstream: CrashingUpstream) -> None:
+            if not upstream.is_down:
+                crashes_s.append(loop.time())
+                upstream.close_port()
+                self.running.append(loop.create_task(start_again(upstream)))
+
+        for upstream in self.upstreams:
+            upstream.server.on_crash = functools.partial(record_crash, upstream)
+        return crashes_s
+
+    def count_arrivals(self, part: str = CRASHING, since_s: float = 0.0) -> int:
         """Return how many requests with a part reached upstreams."""
         return sum(
-            part.encode() in list_shared_parts(request)
+            request.began_at_s >= since_s and part.encode() in list_shared_parts(request)
             for upstream in self.upstreams
             for request in upstream.server.received
         )
@@ -181,13 +202,14 @@
     scenario: Callable[[CrashWorld], Awaitable[None]],
     gateways: int = 1,
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD,
+    upstreams: int = UPSTREAMS,
 ) -> None:
     """Run a scenario with gateways of two halls before upstreams that crash on one part."""
 
     async def run(bench: GatewayBench) -> None:
         await bench.apply(make_config())
         world = CrashWorld(bench, [bench.gateway])
-        for _ in range(UPSTREAMS):
+        for _ in range(upstreams):
             await world.add_upstream(crash_point)
         try:
             await world.wait_for_starts()
