Let the soak crash servers by a prompt part, and check that sound requests are served beside

The soak knew one fixed body that crashes servers, repeated, so it could not find requests that are not alike. All requests carry prompt parts now: one of all, one of an account, one of a conversation of three, and their own. A fault sends requests that share a crashing part, at any gateway, ten a second until six seconds after its end; servers crash before or after the head, or in order after a whole unframed event. Promises: at most three more of them long after the fifth crash, by cause (they were pooled), and sound requests served at least half as often as before the first crash. Two defects show that each promise is checked.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,12 +10,16 @@
 from dalehollow.aio import ClientConnection, ConnectError, ResponseError, connect
 from soak.promises import OK, RequestRecord
 from soak.world import API_KEY, ROUTE_HOST, Cluster, Gateway
+from standins.server import make_prompt_header
 
 REQUEST_KINDS = ("read", "pay", "stream", "version")
 REQUEST_TIMEOUT_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 REQUESTS_PER_CONNECTION = 6
 REQUEST_PAUSE_S = 0.03
+SHARED_PART = "5c1e07a2"
+ACCOUNT_PARTS = ("a0", "a1", "a2")
+REQUESTS_PER_CONVERSATION = 3
 
 
 @dataclass
@@ -25,6 +29,8 @@
     cluster: Cluster
     id_prefix: str = "r"
     body: bytes = b""
+    # A prompt part of each request that crashes servers.
+    crashing_part: str = ""
     _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     async def run(self, stop_event: asyncio.Event) -> None:
@@ -78,11 +84,12 @@
         request_id = f"{self.id_prefix}{next(self._ids)}"
         version = self._choose_version() if kind == "version" else 0
         path = f"/version-{version}/x" if kind == "version" else f"/{kind}/x"
+        prompt = make_prompt_header(self._choose_parts(request_id))
         sent_at_s = self.cluster.now_s()
         status, body, response_id, is_complete = 0, [], b"", False
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S + 1):
-                connection.send([_make_request(path, request_id, self.body)])
+                connection.send([_make_request(path, request_id, prompt, self.body)])
                 head = await connection.read_head()
                 status, response_id = head.status, head.get(b"x-request-id") or b""
                 while (piece := await connection.read_piece()) is not None:
@@ -106,6 +113,14 @@
             is_reused_connection=is_reused,
         )
 
+    def _choose_parts(self, request_id: str) -> list[str]:
+        """Return the parts of a prompt: of all, of an account, of a conversation, and its own."""
+        number = int(request_id.rpartition("r")[2].rpartition("-")[2])
+        account = self.cluster.rng.choice(ACCOUNT_PARTS)
+        conversation = f"c{number // REQUESTS_PER_CONVERSATION:06x}"
+        crashing = [self.crashing_part] if self.crashing_part else [conversation]
+        return [SHARED_PART, account, *crashing, f"{number:08x}"]
+
     def _choose_version(self) -> int:
         """Choose one of the three newest configuration versions."""
         versions = list(self.cluster.history.applied_at_s)
@@ -117,9 +132,10 @@
     return sum(request.status == OK and request.is_complete for request in requests)
 
 
-def _make_request(path: str, request_id: str, body: bytes) -> bytes:
+def _make_request(path: str, request_id: str, prompt: str, body: bytes) -> bytes:
     deadline_ms = round(REQUEST_TIMEOUT_S * 1000)
     return (
         f"POST {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nX-Request-Id: {request_id}\r\n"
-        f"X-Deadline-Ms: {deadline_ms}\r\nX-Key: {API_KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\nX-Key: {API_KEY}\r\nX-Prompt-Prefix: {prompt}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -12,10 +12,10 @@
 
 from dalehollow import cli
 from dalehollow.aio import client
+from dalehollow.crashes import Ruling, Suspects
 from dalehollow.events import EventSplitter
-from dalehollow.gateway import outcome, table
+from dalehollow.gateway import admit, outcome, table
 from dalehollow.gateway.copies import StoreCopies
-from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.state import GatewayState
@@ -83,8 +83,27 @@
 
 def _disable_crash_detection() -> None:
     """Treat each attempt of a request as a new request."""
-    CrashWatch.check_request = lambda *args: 0.0  # type: ignore[method-assign]
-    CrashWatch.may_be_retried = lambda *args: True  # type: ignore[method-assign]
+    Suspects.check_request = lambda *args: Ruling()  # type: ignore[method-assign]
+    Suspects.refused_s = lambda *args: 0.0  # type: ignore[method-assign]
+    Suspects.may_be_retried = lambda *args: True  # type: ignore[method-assign]
+
+
+def _suspect_whole_requests_only() -> None:
+    """Ignore the parts of prompts that requests share."""
+    make_fingerprints = admit.make_fingerprints
+    admit.make_fingerprints = lambda *args: make_fingerprints(*args)[:1]
+
+
+def _blame_all_parts() -> None:
+    """Blame each part that was in flight at three crashes, whatever was answered."""
+    Suspects.record_answered = lambda *args: None  # type: ignore[method-assign]
+    Suspects.record_begun = lambda *args: frozenset()  # type: ignore[method-assign]
+    Suspects._select_culprits = lambda suspects: {  # type: ignore[method-assign]
+        name: s for name, s in suspects._suspects.items() if len(s.crashes) >= 3
+    }
+    Suspects._list_culprits_of = lambda suspects, names: [  # type: ignore[method-assign]
+        name for name in names if name in suspects._culprits
+    ]
 
 
 def _allocate_tokens_locally() -> None:
@@ -114,13 +133,17 @@
     "any_entry": _accept_invalid_entries,
     "no_signals": _ignore_upstream_signals,
     "no_crashes": _disable_crash_detection,
+    "whole_requests_only": _suspect_whole_requests_only,
+    "all_parts_blamed": _blame_all_parts,
     "own_tokens": _allocate_tokens_locally,
     "any_stream_end": _ignore_incomplete_events,
     "full_budget_at_start": _start_with_full_budget,
 }
 PROPAGATION_DEFECTS = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
 """Defects in the propagation of store changes, detected only by the timing checks."""
-SIGNAL_DEFECTS = frozenset({"no_signals", "no_crashes", "own_tokens"})
+SIGNAL_DEFECTS = frozenset(
+    {"no_signals", "no_crashes", "whole_requests_only", "all_parts_blamed", "own_tokens"}
+)
 """Those that only the bounds in time can show, of what servers say in answers."""
 STREAM_DEFECTS = frozenset({"any_stream_end"})
 """Defects that only streams which end too early can expose."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,9 +12,9 @@
 from dalehollow.aio import ConnectError
 from soak.callers import LoadGenerator
 from soak.peers import DATAGRAM_LOSS_SHARE
-from soak.promises import CRASHING_ID
+from soak.promises import CRASHING_ID, CRASHING_PART_ID
 from soak.proxy import Mode
-from soak.world import CRASHING_BODY, Cluster, Gateway
+from soak.world import CRASHING_BODY, CRASHING_PART, Cluster, Gateway
 from standins.server import ResponseMode
 
 FAILURE_WAYS = (
@@ -49,6 +49,9 @@
 window of seconds."""
 CRASHING_ATTEMPTS = 32
 CRASHING_INTERVAL_S = 0.25
+CRASHING_PART_INTERVAL_S = 0.1
+EXTRA_CRASHING_DURATION_S = 6.0
+"""Crashing parts still come when the bounds on them apply."""
 
 
 @dataclass(frozen=True)
@@ -320,6 +323,29 @@
         await asyncio.sleep(CRASHING_INTERVAL_S)
 
 
+async def _send_crashing_part(cluster: Cluster, fault: Fault) -> None:
+    """Send requests that differ, but share a prompt part that crashes every server."""
+    part = f"{CRASHING_PART}{round(100 * fault.at_s):04x}"
+    load_generator = LoadGenerator(
+        cluster, id_prefix=f"{CRASHING_PART_ID}{part}-", crashing_part=part
+    )
+    ends_at_s = cluster.now_s() + fault.duration_s + EXTRA_CRASHING_DURATION_S
+    sent: list[asyncio.Task[None]] = []
+    while cluster.now_s() < ends_at_s:
+        sent.append(asyncio.ensure_future(_send_to_any(cluster, load_generator)))
+        await asyncio.sleep(CRASHING_PART_INTERVAL_S)
+    await asyncio.gather(*sent)
+
+
+async def _send_to_any(cluster: Cluster, load_generator: LoadGenerator) -> None:
+    gateway = cluster.rng.choice(list(cluster.gateways.values()))
+    if gateway.process is None:
+        return
+    kind = cluster.rng.choice(("read", "stream", "pay"))
+    with suppress(ConnectError):
+        cluster.history.requests.append(await load_generator.send_once(gateway, kind))
+
+
 INJECTORS: dict[str, Injector] = {
     "pause": _pause_gateway,
     "kill": _kill_gateway,
@@ -341,6 +367,7 @@
     "limit": _advertise_limit,
     "says it leaves": _advertise_leaving,
     "crashing request": _send_crashing_request,
+    "crashing part": _send_crashing_part,
 }
 
 
@@ -423,6 +450,17 @@
     "all servers with a limit": tuple(Fault(1.0, 3.0, "limit", target) for target in range(4)),
     "a server that says it leaves": (Fault(1.0, 3.0, "says it leaves", 0),),
     "a request that crashes servers": (Fault(1.0, 3.0, "crashing request", 0),),
+    "a prompt part that crashes servers": (Fault(1.0, 3.0, "crashing part", 0),),
+    "a prompt part that crashes servers, and all gateways killed": (
+        Fault(1.0, 3.0, "crashing part", 0),
+        *(Fault(4.0, 0.3, "kill", target) for target in range(4)),
+    ),
+    "a prompt part that crashes servers, and one cut off": (
+        Fault(1.0, 3.0, "crashing part", 0),
+        Fault(1.5, 1.0, "restart server", 1),
+        Fault(2.0, 1.0, "datagrams", 1),
+        Fault(2.5, 0.5, "server path", 2),
+    ),
 }
 """Fault sequences with signals in response headers and requests that crash servers."""
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,8 @@
 
 CRASHING_ID = "crashing-"
 """Prefix of the IDs of requests that crash every server that starts them."""
+CRASHING_PART_ID = "crashing-part-"
+"""Prefix of the IDs of requests that differ, but share a prompt part that crashes servers."""
 TRAP_SERVER = "trap"
 """Name of the server behind invalid entries, which must receive no requests."""
 REFUSALS = frozenset({408, 421, 429, 503})
@@ -86,7 +88,8 @@
     server_signals: list[ServerSignal] = field(default_factory=list)
     # Servers that send a signal header now; no second signal starts there.
     signalling_servers: set[str] = field(default_factory=set)
-    crash_times_s: list[float] = field(default_factory=list)
+    # By the cause, as `find_crash_cause` tells it from a request's ID.
+    crash_times_s: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
 
     def is_fault_free(self, name: str, from_s: float, until_s: float) -> bool:
         """Return whether a component had no fault between two times."""
@@ -103,6 +106,11 @@
     detail: str
 
 
+def find_crash_cause(request_id: str) -> str:
+    """Return what crashing requests with one cause have in common: their ID up to its number."""
+    return request_id.rpartition("-")[0] if request_id.startswith(CRASHING_ID) else ""
+
+
 def find_violations(history: RunHistory, *, checks_timing: bool) -> list[Violation]:
     """Return all violations; timing is checked only if `checks_timing` is set."""
     found = [
--- a/soak/signal_promises.py
+++ b/soak/signal_promises.py
@@ -7,14 +7,17 @@
 
 from soak.promises import (
     CRASHING_ID,
+    CRASHING_PART_ID,
     FAULT_FREE_S,
     MAX_DRAIN_DELAY_S,
+    OK,
     TIMING_MARGIN_S,
     Arrival,
     RequestRecord,
     RunHistory,
     ServerSignal,
     Violation,
+    find_crash_cause,
 )
 
 SIGNAL_DELAY_S = 0.5
@@ -22,6 +25,13 @@
 MAX_REQUESTS_IN_BACKOFF = 2
 LIMIT_WINDOW_S = 4.0
 MAX_CRASHES = 3
+"""Crashes by one repeated request, after which few of its repetitions may reach servers."""
+MAX_CRASHES_BY_PART = 5
+"""The same for requests that share a part of their prompts."""
+MAX_LATE_ATTEMPTS = 3
+MIN_COMPARED_REQUESTS = 20
+MIN_SERVED_RATIO = 0.5
+"""Share of sound requests served while a crashing part is refused, compared to before."""
 
 
 def check_signals(history: RunHistory) -> Iterator[Violation]:
@@ -31,6 +41,7 @@
     yield from _check_leaving(history, requests)
     yield from _check_limits(history, requests)
     yield from _check_crashes(history, requests)
+    yield from _check_sound_requests(history)
 
 
 def _list_later_arrivals(
@@ -106,20 +117,52 @@
 
 
 def _check_crashes(history: RunHistory, requests: dict[str, RequestRecord]) -> Iterator[Violation]:
-    if len(history.crash_times_s) < MAX_CRASHES:
-        return
-    from_s = sorted(history.crash_times_s)[MAX_CRASHES - 1] + FAULT_FREE_S + TIMING_MARGIN_S
-    late_arrivals = [
-        arrival
-        for arrivals in history.arrivals.values()
-        for arrival in arrivals
-        if arrival.request_id.startswith(CRASHING_ID)
-        and arrival.at_s > from_s
-        and (request := requests.get(arrival.request_id)) is not None
-        and history.is_fault_free(request.gateway, arrival.at_s - FAULT_FREE_S, arrival.at_s)
-    ]
-    if len(late_arrivals) > MAX_CRASHES:
-        yield Violation(
-            "crashing request",
-            f"{len(late_arrivals)} attempts long after crash {MAX_CRASHES}",
-        )
+    for cause, times_s in history.crash_times_s.items():
+        crashes = MAX_CRASHES_BY_PART if cause.startswith(CRASHING_PART_ID) else MAX_CRASHES
+        if len(times_s) < crashes:
+            continue
+        from_s = sorted(times_s)[crashes - 1] + FAULT_FREE_S + TIMING_MARGIN_S
+        late_arrivals = [
+            arrival
+            for arrivals in history.arrivals.values()
+            for arrival in arrivals
+            if find_crash_cause(arrival.request_id) == cause
+            and arrival.at_s > from_s
+            and (request := requests.get(arrival.request_id)) is not None
+            and history.is_fault_free(request.gateway, arrival.at_s - FAULT_FREE_S, arrival.at_s)
+        ]
+        if len(late_arrivals) > MAX_LATE_ATTEMPTS:
+            yield Violation(
+                "crashing request",
+                f"{len(late_arrivals)} attempts of {cause} long after crash {crashes}",
+            )
+
+
+def _check_sound_requests(history: RunHistory) -> Iterator[Violation]:
+    """Compare how many sound requests were served before and after crashes by a prompt part."""
+    for cause, times_s in history.crash_times_s.items():
+        if not cause.startswith(CRASHING_PART_ID):
+            continue
+        crashes_s = sorted(times_s)[:MAX_CRASHES_BY_PART]
+        from_s = crashes_s[-1] + 2 * FAULT_FREE_S
+        sound = [r for r in history.requests if not r.request_id.startswith(CRASHING_ID)]
+        before = [r for r in sound if r.ended_at_s < crashes_s[0]]
+        after = [r for r in sound if r.sent_at_s > from_s]
+        if min(len(before), len(after)) < MIN_COMPARED_REQUESTS or _has_other_faults(
+            history, from_s - FAULT_FREE_S
+        ):
+            continue
+        if _count_served_share(after) < MIN_SERVED_RATIO * _count_served_share(before):
+            detail = f"{_count_served_share(after):.2f} of {len(after)} served after {cause}"
+            yield Violation("sound requests", detail)
+
+
+def _count_served_share(requests: Sequence[RequestRecord]) -> float:
+    return sum(r.status == OK and r.is_complete for r in requests) / len(requests)
+
+
+def _has_other_faults(history: RunHistory, from_s: float) -> bool:
+    """Return whether a component had a fault before the first crash or after a time."""
+    first_s = min(min(times_s) for times_s in history.crash_times_s.values())
+    intervals = [interval for known in history.fault_intervals.values() for interval in known]
+    return any(begin < first_s or end > from_s for begin, end in intervals)
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,10 +21,11 @@
     Arrival,
     RunHistory,
     ServerSignal,
+    find_crash_cause,
 )
 from soak.proxy import Mode, Proxy
 from standins.platform import GatewayProcess, launch_gateway, listen
-from standins.server import ResponseMode, ServerStandIn
+from standins.server import CrashPoint, ResponseMode, ServerStandIn
 
 ROUTE_HOST = "floor.example"
 API_KEY = "key-of-ana"
@@ -40,6 +41,9 @@
 second of history takes longer than the response timeout."""
 PADDING_BYTES = 100_000
 CRASHING_BODY = b"crashes whoever begins to run it"
+CRASHING_PART = "bad0"
+"""Beginning of each prompt part that crashes servers."""
+CRASH_POINTS = tuple(CrashPoint)
 SERVER_RESTART_S = 0.5
 GATEWAY_PROGRAM = ("-m", "dalehollow", "run")
 
@@ -203,7 +207,9 @@
         server = SoakServer(
             name, response_delay_s=RESPONSE_DELAY_S, history=self.history, rng=self.rng
         )
-        server.crash_body, server.on_crash = CRASHING_BODY, lambda: self._crash_server(name)
+        server.crash_body, server.crash_part = CRASHING_BODY, CRASHING_PART.encode()
+        server.crash_point = CRASH_POINTS[self._server_count % len(CRASH_POINTS)]
+        server.on_crash = lambda: self._crash_server(name)
         proxy = Proxy(await listen(server.handle))
         await proxy.open()
         self.servers[name], self.proxies[name] = server, proxy
@@ -213,7 +219,8 @@
     def _crash_server(self, name: str) -> None:
         """Restart a crashed server under the same name after SERVER_RESTART_S."""
         now_s = self.now_s()
-        self.history.crash_times_s.append(now_s)
+        cause = find_crash_cause(self.servers[name].crashed_by)
+        self.history.crash_times_s[cause].append(now_s)
         self.history.fault_intervals[name].append((now_s, now_s + SERVER_RESTART_S))
         self.proxies[name].set_mode(Mode.RESET)
         asyncio.get_running_loop().call_later(SERVER_RESTART_S, self.restart_server, name)
--- a/standins/server.py
+++ b/standins/server.py
@@ -139,10 +139,12 @@
     extra_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     # A request with this body crashes the server when execution begins, and calls `on_crash`.
     crash_body: bytes = b""
-    # A request whose prompt shares this part crashes the server as its answer begins.
+    # A request crashes the server as its answer begins if its prompt shares a part that begins so.
     crash_part: bytes = b""
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     on_crash: Callable[[], None] = lambda: None
+    # ID of the request that caused the last crash, if one did.
+    crashed_by: str = ""
     # Additional lines of each event, such as the version of a model's weights.
     event_prefix: bytes = b""
     # Delay before each event of a stream and before a plain response.
@@ -169,19 +171,24 @@
         self.on_crash()
 
     async def _crash_at_answer(
-        self, caller: CallerConnection, response_headers: list[tuple[bytes, bytes]]
+        self,
+        caller: CallerConnection,
+        response_headers: list[tuple[bytes, bytes]],
+        request_id: str,
     ) -> None:
         """Begin an answer as far as `crash_point` says, then crash."""
         if self.crash_point is CrashPoint.AFTER_EVENT_IN_ORDER:
             caller.begin_body(200, [*response_headers, _EVENT_STREAM])
             await caller.send_piece(make_event(1))
             caller.end_stream()
+            self.crashed_by = request_id
             self.crash(closed_in_order=caller)
             return
         if self.crash_point is CrashPoint.AFTER_HEAD:
             caller.begin_body(200, [*response_headers, _EVENT_STREAM, _CHUNKED])
             # The head leaves the server before its connections are reset.
             await asyncio.sleep(0)
+        self.crashed_by = request_id
         self.crash()
 
     async def _answer(self, caller: CallerConnection, request: CallerRequest) -> None:
@@ -208,10 +215,13 @@
             return
         self.runs.append(request_id)
         if self.crash_body and request.body == self.crash_body:
+            self.crashed_by = request_id
             self.crash()
             return
-        if self.crash_part and self.crash_part in list_shared_parts(request):
-            await self._crash_at_answer(caller, response_headers)
+        if self.crash_part and any(
+            part.startswith(self.crash_part) for part in list_shared_parts(request)
+        ):
+            await self._crash_at_answer(caller, response_headers, request_id)
             return
         if mode is ResponseMode.HANG:
             try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 )
 from soak.promises import (
     CRASHING_ID,
+    CRASHING_PART_ID,
     PLAIN_BODY,
     TRAP_SERVER,
     Arrival,
@@ -163,17 +164,28 @@
     return history
 
 
-def _crash_history(*after_s: float) -> RunHistory:
-    """Build a history with three crashes until 10 s and later attempts of crashing requests."""
+def _crash_history(*after_s: float, cause: str = CRASHING_ID + "1", crashes: int = 3) -> RunHistory:
+    """Build a history with crashes until 10 s and later attempts of crashing requests."""
     history = _make_history()
-    history.crash_times_s += [8.0, 9.0, 10.0]
+    history.crash_times_s[cause] += [10.0 - number for number in range(crashes)]
     for number, late_s in enumerate(after_s):
-        name = f"{CRASHING_ID}{number}"
+        name = f"{cause}-{number}"
         history.requests.append(replace(GOOD, request_id=name, sent_at_s=10.0 + late_s))
         history.arrivals["s1"].append(Arrival(10.0 + late_s, name))
     return history
 
 
+def _sound_history(served: int) -> RunHistory:
+    """Build a history with 20 sound requests before and after crashes by a prompt part."""
+    history = _crash_history(cause=CRASHING_PART_ID + "1", crashes=5)
+    for number in range(20):
+        before = replace(GOOD, request_id=f"b{number}", sent_at_s=5.0, ended_at_s=5.1)
+        status = 200 if number < served else 503
+        after = replace(GOOD, request_id=f"a{number}", sent_at_s=17.0, status=status)
+        history.requests += [before, after]
+    return history
+
+
 LIMIT_TEST_DELAYS_S = [3.1 + 0.3 * number for number in range(13)]
 
 
@@ -194,6 +206,13 @@
         (_signalled("server-limit", 4.0, *LIMIT_TEST_DELAYS_S), []),
         (_crash_history(4.0, 5.0, 6.0, 7.0), ["crashing request"]),
         (_crash_history(1.0, 2.0, 3.0, 4.0, 5.0), []),
+        (
+            _crash_history(4.0, 5.0, 6.0, 7.0, cause=CRASHING_PART_ID + "1", crashes=5),
+            ["crashing request"],
+        ),
+        (_crash_history(4.0, 5.0, 6.0, 7.0, cause=CRASHING_PART_ID + "1", crashes=4), []),
+        (_sound_history(served=9), ["sound requests"]),
+        (_sound_history(served=10), []),
     ],
 )
 def test_each_signal_violation_is_detected(history: RunHistory, violated: list[str]) -> None:
