Watch for crashes at sidecars, and refuse what causes them at entries and sidecars

Callers of entries saw (by reading, as the users note): nothing kept entries from sending requests that crash upstreams to one upstream after the other, whatever they had in common.

Cause: the class is the gateways', and entries and sidecars recorded no crash at all.

Change: a sidecar, the only gate to its upstream, tells a crash by its closed port, suspects what the call holds (the whole request, and all messages of a chat but the last) and refuses culprits just before it sends. Heartbeats and their replies carry suspicions, so that entries, which meet all sidecars of their subset, join the crashes of several upstreams and refuse at once, also before a retry. Idempotent requests reach their owner, which may replay a stored answer; a replay is no evidence. Refused with 503, NOT_RUN and the time until the refusal ends; there are no probes, a suspicion ends five minutes after it.

--- a/dalehollow/crashes/__init__.py
+++ b/dalehollow/crashes/__init__.py
@@ -1,16 +1,21 @@
 """Find out what requests that crash upstreams have in common."""
 
+from dalehollow.crashes.chat import list_shared_messages
+from dalehollow.crashes.detector import CrashDetector, SharedSuspects
 from dalehollow.crashes.fingerprints import Fingerprint, make_fingerprints
 from dalehollow.crashes.stored import CulpritRecords, StoredCulprit
 from dalehollow.crashes.suspects import PROBE_TIMEOUT_S, CrashEvidence, Ruling, Suspects
 
 __all__ = [
     "PROBE_TIMEOUT_S",
+    "CrashDetector",
     "CrashEvidence",
     "CulpritRecords",
     "Fingerprint",
     "Ruling",
+    "SharedSuspects",
     "StoredCulprit",
     "Suspects",
+    "list_shared_messages",
     "make_fingerprints",
 ]
--- a/dalehollow/entry/admit.py
+++ b/dalehollow/entry/admit.py
@@ -8,17 +8,19 @@
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cached_property
 
 from result import Err, Ok, Result
 
 from dalehollow.config.model import PRIORITIES, Account, Config, Service
+from dalehollow.crashes import Fingerprint, list_shared_messages, make_fingerprints
+from dalehollow.crashes.chat import CHAT_PATH
 from dalehollow.errors import Failure, Reason
 from dalehollow.once import make_scope
 from dalehollow.protocol import headers as hdr
 from dalehollow.verdict import Verdict
 from dalehollow.web import HttpRequest
 
-CHAT_PATH = "/v1/chat/completions"
 MAX_KEY_CHARS = 200
 MAX_DEADLINE_MS = 3_600_000
 _MS_PER_S = 1000
@@ -43,6 +45,13 @@
     headers: Mapping[str, str]
     body: bytes
 
+    @cached_property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the whole request and of the messages others may share."""
+        path = self.target.partition("?")[0]
+        parts = list_shared_messages(path, self.body)
+        return make_fingerprints(path.encode(), self.account.name, self.body, parts)
+
     @property
     def scope(self) -> str:
         """Return the ownership scope of the key, identical to the one the sidecar computes."""
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -15,6 +15,7 @@
 from dalehollow.config.holder import ActiveConfig, ConfigHolder
 from dalehollow.config.model import Account
 from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms
+from dalehollow.crashes import SharedSuspects
 from dalehollow.entry.admit import Job, admit, index_accounts_by_key_digest, read_request_id
 from dalehollow.entry.attempt import UpstreamClient
 from dalehollow.entry.pool import Pool
@@ -74,6 +75,7 @@
             peer_limit=settings.peer_limit,
         )
         connect_timeout_s = settings.connect_timeout_ms / _MS_PER_S
+        self.suspects = SharedSuspects()
         upstream_client = UpstreamClient(
             client=HttpClient(connect_timeout_s=connect_timeout_s),
             direct_client=HttpClient(connect_timeout_s=connect_timeout_s, keep_alive=False),
@@ -81,7 +83,12 @@
             answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
         )
         self.jobs = JobDispatcher(
-            settings.name, self.holder, self.pool, upstream_client, read_wall_clock_ms
+            settings.name,
+            self.holder,
+            self.pool,
+            upstream_client,
+            read_wall_clock_ms,
+            self.suspects,
         )
         host, port = split_address(settings.http)
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
@@ -160,6 +167,7 @@
                 self.config_sync.handle_peer_version(
                     request.version, request.confirmed_at_ms, request.address
                 )
+                self.suspects.merge_reported(request.suspects)
                 return self._make_heartbeat_reply()
             case ShareRequest():
                 return self.shares.answer(request)
@@ -180,6 +188,7 @@
             "config_polls": self.config_sync.polls,
             "upstreams": self.pool.dump(),
             "shares": self.shares.dump(),
+            "suspected_requests": self.suspects.describe(),
             "counts": self.metrics.counts(),
         }
         if section == "recent":
@@ -224,6 +233,7 @@
             self.control.address,
             self.holder.version,
             self.holder.confirmed_at_ms,
+            self.suspects.export_suspicions(),
         )
 
     def _make_heartbeat_reply(self) -> HeartbeatReply:
@@ -237,6 +247,7 @@
             slots=1,
             service_ms=0.0,
             is_leaving=self.is_leaving,
+            suspects=self.suspects.export_suspicions(),
         )
 
     def _handle_peer_reply(self, name: str, asked: Result[Reply, str]) -> None:
@@ -248,6 +259,7 @@
         reply = asked.ok_value
         if isinstance(reply, HeartbeatReply):
             self.pool.record_heartbeat(name, reply)
+            self.suspects.merge_reported(reply.suspects)
             view = self.pool.find(name)
             address = view.upstream.control if view is not None else name
             self.config_sync.handle_peer_version(
--- a/dalehollow/entry/serve.py
+++ b/dalehollow/entry/serve.py
@@ -12,10 +12,11 @@
 
 from dalehollow.clock import read_clock
 from dalehollow.config.holder import ConfigHolder
+from dalehollow.crashes import SharedSuspects
 from dalehollow.entry.admit import Job
 from dalehollow.entry.attempt import UpstreamClient, stream_answer
 from dalehollow.entry.pool import Pool
-from dalehollow.errors import Failure, Reason
+from dalehollow.errors import Failure, Reason, make_crash_refusal
 from dalehollow.limits import RetryBudget
 from dalehollow.membership import UpstreamView
 from dalehollow.once import find_owner, read_key_created_at_ms
@@ -50,6 +51,7 @@
     pool: Pool
     upstream_client: UpstreamClient
     read_wall_clock_ms: Callable[[], int]
+    suspects: SharedSuspects
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -67,6 +69,9 @@
         failure: Failure | None = None
         worst_verdict = Verdict.NOT_RUN
         while len(tried) < MAX_ATTEMPTS:
+            if refused_s := self.suspects.refused_s(job.fingerprints):
+                failure = failure or make_crash_refusal(refused_s)
+                break
             view = self.pool.pick(job.service, tried, job.priority)
             if view is None:
                 break
@@ -80,7 +85,8 @@
             if failure.verdict is not Verdict.NOT_RUN:
                 worst_verdict = Verdict.MAY_HAVE_RUN
             self._log_failed_attempt(job, view.upstream.name, failure)
-            if not failure.may_retry or job.deadline_s <= read_clock():
+            may_retry = failure.may_retry and self.suspects.may_be_retried(job.fingerprints)
+            if not may_retry or job.deadline_s <= read_clock():
                 break
         if failure is None:
             backoff_ms = self.pool.backoff_left_ms(job.service.name, job.priority)
--- a/dalehollow/errors.py
+++ b/dalehollow/errors.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass
 
 from dalehollow.verdict import Verdict
 
+_MS_PER_S = 1000
+
 
 class Reason(enum.StrEnum):
     """List the reasons why a request is refused or fails; each has one HTTP status."""
@@ -27,6 +30,7 @@
     RETRY_BUDGET = "retry_budget"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_FAILED = "upstream_failed"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
     KEY_REUSED = "key_reused"
@@ -53,6 +57,7 @@
     Reason.RETRY_BUDGET: 503,
     Reason.UPSTREAM_UNREACHABLE: 503,
     Reason.UPSTREAM_FAILED: 502,
+    Reason.CRASHES_UPSTREAMS: 503,
     Reason.KEY_IN_PROGRESS: 409,
     Reason.KEY_OUTCOME_UNKNOWN: 409,
     Reason.KEY_REUSED: 422,
@@ -84,6 +89,17 @@
         return HTTP_STATUS[self.reason]
 
 
+def make_crash_refusal(refused_s: float) -> Failure:
+    """Return the refusal of a request because of what it has in common with others."""
+    message = "requests with the same body or a message of it crashed several upstreams"
+    return Failure(
+        Reason.CRASHES_UPSTREAMS,
+        Verdict.NOT_RUN,
+        message,
+        retry_after_ms=math.ceil(refused_s * _MS_PER_S),
+    )
+
+
 class SettingsError(ValueError):
     """Report invalid settings or arguments, with the invalid value and the choices."""
 
--- a/dalehollow/protocol/messages.py
+++ b/dalehollow/protocol/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from dalehollow.protocol.reports import Suspicion
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Announce the sender and the configuration version it last confirmed as current, and when."""
@@ -14,6 +16,8 @@
     address: str
     version: int
     confirmed_at_ms: int
+    # What is suspected of crashing upstreams, by fingerprint.
+    suspects: dict[bytes, Suspicion] = {}
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="B"):
@@ -28,6 +32,7 @@
     slots: int
     service_ms: float
     is_leaving: bool
+    suspects: dict[bytes, Suspicion] = {}
 
 
 class FetchManifest(msgspec.Struct, frozen=True, array_like=True, tag="f"):
--- a/dalehollow/sidecar/call.py
+++ b/dalehollow/sidecar/call.py
@@ -5,10 +5,12 @@
 import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cached_property
 
 from result import Err, Ok, Result
 
 from dalehollow.config.model import PRIORITIES
+from dalehollow.crashes import Fingerprint, list_shared_messages, make_fingerprints
 from dalehollow.errors import Failure, Reason
 from dalehollow.once import make_scope, read_key_created_at_ms
 from dalehollow.protocol import headers as hdr
@@ -34,6 +36,13 @@
     headers: Mapping[str, str]
     body: bytes
 
+    @cached_property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints, identical to those that an entry computes."""
+        path = self.target.partition("?")[0]
+        parts = list_shared_messages(path, self.body)
+        return make_fingerprints(path.encode(), self.account, self.body, parts)
+
     @property
     def scope(self) -> str:
         """Return the scope under which the key is owned and recorded."""
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -5,11 +5,14 @@
 import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from result import Err, Ok, Result
 
 from dalehollow.clock import read_clock
-from dalehollow.errors import Failure, Reason
+from dalehollow.crashes import CrashDetector, SharedSuspects
+from dalehollow.errors import Failure, Reason, make_crash_refusal
+from dalehollow.framing import BodyFraming
 from dalehollow.limits import Gate
 from dalehollow.once import StoredAnswer
 from dalehollow.protocol import headers as hdr
@@ -37,6 +40,8 @@
     gate: Gate
     ownership: Ownership
     answer_timeout_s: float
+    suspects: SharedSuspects
+    crashes: CrashDetector
     read_wall_clock_ms: Callable[[], int]
 
     def serve(self, req: HttpRequest, call: InnerCall) -> HttpResponse:
@@ -98,6 +103,9 @@
         permit = self.gate.acquire(call.priority, call.deadline_s)
         if isinstance(permit, Err):
             return permit
+        if refused_s := self.suspects.refused_s(call.fingerprints):
+            self.gate.release()
+            return Err(make_crash_refusal(refused_s))
         started_s = read_clock()
         left_s = call.deadline_s - started_s
         if left_s <= 0 or not req.is_connected():
@@ -114,6 +122,8 @@
         )
         if isinstance(sent, Err):
             self.gate.release()
+            if sent.err_value.sent:
+                self.crashes.record_broken(call.fingerprints, started_s)
             return Err(self._classify_call_error(call, sent.err_value))
         return Ok((sent.ok_value, started_s))
 
@@ -124,6 +134,7 @@
             body = answer.read()
         except TruncatedResponseError as exc:
             _log_truncated(call, exc)
+            self.crashes.record_broken(call.fingerprints, started_s)
             ruling = assess_failure(Step.RELAY_ANSWER, repeatable=call.repeatable)
             message = "the upstream's response was truncated"
             return Err(
@@ -131,6 +142,7 @@
             )
         finally:
             self.gate.release((read_clock() - started_s) * _MS_PER_S)
+        self._record_complete(call, answer, started_s)
         headers = hdr.strip_internal(answer.end_to_end_headers())
         return Ok(StoredAnswer(answer.status, headers, body))
 
@@ -138,13 +150,20 @@
         """Yield the response as it arrives; the permit is held until it ends or is cancelled."""
         try:
             yield from answer.stream()
+            self._record_complete(call, answer, started_s)
         except TruncatedResponseError as exc:
             _log_truncated(call, exc)
+            self.crashes.record_broken(call.fingerprints, started_s)
             raise
         finally:
             answer.close()
             self.gate.release((read_clock() - started_s) * _MS_PER_S)
 
+    def _record_complete(self, call: InnerCall, answer: Answer, started_s: float) -> None:
+        if answer.status < HTTPStatus.BAD_REQUEST:
+            is_framed = answer.framing is not BodyFraming.CONNECTION
+            self.crashes.record_complete(call.fingerprints, started_s, is_framed=is_framed)
+
     def _classify_call_error(self, call: InnerCall, error: CallError) -> Failure:
         step = Step.AWAIT_ANSWER if error.sent else Step.CONNECT_UPSTREAM
         ruling = assess_failure(step, repeatable=call.repeatable)
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -12,6 +12,7 @@
 from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.config.holder import ActiveConfig, ConfigHolder
 from dalehollow.config.spread import ConfigSync, compute_poll_limit_ms
+from dalehollow.crashes import CrashDetector, SharedSuspects
 from dalehollow.groups.host import HttpRankHost
 from dalehollow.limits import Gate, GateLimits
 from dalehollow.membership import PeerHeartbeats
@@ -68,6 +69,7 @@
         self.server = HttpServer(host, port, self.handle, name="dalehollow")
         member = f"{self.upstream}@{settings.advertise_http or self.server.address}"
         self.ownership = Ownership(member, self.holder, self.incarnation_ms)
+        self.suspects = SharedSuspects()
         self.forwarder = Forwarder(
             upstream=self.upstream,
             upstream_http=settings.upstream_http,
@@ -77,6 +79,10 @@
             gate=self.gate,
             ownership=self.ownership,
             answer_timeout_s=settings.answer_timeout_ms / _MS_PER_S,
+            suspects=self.suspects,
+            crashes=CrashDetector(
+                f"{self.upstream}@{self.incarnation_ms}", settings.upstream_http, self.suspects
+            ),
             read_wall_clock_ms=read_wall_clock_ms,
         )
         host, port = split_address(settings.control)
@@ -147,6 +153,7 @@
                 self.config_sync.handle_peer_version(
                     request.version, request.confirmed_at_ms, request.address
                 )
+                self.suspects.merge_reported(request.suspects)
                 return self._make_heartbeat_reply()
             case FetchManifest() | FetchParts():
                 return self.config_sync.answer(request)
@@ -174,6 +181,7 @@
             "config_polls": self.config_sync.polls,
             "gate": dataclasses.asdict(self.gate.load()),
             "groups": [ranks.dump() for ranks in self.ranks.groups.values()],
+            "suspected_requests": self.suspects.describe(),
             "keys_held": self.ownership.counts(),
             "counts": self.metrics.counts(),
         }
@@ -184,11 +192,13 @@
             self.control.address,
             self.holder.version,
             self.holder.confirmed_at_ms,
+            self.suspects.export_suspicions(),
         )
 
     def _handle_peer_reply(self, address: str, asked: Result[Reply, str]) -> None:
         if isinstance(asked, Ok) and isinstance(asked.ok_value, HeartbeatReply):
             reply = asked.ok_value
+            self.suspects.merge_reported(reply.suspects)
             self.config_sync.handle_peer_version(reply.version, reply.confirmed_at_ms, address)
 
     def _make_heartbeat_reply(self) -> HeartbeatReply:
@@ -203,6 +213,7 @@
             slots=load.slots,
             service_ms=load.service_ms,
             is_leaving=self.is_leaving,
+            suspects=self.suspects.export_suspicions(),
         )
 
     def _apply(self, active: ActiveConfig) -> None:
