Split suspects by noun, bound shared parts in one place, and export to other halls only when due

An answer no longer looks at every suspect, only where it clears a companion, and gateways that do not report to other halls no longer rank their suspects for it.

--- a/dalehollow/aio/connections.py
+++ b/dalehollow/aio/connections.py
@@ -6,14 +6,14 @@
 from typing import Generic, Protocol, TypeVar
 
 
-class Idle(Protocol):
-    """A connection that closes unless a request is in flight, queued or being received."""
+class Closable(Protocol):
+    """Close on request, unless a request is in flight, queued or being received."""
 
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle; return whether it was."""
 
 
-_C = TypeVar("_C", bound=Idle)
+_C = TypeVar("_C", bound=Closable)
 
 
 class Connections(Generic[_C]):
--- a/dalehollow/crashes/detector.py
+++ b/dalehollow/crashes/detector.py
@@ -1,66 +1,15 @@
-"""Detect crashes of one upstream from threads, and share what is suspected between them."""
+"""Detect crashes of one upstream by its port."""
 
 from __future__ import annotations
 
 import socket
 import threading
-from collections.abc import Callable, Mapping, Sequence
 
 from dalehollow.clock import read_clock
 from dalehollow.crashes.fingerprints import Fingerprint
-from dalehollow.crashes.suspects import CrashEvidence, Suspects
-from dalehollow.protocol.reports import Suspicion
+from dalehollow.crashes.shared import SharedSuspects
 
 PORT_CHECK_TIMEOUT_S = 0.2
-MAX_HEARTBEAT_SUSPECTS = 16
-
-
-class SharedSuspects:
-    """Give threads access to suspects one at a time.
-
-    Processes that use it probe no culprits: a suspicion ends after `SUSPICION_RETENTION_S`.
-    """
-
-    def __init__(self, clock: Callable[[], float] = read_clock) -> None:
-        """Initialize without suspects."""
-        self._lock = threading.Lock()
-        self._suspects = Suspects(clock, is_probe_turn=lambda name, since_s: False)
-
-    def refused_s(self, fingerprints: Sequence[Fingerprint]) -> float:
-        """Return how long a request is refused, 0 if it is not."""
-        with self._lock:
-            return self._suspects.refused_s(fingerprints)
-
-    def may_be_retried(self, fingerprints: Sequence[Fingerprint]) -> bool:
-        """Return whether a request may be retried after its connection broke."""
-        with self._lock:
-            return self._suspects.may_be_retried(fingerprints)
-
-    def record_answered(self, fingerprints: Sequence[Fingerprint]) -> None:
-        """Record a complete answer of an upstream to a request."""
-        with self._lock:
-            self._suspects.record_answered(fingerprints)
-
-    def record_crash(self, crash: str, fingerprints: tuple[Fingerprint, ...]) -> None:
-        """Record that a request was in flight when an upstream crashed."""
-        with self._lock:
-            self._suspects.record_crash(crash, [CrashEvidence(fingerprints, read_clock())])
-
-    def merge_reported(self, reported: Mapping[Fingerprint, Suspicion]) -> None:
-        """Merge the suspicions reported by a peer."""
-        if reported:
-            with self._lock:
-                self._suspects.merge_reported(reported)
-
-    def export_suspicions(self) -> dict[Fingerprint, Suspicion]:
-        """Return the most important suspicions for a heartbeat."""
-        with self._lock:
-            return self._suspects.export_suspicions(MAX_HEARTBEAT_SUSPECTS)
-
-    def describe(self) -> dict[str, dict[str, object]]:
-        """Return the suspects with crashes by fingerprint, for state dumps."""
-        with self._lock:
-            return self._suspects.describe()
 
 
 class CrashDetector:
--- a/dalehollow/crashes/fingerprints.py
+++ b/dalehollow/crashes/fingerprints.py
@@ -7,6 +7,8 @@
 
 Fingerprint = bytes
 
+MAX_SHARED_PARTS = 32
+"""Bounds the work per request; callers choose the number of parts."""
 _DIGEST_BYTES = 8
 _REQUEST, _PART = b"request", b"part"
 """Distinguish the kinds of fingerprints, so that a body cannot imitate a part."""
@@ -21,7 +23,8 @@
     prompts share the part.
     """
     whole = _hash(_REQUEST, path, account.encode(), body)
-    return whole, *(_hash(_PART, part) for part in shared_parts)
+    parts = list(dict.fromkeys(shared_parts))[:MAX_SHARED_PARTS]
+    return whole, *(_hash(_PART, part) for part in parts)
 
 
 def _hash(*fields: bytes) -> Fingerprint:
--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -16,27 +16,21 @@
 
 import logging
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dalehollow.crashes.fingerprints import Fingerprint
+from dalehollow.crashes.suspect import (
+    MAX_CRASHES,
+    NEVER_S,
+    PROBE_TIMEOUT_S,
+    Suspect,
+    decode_age,
+)
 from dalehollow.protocol.reports import Suspicion
 from dalehollow.telemetry.logs import log_event
 
-MAX_CRASHES = 3
 MAX_CRASHES_FOR_RETRY = 2
 """Number of crashes after which a gateway no longer retries a request; its caller still may."""
-MIN_WITHSTOOD = 3
-"""Answers that began without a crash, after which a suspect is not a culprit."""
-REFUSAL_S = 60.0
-REFUSAL_FACTOR = 4.0
-MAX_REFUSAL_S = 3600.0
-"""The first refusal, after the third crash, lasts `REFUSAL_S`; each further crash multiplies the
-duration. This allows three probes within an hour, while a request that was in flight at three
-crashes by coincidence is refused for one minute."""
-PROBE_TIMEOUT_S = 10.0
-"""Longest duration of a probe; until then no gateway starts another one."""
-SUSPICION_RETENTION_S = 300.0
-"""Retention of a suspicion after the last crash or the end of the refusals."""
 KNOWN_GOOD_S = 60.0
 """What was answered within this period is not suspected. Many requests may share it, so that it is
 in flight at many crashes."""
@@ -44,12 +38,9 @@
 MAX_SUSPECTS = 1_000
 MAX_REPORTED_SUSPECTS = 64
 MAX_COMPANIONS = 8
-CLEARED_RETENTION_S = 30.0
 MAX_REPORT_TRANSIT_S = 0.1
 """Upper bound of the usual transit time of a report, by which received ages are too low."""
 
-_NEVER_S = float("-inf")
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -73,58 +64,6 @@
     is_probe: bool = False
 
 
-@dataclass
-class _Suspect:
-    """Track the crashes of a fingerprint, its last complete answer and its last probe.
-
-    `companions` are the fingerprints without an answer that were in every request with this one,
-    None before the first crash. `withstood` counts the answers that upstreams began since then
-    without a crash, as seen by this process.
-    """
-
-    crashes: dict[str, float] = field(default_factory=dict)
-    companions: frozenset[Fingerprint] | None = None
-    answered_at_s: float = _NEVER_S
-    probed_at_s: float = _NEVER_S
-    withstood: int = 0
-
-    def is_innocent(self) -> bool:
-        """Return whether upstreams began answers without a crash."""
-        return self.withstood >= MIN_WITHSTOOD
-
-    def last_crash_s(self) -> float:
-        """Return the time of the last crash."""
-        return max(self.crashes.values(), default=_NEVER_S)
-
-    def refused_until_s(self) -> float:
-        """Return until when a culprit is refused; a past time if it has too few crashes."""
-        more = len(self.crashes) - MAX_CRASHES
-        if more < 0:
-            return _NEVER_S
-        refused_s = min(MAX_REFUSAL_S, REFUSAL_S * REFUSAL_FACTOR**more)
-        return max(self.last_crash_s() + refused_s, self.probed_at_s + PROBE_TIMEOUT_S)
-
-    def clear(self, at_s: float) -> None:
-        """Discard the crashes before a complete answer at `at_s`."""
-        self.answered_at_s = max(self.answered_at_s, at_s)
-        self.crashes = {name: s for name, s in self.crashes.items() if s > self.answered_at_s}
-        if not self.crashes:
-            self.companions, self.withstood = None, 0
-
-    def intersect_companions(self, others: Collection[Fingerprint]) -> None:
-        """Keep only companions that are also in `others`."""
-        known = self.companions
-        self.companions = frozenset(others) if known is None else known & frozenset(others)
-
-    def retained_until_s(self) -> float:
-        """Return the time after which this suspect can be discarded."""
-        return max(
-            self.last_crash_s() + SUSPICION_RETENTION_S,
-            self.refused_until_s() + SUSPICION_RETENTION_S,
-            self.answered_at_s + CLEARED_RETENTION_S,
-        )
-
-
 def _do_nothing() -> None:
     pass
 
@@ -156,11 +95,13 @@
         self._on_culprit = on_culprit
         self._is_probe_turn = is_probe_turn
         # Ordered by the most recent change.
-        self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._suspects: dict[Fingerprint, Suspect] = {}
         # Time of the last complete answer, the most recent last.
         self._known_good_at_s: dict[Fingerprint, float] = {}
-        self._culprits: dict[Fingerprint, _Suspect] = {}
+        self._culprits: dict[Fingerprint, Suspect] = {}
         self._refused: frozenset[frozenset[Fingerprint]] = frozenset()
+        # Companions of all suspects.
+        self._companions: frozenset[Fingerprint] = frozenset()
 
     def record_crash(self, crash: str, attempts: Collection[CrashEvidence]) -> None:
         """Suspect what the attempts contain that broke when an upstream crashed.
@@ -199,9 +140,10 @@
         cleared = [name for name in fingerprints if name in self._suspects]
         for name in cleared:
             self._clear(name, now_s, "answer")
-        if self._suspects:
+        is_companion = not self._companions.isdisjoint(fingerprints)
+        if is_companion:
             self._discard_companions(fingerprints)
-        if cleared:
+        if cleared or is_companion:
             self._update()
 
     def needs_answer(self, fingerprints: Sequence[Fingerprint]) -> bool:
@@ -263,29 +205,29 @@
     def export_culprits(self) -> dict[Fingerprint, Suspicion]:
         """Return the suspicions that requests are refused for."""
         now_s = self._clock()
-        return {name: _encode_suspect(s, now_s) for name, s in self._culprits.items()}
+        return {name: s.encode(now_s) for name, s in self._culprits.items()}
 
     def is_cleared(self, name: Fingerprint) -> bool:
         """Return whether a request with a suspect was answered after its last crash."""
         suspect = self._suspects.get(name)
-        return suspect is not None and not suspect.crashes and suspect.answered_at_s > _NEVER_S
+        return suspect is not None and not suspect.crashes and suspect.answered_at_s > NEVER_S
 
     def export_suspicions(self, count: int = MAX_REPORTED_SUSPECTS) -> dict[Fingerprint, Suspicion]:
         """Return the most important suspicions for a report to peers."""
         now_s = self._clock()
         self._discard_expired(now_s)
         ranked = self._rank_by_importance()[:count]
-        return {name: _encode_suspect(self._suspects[name], now_s) for name in ranked}
+        return {name: self._suspects[name].encode(now_s) for name in ranked}
 
     def merge_reported(self, reported: Mapping[Fingerprint, Suspicion]) -> None:
         """Merge the suspicions reported by a peer."""
         now_s = self._clock()
         for name, suspicion in reported.items():
-            suspect = self._suspects.setdefault(name, _Suspect())
-            answered_at_s = _decode_age(suspicion.cleared_age_s, now_s)
+            suspect = self._suspects.setdefault(name, Suspect())
+            answered_at_s = decode_age(suspicion.cleared_age_s, now_s)
             if answered_at_s > suspect.answered_at_s + MAX_REPORT_TRANSIT_S:
                 suspect.clear(answered_at_s)
-            probed_at_s = _decode_age(suspicion.probe_age_s, now_s)
+            probed_at_s = decode_age(suspicion.probe_age_s, now_s)
             if probed_at_s > suspect.probed_at_s + MAX_REPORT_TRANSIT_S:
                 suspect.probed_at_s = probed_at_s
             for crash, age_s in suspicion.crashes.items():
@@ -298,10 +240,10 @@
         self, name: Fingerprint, crash: str, at_s: float, companions: Collection[Fingerprint]
     ) -> bool:
         """Add a crash to a suspect; return False if it is known or does not count."""
-        suspect = self._suspects.setdefault(name, _Suspect())
+        suspect = self._suspects.setdefault(name, Suspect())
         if at_s <= suspect.answered_at_s:
             return False
-        if at_s - self._known_good_at_s.get(name, _NEVER_S) < KNOWN_GOOD_S:
+        if at_s - self._known_good_at_s.get(name, NEVER_S) < KNOWN_GOOD_S:
             self._clear(name, self._clock(), "earlier_answer")
             return False
         suspect.intersect_companions(companions)
@@ -349,6 +291,8 @@
         self._discard_expired(self._clock())
         before, self._culprits = self._culprits, self._select_culprits()
         refused_before, self._refused = self._refused, self._list_refused()
+        companions = (s.companions for s in self._suspects.values() if s.companions)
+        self._companions = frozenset().union(*companions)
         for name in before.keys() - self._culprits.keys():
             log_event(_LOG, "request_no_longer_refused", fingerprint=name.hex())
         for name in self._culprits.keys() - before.keys():
@@ -362,7 +306,7 @@
             frozenset({name}) | (s.companions or frozenset()) for name, s in self._culprits.items()
         )
 
-    def _select_culprits(self) -> dict[Fingerprint, _Suspect]:
+    def _select_culprits(self) -> dict[Fingerprint, Suspect]:
         """Return few suspects that explain the crashes of all suspects with enough of them.
 
         Those in most crashes come first, among equals those least likely to be sound: they
@@ -381,7 +325,7 @@
                 c[0],
             )
         )
-        culprits: dict[Fingerprint, _Suspect] = {}
+        culprits: dict[Fingerprint, Suspect] = {}
         explained: set[str] = set()
         for name, suspect in candidates:
             if len(suspect.crashes.keys() - explained) >= MAX_CRASHES:
@@ -389,7 +333,7 @@
                 explained |= suspect.crashes.keys()
         return culprits
 
-    def _log_culprit(self, name: Fingerprint, suspect: _Suspect) -> None:
+    def _log_culprit(self, name: Fingerprint, suspect: Suspect) -> None:
         log_event(
             _LOG,
             "request_refused_for_crashes",
@@ -420,8 +364,8 @@
 
     def _last_answered_s(self, name: Fingerprint) -> float:
         suspect = self._suspects.get(name)
-        reported_s = suspect.answered_at_s if suspect is not None else _NEVER_S
-        return max(reported_s, self._known_good_at_s.get(name, _NEVER_S))
+        reported_s = suspect.answered_at_s if suspect is not None else NEVER_S
+        return max(reported_s, self._known_good_at_s.get(name, NEVER_S))
 
     def _rank_by_importance(self) -> list[Fingerprint]:
         """Return the suspects with culprits first, then repeated suspects, then the most recent.
@@ -443,20 +387,3 @@
             kept = {n: s for n, s in kept.items() if n in important}
         self._suspects = kept
         self._culprits = {n: s for n, s in self._culprits.items() if n in kept}
-
-
-def _encode_suspect(suspect: _Suspect, now_s: float) -> Suspicion:
-    return Suspicion(
-        {crash: round(now_s - at_s, 3) for crash, at_s in suspect.crashes.items()},
-        _encode_age(suspect.answered_at_s, now_s),
-        _encode_age(suspect.probed_at_s, now_s),
-        sorted(suspect.companions or ()),
-    )
-
-
-def _encode_age(at_s: float, now_s: float) -> float | None:
-    return round(now_s - at_s, 3) if at_s > _NEVER_S else None
-
-
-def _decode_age(age_s: float | None, now_s: float) -> float:
-    return now_s - age_s if age_s is not None else _NEVER_S
--- a/dalehollow/gateway/admit.py
+++ b/dalehollow/gateway/admit.py
@@ -19,8 +19,6 @@
 _ROUTE_PRIORITIES = 3
 _DEFAULT_PRIORITY = 5
 _PART_ID = re.compile(rb"[0-9A-Fa-f]{1,64}")
-MAX_SHARED_PARTS = 32
-"""Bounds the work per request; callers choose the length of the list."""
 NOT_READY_RETRY_AFTER_S = 0.5
 """Usual time for a process that has just started to load its configuration."""
 
@@ -127,7 +125,7 @@
 
 
 def _read_shared_parts(request: CallerRequest, names: HeaderNames) -> tuple[bytes, ...]:
-    """Return the IDs of all parts of the prompt but the last, without duplicates.
+    """Return the IDs of all parts of the prompt but the last.
 
     A malformed list is treated like an absent one, because only the caller's other requests depend
     on it.
@@ -135,8 +133,7 @@
     parts = [part.strip().partition(b":") for part in request.list_values(names.prompt_parts)]
     if not all(_PART_ID.fullmatch(part_id) and tokens.isdigit() for part_id, _, tokens in parts):
         return ()
-    shared = (part_id.lower() for part_id, _, _ in parts[:-1])
-    return tuple(dict.fromkeys(shared))[:MAX_SHARED_PARTS]
+    return tuple(part_id.lower() for part_id, _, _ in parts[:-1])
 
 
 def _combine_priority(holder: KeyHolder | None, route: Route) -> int:
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -348,8 +348,10 @@
             self._next_total_at_s = (
                 now_s + self._send_to_halls(total, now_s) / self._remote_bytes_per_s
             )
+        if now_s < self._next_signals_at_s:
+            return
         suspects = self._suspects.export_suspicions(MAX_SUSPECTS_TO_HALLS)
-        if (limits or suspects) and now_s >= self._next_signals_at_s:
+        if limits or suspects:
             size = self._send_to_halls(HallSignals(self._hall, limits, suspects), now_s)
             pause_s = size / (SIGNALS_SHARE * self._remote_bytes_per_s)
             self._next_signals_at_s = now_s + max(IDLE_INTERVAL_S, pause_s)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -8,6 +8,7 @@
 
 from dalehollow.aio import CallerRequest
 from dalehollow.crashes import Suspects
+from dalehollow.crashes import suspect as suspect_module
 from dalehollow.crashes import suspects as suspects_module
 from dalehollow.gateway import crashes as crashes_module
 from dalehollow.gateway.admit import Job
@@ -210,7 +211,7 @@
     assert not bench.suspects.may_be_retried(_job_of(CRASHING).fingerprints)
     assert bench.refused_s(CRASHING) == 0.0
     bench.crash(2, CRASHING)
-    assert bench.refused_s(CRASHING) == pytest.approx(suspects_module.REFUSAL_S)
+    assert bench.refused_s(CRASHING) == pytest.approx(suspect_module.REFUSAL_S)
 
 
 def test_refusals_grow_after_each_probe_and_probes_do_not_overlap() -> None:
@@ -236,7 +237,7 @@
     bench = _CrashWatchBench()
     for number in range(3):
         bench.crash(number, HARMLESS)
-    bench.clock.now_s += suspects_module.REFUSAL_S + 0.1
+    bench.clock.now_s += suspect_module.REFUSAL_S + 0.1
     assert bench.refused_s(HARMLESS) == 0.0
     bench.suspects.record_answered(_job_of(HARMLESS).fingerprints)
     assert bench.refused_s(HARMLESS) == 0.0
@@ -249,6 +250,6 @@
         bench.crash(number, b"%d" % number)
     assert len(bench.suspects._suspects) == suspects_module.MAX_SUSPECTS
     assert len(bench.suspects.export_suspicions()) == suspects_module.MAX_REPORTED_SUSPECTS
-    bench.clock.now_s += suspects_module.SUSPICION_RETENTION_S + 1
+    bench.clock.now_s += suspect_module.SUSPICION_RETENTION_S + 1
     assert bench.suspects.export_suspicions() == {}
     assert bench.suspects._suspects == {}
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -227,8 +227,8 @@
 @pytest.mark.parametrize(
     ("body", "count"),
     [
-        (b'{"messages": [{"a": 1}, {"a": 1}, {"b": 2}]}', 1),
-        (b'{"messages": [{"b": 2, "a": 1}, {"a": 1, "b": 2}, {}]}', 1),
+        (b'{"messages": [{"a": 1}, {"c": 1}, {"b": 2}]}', 2),
+        (b'{"messages": [{"b": 2, "a": 1}, {}]}', 1),
         (b'{"messages": [{"a": 1}]}', 0),
         (b'{"messages": "text"}', 0),
         (b'{"messages": 7}', 0),
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from dalehollow.crashes import CrashEvidence, Suspects
+from dalehollow.crashes import suspect as suspect_module
 from dalehollow.crashes import suspects as suspects_module
 from tests.manual_clock import ManualClock
 
@@ -130,7 +131,7 @@
     bench = _Bench(clock, is_probe_turn=lambda name, since_s: since_s >= 5.0)
     for _ in range(3):
         bench.crash((CRASHING,))
-    clock.now_s += suspects_module.REFUSAL_S + 0.1
+    clock.now_s += suspect_module.REFUSAL_S + 0.1
     ruling = bench.suspects.check_request((CRASHING,))
     assert not ruling.is_probe
     assert ruling.refused_s > 0
