Let the soak open most new connections at one gateway

Nothing played callers that keep connections open until a gateway has no descriptors left. Each gateway of the soak may have 200 now; a fault opens 66 connections a second to one of them, each with one request, and keeps them. Promise: of the requests that it reads, at least three quarters as many are served as before; a connection that is closed within half a second counts as unread.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,9 @@
 import fire
 
 from soak.callers import LoadGenerator, count_served
+from soak.connection_promises import check_new_connections
 from soak.defects import (
+    CONNECTION_DEFECTS,
     DEFECTS,
     PROPAGATION_DEFECTS,
     RETRY_DEFECTS,
@@ -27,6 +29,7 @@
     STREAM_DEFECTS,
 )
 from soak.faults import (
+    CONNECTION_CHAINS,
     PROPAGATION_CHAINS,
     RETRY_CHAINS,
     SIGNAL_CHAINS,
@@ -87,6 +90,7 @@
         violations = find_violations(cluster.history, checks_timing=checks_timing)
         if checks_timing:
             violations += check_signals(cluster.history)
+            violations += check_new_connections(cluster.history)
         violations += await _check_recovery(cluster, load_generator)
     finally:
         await cluster.close()
@@ -125,7 +129,9 @@
 def chains(seeds: int = 2) -> None:
     """Run each named fault sequence; exit with status 1 if a guarantee was violated."""
     failed_runs = 0
-    all_chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | STREAM_CHAINS | RETRY_CHAINS
+    all_chains = (
+        PROPAGATION_CHAINS | SIGNAL_CHAINS | CONNECTION_CHAINS | STREAM_CHAINS | RETRY_CHAINS
+    )
     for name, faults in all_chains.items():
         print(name)
         for seed in range(1, seeds + 1):
@@ -150,12 +156,13 @@
     for group, group_chains in (
         (PROPAGATION_DEFECTS, PROPAGATION_CHAINS),
         (SIGNAL_DEFECTS, SIGNAL_CHAINS),
+        (CONNECTION_DEFECTS, CONNECTION_CHAINS),
         (STREAM_DEFECTS, STREAM_CHAINS),
         (RETRY_DEFECTS, RETRY_CHAINS),
     ):
         if name in group:
             schedules = group_chains
-    checks_timing = name in PROPAGATION_DEFECTS | SIGNAL_DEFECTS
+    checks_timing = name in PROPAGATION_DEFECTS | SIGNAL_DEFECTS | CONNECTION_DEFECTS
     for seed in range(1, max_seeds + 1):
         for schedule, faults in schedules.items():
             if _run_and_report(seed, "", program, checks_timing, faults).violations:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 from standins.server import make_prompt_header
 
 REQUEST_KINDS = ("read", "pay", "stream", "version")
+KEPT_KINDS = ("read", "pay", "stream")
 REQUEST_TIMEOUT_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 REQUESTS_PER_CONNECTION = 6
@@ -31,6 +32,7 @@
     body: bytes = b""
     # A prompt part of each request that crashes servers.
     crashing_part: str = ""
+    _kept: list[asyncio.Task[None]] = field(default_factory=list)
     _ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     async def run(self, stop_event: asyncio.Event) -> None:
@@ -71,6 +73,21 @@
         finally:
             connection.abort()
 
+    async def send_and_keep_open(
+        self, gateway: Gateway, stop_event: asyncio.Event
+    ) -> RequestRecord | None:
+        """Send one request on a new connection, which stays open until `stop_event` is set."""
+        assert gateway.process is not None
+        try:
+            connection = await connect(gateway.process.http, CONNECT_TIMEOUT_S)
+        except ConnectError:
+            return None
+        record = await self._send_request(
+            connection, gateway.name, gateway.generation, kind=self.cluster.rng.choice(KEPT_KINDS)
+        )
+        self._kept.append(asyncio.ensure_future(_keep_open(connection, stop_event)))
+        return record
+
     async def _send_request(
         self,
         connection: ClientConnection,
@@ -127,6 +144,11 @@
         return self.cluster.rng.choice(versions[-3:])
 
 
+async def _keep_open(connection: ClientConnection, stop_event: asyncio.Event) -> None:
+    await stop_event.wait()
+    connection.abort()
+
+
 def count_served(requests: list[RequestRecord]) -> int:
     """Return the number of requests with a complete successful response."""
     return sum(request.status == OK and request.is_complete for request in requests)
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -14,7 +14,7 @@
 from dalehollow.aio import client
 from dalehollow.crashes import Ruling, Suspects
 from dalehollow.events import EventSplitter
-from dalehollow.gateway import admit, outcome, table
+from dalehollow.gateway import admit, outcome, process, table
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.retries import RetryWindow
@@ -106,6 +106,11 @@
     ]
 
 
+def _accept_all_connections() -> None:
+    """Let callers' connections use up all file descriptors."""
+    process.count_caller_connections = lambda limit: None
+
+
 def _allocate_tokens_locally() -> None:
     """Have each gateway allocate its own rate-limit tokens."""
     LimitTokens._choose_allocator = lambda tokens, *args: tokens._name  # type: ignore[method-assign]
@@ -135,6 +140,7 @@
     "no_crashes": _disable_crash_detection,
     "whole_requests_only": _suspect_whole_requests_only,
     "all_parts_blamed": _blame_all_parts,
+    "all_connections": _accept_all_connections,
     "own_tokens": _allocate_tokens_locally,
     "any_stream_end": _ignore_incomplete_events,
     "full_budget_at_start": _start_with_full_budget,
@@ -145,6 +151,8 @@
     {"no_signals", "no_crashes", "whole_requests_only", "all_parts_blamed", "own_tokens"}
 )
 """Those that only the bounds in time can show, of what servers say in answers."""
+CONNECTION_DEFECTS = frozenset({"all_connections"})
+"""Defects that only many open connections can expose."""
 STREAM_DEFECTS = frozenset({"any_stream_end"})
 """Defects that only streams which end too early can expose."""
 RETRY_DEFECTS = frozenset({"full_budget_at_start"})
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 
 from dalehollow.aio import ConnectError
 from soak.callers import LoadGenerator
+from soak.connection_promises import NEW_CONNECTION_ID
 from soak.peers import DATAGRAM_LOSS_SHARE
 from soak.promises import CRASHING_ID, CRASHING_PART_ID
 from soak.proxy import Mode
@@ -50,6 +51,9 @@
 CRASHING_ATTEMPTS = 32
 CRASHING_INTERVAL_S = 0.25
 CRASHING_PART_INTERVAL_S = 0.1
+NEW_CONNECTION_INTERVAL_S = 0.015
+EXTRA_CONNECTIONS_DURATION_S = 3.0
+"""The connections outnumber a gateway's descriptors."""
 EXTRA_CRASHING_DURATION_S = 6.0
 """Crashing parts still come when the bounds on them apply."""
 
@@ -346,6 +350,23 @@
         cluster.history.requests.append(await load_generator.send_once(gateway, kind))
 
 
+async def _open_new_connections(cluster: Cluster, fault: Fault) -> None:
+    """Open many connections to one gateway, each with one request, and keep them open."""
+    gateway = _choose_gateway(cluster, fault)
+    load_generator = LoadGenerator(cluster, id_prefix=f"{NEW_CONNECTION_ID}{fault.at_s}-")
+    stop_event = asyncio.Event()
+    ends_at_s = cluster.now_s() + fault.duration_s + EXTRA_CONNECTIONS_DURATION_S
+    sent = []
+    while cluster.now_s() < ends_at_s:
+        if gateway.process is not None:
+            sending = load_generator.send_and_keep_open(gateway, stop_event)
+            sent.append(asyncio.ensure_future(sending))
+        await asyncio.sleep(NEW_CONNECTION_INTERVAL_S)
+    records = await asyncio.gather(*sent)
+    cluster.history.requests += [record for record in records if record is not None]
+    stop_event.set()
+
+
 INJECTORS: dict[str, Injector] = {
     "pause": _pause_gateway,
     "kill": _kill_gateway,
@@ -368,6 +389,7 @@
     "says it leaves": _advertise_leaving,
     "crashing request": _send_crashing_request,
     "crashing part": _send_crashing_part,
+    "new connections": _open_new_connections,
 }
 
 
@@ -464,6 +486,14 @@
 }
 """Fault sequences with signals in response headers and requests that crash servers."""
 
+CONNECTION_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "new connections to one gateway, then to another": (
+        Fault(2.0, 1.0, "new connections", 0),
+        Fault(6.0, 1.0, "new connections", 1),
+    ),
+}
+"""Fault sequences with connections of callers that outnumber a gateway's descriptors."""
+
 STREAM_CHAINS: dict[str, tuple[Fault, ...]] = {
     "servers that truncate streams, in each framing": tuple(
         Fault(0.5 + 3.0 * wave, 2.8, "server", _make_failure_target(server, way))
--- a/soak/world.py
+++ b/soak/world.py
@@ -40,6 +40,8 @@
 """Bandwidth of a gateway's link to the store: with configurations of PADDING_BYTES, reading one
 second of history takes longer than the response timeout."""
 PADDING_BYTES = 100_000
+DESCRIPTOR_LIMIT = 200
+"""File descriptors of each gateway."""
 CRASHING_BODY = b"crashes whoever begins to run it"
 CRASHING_PART = "bad0"
 """Beginning of each prompt part that crashes servers."""
@@ -193,6 +195,7 @@
             retry_window_ms=round(RETRY_WINDOW_S * 1000),
             retry_share=RETRY_SHARE,
             retry_extra=RETRY_EXTRA,
+            descriptor_limit=DESCRIPTOR_LIMIT,
         )
 
     def send_signal(self, gateway: Gateway, number: signal.Signals) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,9 @@
 import pytest
 
 from soak.__main__ import run_seed
+from soak.connection_promises import NEW_CONNECTION_ID, check_new_connections
 from soak.faults import (
+    CONNECTION_CHAINS,
     FAULT_MODES,
     INJECTORS,
     PROPAGATION_CHAINS,
@@ -175,6 +177,22 @@
     return history
 
 
+@pytest.mark.parametrize(
+    ("statuses", "is_violated"),
+    [((200,) * 15 + (503,) * 5, False), ((200,) * 14 + (503,) * 6, True), ((0,) * 20, True)],
+)
+def test_fewer_answers_on_new_connections_are_a_violation(
+    statuses: tuple[int, ...], is_violated: bool
+) -> None:
+    history = _make_history()
+    history.requests += [replace(GOOD, sent_at_s=5.0, ended_at_s=5.1)] * 20
+    for number, status in enumerate(statuses):
+        name = f"{NEW_CONNECTION_ID}1-{number}"
+        history.requests.append(replace(GOOD, request_id=name, status=status))
+    found = [v.guarantee for v in check_new_connections(history)]
+    assert found == (["new connections"] if is_violated else [])
+
+
 def _sound_history(served: int) -> RunHistory:
     """Build a history with 20 sound requests before and after crashes by a prompt part."""
     history = _crash_history(cause=CRASHING_PART_ID + "1", crashes=5)
@@ -232,7 +250,7 @@
 
 
 def test_chains_use_known_faults_and_select_the_intended_target() -> None:
-    chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | STREAM_CHAINS
+    chains = PROPAGATION_CHAINS | SIGNAL_CHAINS | CONNECTION_CHAINS | STREAM_CHAINS
     faults = [fault for chain in chains.values() for fault in chain]
     assert {fault.kind for fault in faults} <= set(INJECTORS)
     silent = PROPAGATION_CHAINS["the relay's way to the store silent"][0]
