--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from benchmarks.report import print_pairs
-from standins.server import CrashPoint
+from standins.server import CrashPoint, ResponseMode
 from tests.crash_world import CRASHING, SHARED_BY_ALL, CrashWorld, run_crash_world
 
 UPSTREAMS = 16
@@ -25,6 +25,9 @@
 CRASHING_PER_S = 5.0
 SOUND_PER_S = 25.0
 EVENT_DELAY_S = 0.05
+GROUP_EVENT_DELAY_S = 0.2
+STALL_S = 0.5
+MANY = 10_000
 PARTS_OF_ACCOUNTS = ("a0", "a1", "a2")
 CONVERSATION_REQUESTS = 3
 MAX_CRASHES = 5
@@ -47,6 +50,7 @@
     path: str = "/stream/1"
     crash_point: CrashPoint = CrashPoint.AFTER_HEAD
     has_conversations: bool = False
+    is_rank_group: bool = False
     disturb: Callable[[CrashWorld], Awaitable[None]] | None = None
 
 
@@ -69,6 +73,41 @@
             upstream.server.crash()
 
 
+class _RankGroup:
+    """Stop all upstreams when one of them crashes, until it has started again."""
+
+    def __init__(self, world: CrashWorld) -> None:
+        self._world = world
+        self._is_broken = False
+
+    def form(self) -> None:
+        """Make the upstreams depend on each other; streams last longer than the group stays open."""
+        for upstream in self._world.upstreams:
+            upstream.server.response_delay_s = GROUP_EVENT_DELAY_S
+            upstream.server.on_crash = self._make_break(upstream.server.on_crash)
+
+    def _make_break(self, record_crash: Callable[[], None]) -> Callable[[], None]:
+        def on_crash() -> None:
+            record_crash()
+            if not self._is_broken:
+                self._is_broken = True
+                self._world.running.append(asyncio.ensure_future(self._break()))
+
+        return on_crash
+
+    async def _break(self) -> None:
+        servers = [upstream.server for upstream in self._world.upstreams]
+        for server in servers:
+            server.next_modes = [ResponseMode.REFUSE_BROKEN] * MANY
+        await asyncio.sleep(STALL_S)
+        for server in servers:
+            server.cut_answers()
+        await asyncio.sleep(RESTART_S)
+        for server in servers:
+            server.next_modes = []
+        self._is_broken = False
+
+
 CASES = (
     *(
         _Case(f"{path[1:-2]}-{point}", gateways, path, point)
@@ -78,6 +117,7 @@
     ),
     _Case("unframed-closed-in-order", 4, crash_point=CrashPoint.AFTER_EVENT_IN_ORDER),
     _Case("short-conversations", 4, has_conversations=True),
+    _Case("rank-group", 4, is_rank_group=True),
     _Case("a-gateway-starts", 4, disturb=_start_gateway),
     _Case("all-gateways-start-again", 4, disturb=_restart_gateways),
     _Case("other-crashes-too", 4, disturb=_crash_others),
@@ -97,6 +137,8 @@
         for upstream in world.upstreams:
             upstream.server.response_delay_s = EVENT_DELAY_S
         crashes_s = world.restart_after_crashes(RESTART_S)
+        if case.is_rank_group:
+            _RankGroup(world).form()
         loop = asyncio.get_running_loop()
         ends_at_s = loop.time() + DURATION_S
         disturbance = asyncio.ensure_future(case.disturb(world)) if case.disturb else None
--- a/standins/server.py
+++ b/standins/server.py
@@ -163,6 +163,11 @@
         finally:
             self._open_connections.discard(caller)
 
+    def cut_answers(self) -> None:
+        """Abort every open connection."""
+        for caller in list(self._open_connections):
+            caller.abort()
+
     def crash(self, *, closed_in_order: CallerConnection | None = None) -> None:
         """Abort every open connection, except one closed in order, and call `on_crash`."""
         for caller in list(self._open_connections):
