--- a/benchmarks/crashing_parts.py
+++ b/benchmarks/crashing_parts.py
@@ -81,7 +81,7 @@
         self._is_broken = False
 
     def form(self) -> None:
-        """Make the upstreams depend on each other; streams last longer than the group stays open."""
+        """Make the upstreams depend on each other; streams outlast the time between crashes."""
         for upstream in self._world.upstreams:
             upstream.server.response_delay_s = GROUP_EVENT_DELAY_S
             upstream.server.on_crash = self._make_break(upstream.server.on_crash)
