--- a/tests/test_upstream_rests.py
+++ b/tests/test_upstream_rests.py
@@ -16,7 +16,8 @@
 import pytest
 
 from dalehollow.gateway import upstream
-from standins.server import ResponseMode
+from standins.server import ResponseMode, ServerStandIn
+from tests.crash_world import CrashingUpstream
 from tests.gateway_bench import (
     HOST,
     Answer,
@@ -191,3 +192,30 @@
         assert len(refusing.received) == 2
 
     run_bench(scenario)
+
+
+def test_a_rest_asked_for_before_the_list_tells_of_the_restart_is_kept() -> None:
+    """Guards against dropping what the new run of an upstream said when its start is read late."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        server = ServerStandIn("s0")
+        upstream = CrashingUpstream("s0", server)
+        await upstream.listen()
+        address = f"127.0.0.1:{upstream.port}"
+        bench.list_server("s0", address, born=1)
+        await bench.wait_until(lambda: bench.gateway.state.upstreams.find("s0") is not None)
+        upstream.close_port()
+        assert (await bench.send_request("/pay/1")).status == 503
+        await upstream.listen()
+        server.next_modes, server.extra_headers = [ResponseMode.REFUSE], [(b"retry-after", b"30")]
+        for listed in bench.gateway.state.upstreams:
+            listed.ejected_until_s = 0.0
+        assert (await bench.send_request("/pay/1")).status == 503
+        server.extra_headers = []
+        bench.list_server("s0", address, born=2)
+        await bench.wait_until(lambda: bench.listed("s0").started_at_ms == 2)
+        assert (await bench.send_request("/pay/1")).status == 503
+        assert len(server.received) == 1
+
+    run_bench(scenario)
