--- a/soak/callers.py
+++ b/soak/callers.py
@@ -77,7 +77,8 @@
         self, gateway: Gateway, stop_event: asyncio.Event
     ) -> RequestRecord | None:
         """Send one request on a new connection, which stays open until `stop_event` is set."""
-        assert gateway.process is not None
+        if gateway.process is None:
+            return None
         try:
             connection = await connect(gateway.process.http, CONNECT_TIMEOUT_S)
         except ConnectError:
