--- a/dalehollow/crashes/shared.py
+++ b/dalehollow/crashes/shared.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from dalehollow.clock import read_clock
 from dalehollow.crashes.fingerprints import Fingerprint
@@ -19,10 +19,10 @@
     Processes that use it probe no culprits: a suspicion ends after `SUSPICION_RETENTION_S`.
     """
 
-    def __init__(self, clock: Callable[[], float] = read_clock) -> None:
+    def __init__(self) -> None:
         """Initialize without suspects."""
         self._lock = threading.Lock()
-        self._suspects = Suspects(clock, is_probe_turn=lambda name, since_s: False)
+        self._suspects = Suspects(read_clock, is_probe_turn=lambda name, since_s: False)
 
     def refused_s(self, fingerprints: Sequence[Fingerprint]) -> float:
         """Return how long a request is refused, 0 if it is not."""
--- a/dalehollow/crashes/suspect.py
+++ b/dalehollow/crashes/suspect.py
@@ -42,8 +42,8 @@
     probed_at_s: float = NEVER_S
     withstood: int = 0
 
-    def is_innocent(self) -> bool:
-        """Return whether upstreams began answers without a crash."""
+    def has_withstood(self) -> bool:
+        """Return whether upstreams began enough answers without a crash."""
         return self.withstood >= MIN_WITHSTOOD
 
     def last_crash_s(self) -> float:
--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -125,7 +125,7 @@
         begun = frozenset(name for name in fingerprints if name in self._suspects)
         for name in begun:
             self._suspects[name].withstood += 1
-        if any(self._culprits[name].is_innocent() for name in begun & self._culprits.keys()):
+        if any(self._culprits[name].has_withstood() for name in begun & self._culprits.keys()):
             self._update()
         return begun
 
@@ -157,7 +157,7 @@
     def may_be_retried(self, fingerprints: Collection[Fingerprint]) -> bool:
         """Return whether a request may be retried after its connection broke."""
         suspects = [self._suspects[name] for name in fingerprints if name in self._suspects]
-        return all(len(s.crashes) < MAX_CRASHES_FOR_RETRY or s.is_innocent() for s in suspects)
+        return all(len(s.crashes) < MAX_CRASHES_FOR_RETRY or s.has_withstood() for s in suspects)
 
     def refused_s(self, fingerprints: Collection[Fingerprint]) -> float:
         """Return how long a request is refused, 0 if it is not."""
@@ -238,24 +238,23 @@
 
     def _add_crash(
         self, name: Fingerprint, crash: str, at_s: float, companions: Collection[Fingerprint]
-    ) -> bool:
-        """Add a crash to a suspect; return False if it is known or does not count."""
+    ) -> None:
+        """Add a crash to a suspect, unless it is known or an answer excludes it."""
         suspect = self._suspects.setdefault(name, Suspect())
         if at_s <= suspect.answered_at_s:
-            return False
+            return
         if at_s - self._known_good_at_s.get(name, NEVER_S) < KNOWN_GOOD_S:
             self._clear(name, self._clock(), "earlier_answer")
-            return False
+            return
         suspect.intersect_companions(companions)
         if crash in suspect.crashes:
-            return False
+            return
         suspect.crashes[crash] = at_s
         self._move_to_end(name)
         if len(suspect.crashes) >= MAX_CRASHES_FOR_RETRY:
             crashed = ",".join(suspect.crashes)
             log_event(_LOG, "request_suspected", fingerprint=name.hex(), crashed=crashed)
         self._record_change()
-        return True
 
     def _clear(self, name: Fingerprint, at_s: float, cleared_by: str) -> None:
         """Clear a suspect and report that to peers."""
@@ -315,7 +314,7 @@
         candidates = [
             (name, s)
             for name, s in self._suspects.items()
-            if len(s.crashes) >= MAX_CRASHES and not s.is_innocent()
+            if len(s.crashes) >= MAX_CRASHES and not s.has_withstood()
         ]
         candidates.sort(
             key=lambda c: (
--- a/soak/connection_promises.py
+++ b/soak/connection_promises.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from soak.promises import OK, RequestRecord, RunHistory, Violation
+from soak.promises import RequestRecord, RunHistory, Violation, count_served_share
 
 NEW_CONNECTION_ID = "new-connection-"
 """Prefix of the IDs of requests that each come on a new connection, which stays open."""
@@ -28,8 +28,8 @@
         read = [r for r in new if r.status or r.ended_at_s - r.sent_at_s > MAX_CLOSE_DELAY_S]
         if min(len(before), len(new)) < MIN_COMPARED_REQUESTS or _has_faults(history, ended_s):
             continue
-        share = _count_served_share(read) if read else 0.0
-        if share < MIN_SERVED_RATIO * _count_served_share(before):
+        share = count_served_share(read) if read else 0.0
+        if share < MIN_SERVED_RATIO * count_served_share(before):
             detail = f"{share:.2f} of {len(read)} read of {len(new)} served by {gateway}"
             yield Violation("new connections", detail)
 
@@ -38,10 +38,6 @@
     return request.request_id.startswith(NEW_CONNECTION_ID)
 
 
-def _count_served_share(requests: list[RequestRecord]) -> float:
-    return sum(r.status == OK and r.is_complete for r in requests) / len(requests)
-
-
 def _has_faults(history: RunHistory, until_s: float) -> bool:
     intervals = [interval for known in history.fault_intervals.values() for interval in known]
     return any(begin < until_s for begin, _ in intervals)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -106,6 +106,11 @@
     detail: str
 
 
+def count_served_share(requests: Sequence[RequestRecord]) -> float:
+    """Return the share of requests with a complete successful response."""
+    return sum(r.status == OK and r.is_complete for r in requests) / len(requests)
+
+
 def find_crash_cause(request_id: str) -> str:
     """Return what crashing requests with one cause have in common: their ID up to its number."""
     return request_id.rpartition("-")[0] if request_id.startswith(CRASHING_ID) else ""
--- a/soak/signal_promises.py
+++ b/soak/signal_promises.py
@@ -10,13 +10,13 @@
     CRASHING_PART_ID,
     FAULT_FREE_S,
     MAX_DRAIN_DELAY_S,
-    OK,
     TIMING_MARGIN_S,
     Arrival,
     RequestRecord,
     RunHistory,
     ServerSignal,
     Violation,
+    count_served_share,
     find_crash_cause,
 )
 
@@ -152,15 +152,11 @@
             history, from_s - FAULT_FREE_S
         ):
             continue
-        if _count_served_share(after) < MIN_SERVED_RATIO * _count_served_share(before):
-            detail = f"{_count_served_share(after):.2f} of {len(after)} served after {cause}"
+        if count_served_share(after) < MIN_SERVED_RATIO * count_served_share(before):
+            detail = f"{count_served_share(after):.2f} of {len(after)} served after {cause}"
             yield Violation("sound requests", detail)
 
 
-def _count_served_share(requests: Sequence[RequestRecord]) -> float:
-    return sum(r.status == OK and r.is_complete for r in requests) / len(requests)
-
-
 def _has_other_faults(history: RunHistory, from_s: float) -> bool:
     """Return whether a component had a fault before the first crash or after a time."""
     first_s = min(min(times_s) for times_s in history.crash_times_s.values())
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -183,9 +183,6 @@
             for request in upstream.server.received
         )
 
-    def count_crashes(self) -> int:
-        return sum(u.starts - (not u.is_down) for u in self.upstreams)
-
     def _knows_starts(self, gateway: Gateway) -> bool:
         known = {u.name: gateway.state.upstreams.find(u.name) for u in self.upstreams}
         return all(
