Tell an upstream's run apart before its start is listed

What callers saw: an upstream that had restarted and asked for a backoff, named a limit or said that it leaves got requests again as soon as the gateway read its start from the list. Streams that the new run had in hand were aborted at that moment and sent to another upstream, or cut where the retry budget was used up, and the new run was given more requests than it has slots.

Cause: a run was known by the list alone. Whatever answered under an id was filed under the start that the list showed at that time, so it was taken for the run before and dropped with it.

The log lines name the run now.

Change: a port that refuses a connection, at an attempt or at the check after a broken answer, ends the run. Connections opened after that are to another run, which is kept apart until its start is listed: the list then confirms it and ends the earlier ones. Until then what the earlier runs reported stays in force, because the port of a busy upstream may refuse a connection as well. If the list, while the store was available, shows no start for longer than a start takes to be listed, the port told nothing. The state also survives an expired entry now, with requests in flight.

Without a refused connection the runs cannot be told apart, and the restart ends everything, as before: keeping a leaving announcement by mistake would lose a sound upstream for good, while a backoff that is dropped by mistake is asked for again in the next answer.

--- a/dalehollow/gateway/attempt.py
+++ b/dalehollow/gateway/attempt.py
@@ -28,13 +28,14 @@
 class NotRun:
     """Describe why a request is known not to have been executed.
 
-    `is_group_broken` is set if the upstream refused because of a failed rank of its group,
-    `is_own_failure` if this process could not open a connection to any upstream.
-    `signals` is None unless the upstream itself answered.
+    `is_port_closed` is set if nothing listened on the upstream's port, `is_group_broken` if the
+    upstream refused because of a failed rank of its group, `is_own_failure` if this process could
+    not open a connection to any upstream. `signals` is None unless the upstream itself answered.
     """
 
     reason: str
     is_unreachable: bool = False
+    is_port_closed: bool = False
     is_other_upstream: bool = False
     is_group_broken: bool = False
     is_own_failure: bool = False
@@ -94,10 +95,14 @@
         connection = await connect(upstream.listed.address, connect_timeout_s)
     except ConnectError as exc:
         return NotRun(
-            str(exc), is_unreachable=not exc.is_own_failure, is_own_failure=exc.is_own_failure
+            str(exc),
+            is_unreachable=not exc.is_own_failure,
+            is_port_closed=exc.is_refused,
+            is_own_failure=exc.is_own_failure,
         )
     move.connection = connection
     loop = asyncio.get_running_loop()
+    upstream.record_reached(loop.time())
     is_handed_over = False
     try:
         head_bytes = make_request_head(job, upstream, names, resume_after, loop.time())
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -197,7 +197,7 @@
         if move.reason in (MoveReason.SLOW_RANK, MoveReason.CRASHES_UPSTREAMS):
             return
         self._record_broken_attempt(upstream)
-        await self._state.check_for_crash(upstream.listed)
+        await self._state.check_for_crash(upstream)
 
     def _record_broken_attempt(self, upstream: Upstream) -> None:
         events = self._progress.splitter.count - self._events_before
@@ -243,6 +243,8 @@
             # An answer with another identity means that the listed upstream is gone and that its
             # address has been reused.
             state.upstreams.record_failure(upstream, now_s, is_unreachable=True)
+            if result.is_port_closed:
+                state.record_port_closed(upstream)
         elif not result.is_group_broken:
             # An upstream that refuses immediately has no requests in flight, so least-loaded
             # selection would choose it again.
@@ -286,7 +288,7 @@
         if head.framing is BodyFraming.CONNECTION:
             # A crash may have ended the body, too.
             self._record_broken_attempt(upstream)
-            self._state.confirm_answer(upstream.listed, self._job.fingerprints)
+            self._state.confirm_answer(upstream, self._job.fingerprints)
         else:
             self._state.suspects.record_answered(self._job.fingerprints)
 
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -43,6 +43,17 @@
         return replace(entry, is_leaving=True) if self.is_leaving else entry
 
 
+def name_run(listed: ListedUpstream, unlisted_runs: int = 0) -> str:
+    """Return a name that is unique to one run of an upstream.
+
+    `unlisted_runs` counts the runs since the listed one, as far as they were detected.
+    """
+    if not (listed.started_at_ms or unlisted_runs):
+        return listed.incarnation
+    start = f"{listed.incarnation}@{listed.started_at_ms}"
+    return f"{start}+{unlisted_runs}" if unlisted_runs else start
+
+
 def read_service(group_key: str) -> str:
     """Return the service part of a group key."""
     return group_key.partition("/")[0]
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -105,6 +105,7 @@
             lambda changes: self._reports.send_to_hall(changes),
             StoreContact(read_clock, outage_s),
         )
+        self.state.upstreams.read_list_age_s = self._feed.contact.unbroken_s
         self._copies = StoreCopies(self._feed, rng)
         self._era = StoreEra()
         self._reports = PeerReports(
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -201,43 +201,61 @@
             log_event(_LOG, "signal_unusable", incarnation=incarnation, value=text)
         if signals.is_leaving and not upstream.is_leaving():
             upstream.reported_state.is_leaving = True
-            log_event(_LOG, "upstream_leaving", incarnation=incarnation, by="answer")
+            log_event(
+                _LOG,
+                "upstream_leaving",
+                incarnation=incarnation,
+                run=upstream.run_name,
+                by="answer",
+            )
             self.grant_all()
-        has_limit = upstream.reported_state.limit_per_s is not None
+        has_limit = upstream.limit_state().limit_per_s is not None
         if (has_limit or signals.limit_per_s is not None) and not signals.is_limit_unusable:
             self.upstreams.record_limit(upstream, signals.limit_per_s, loop.time())
             self.on_change()
         if signals.backoff_s:
             upstream.start_backoff(signals.backoff_s, loop.time())
-            log_event(_LOG, "upstream_rests", incarnation=incarnation, for_s=signals.backoff_s)
+            log_event(
+                _LOG,
+                "upstream_rests",
+                incarnation=incarnation,
+                run=upstream.run_name,
+                for_s=signals.backoff_s,
+            )
             self.grant_all()
             loop.call_later(signals.backoff_s, self.grant_all)
 
-    async def check_for_crash(self, listed: ListedUpstream) -> None:
+    async def check_for_crash(self, upstream: Upstream) -> None:
         """Check for a closed port; return after `CRASH_CHECK_TIMEOUT_S` at the latest."""
         await asyncio.wait(
-            {self._start_crash_check(listed, _do_nothing)}, timeout=CRASH_CHECK_TIMEOUT_S
+            {self._start_crash_check(upstream, _do_nothing)}, timeout=CRASH_CHECK_TIMEOUT_S
         )
 
-    def confirm_answer(self, listed: ListedUpstream, fingerprints: tuple[Fingerprint, ...]) -> None:
+    def confirm_answer(self, upstream: Upstream, fingerprints: tuple[Fingerprint, ...]) -> None:
         """Count an answer as complete if its upstream is found not to have crashed."""
         if self.suspects.needs_answer(fingerprints):
-            self._start_crash_check(listed, lambda: self.suspects.record_answered(fingerprints))
+            self._start_crash_check(upstream, lambda: self.suspects.record_answered(fingerprints))
+
+    def record_port_closed(self, upstream: Upstream) -> None:
+        """Record that nothing listens on the port of an upstream."""
+        self.upstreams.record_port_closed(upstream.listed.incarnation)
+        self.on_change()
 
     def _start_crash_check(
-        self, listed: ListedUpstream, on_alive: Callable[[], None]
+        self, upstream: Upstream, on_alive: Callable[[], None]
     ) -> asyncio.Task[None]:
-        check = asyncio.get_running_loop().create_task(self._check_for_crash(listed, on_alive))
+        check = asyncio.get_running_loop().create_task(self._check_for_crash(upstream, on_alive))
         self._crash_checks.add(check)
         check.add_done_callback(self._crash_checks.discard)
         return check
 
-    async def _check_for_crash(self, listed: ListedUpstream, on_alive: Callable[[], None]) -> None:
+    async def _check_for_crash(self, upstream: Upstream, on_alive: Callable[[], None]) -> None:
         try:
-            connection = await connect(listed.address, self.connect_timeout_s)
+            connection = await connect(upstream.listed.address, self.connect_timeout_s)
         except ConnectError as exc:
             if exc.is_refused:
-                self.crashes.record_port_closed(listed)
+                self.crashes.record_port_closed(upstream.listed)
+                self.record_port_closed(upstream)
             return
         connection.abort()
         on_alive()
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -49,7 +49,7 @@
     metrics.watch_gauge("is_ready", lambda: int(sources.is_ready()))
     metrics.watch_gauge("gateways_listed", lambda: len(sources.members))
     metrics.watch_gauge("upstreams_listed", lambda: sum(1 for _ in state.upstreams))
-    metrics.watch_gauge("in_hand", lambda: sum(u.in_flight for u in state.upstreams))
+    metrics.watch_gauge("in_hand", lambda: sum(u.own_in_flight() for u in state.upstreams))
     metrics.watch_gauge("upstreams_resting", lambda: _count_resting(state, loop.time()))
     metrics.watch_gauge("upstreams_limited", lambda: _count_limited(state))
     metrics.watch_gauge("requests_suspected", lambda: len(state.suspects.describe()))
@@ -94,11 +94,12 @@
                 "service": u.listed.service,
                 "address": u.listed.address,
                 "is_leaving": u.is_leaving(),
-                "in_hand": u.in_flight,
+                "run": u.run_name,
+                "in_hand": u.own_in_flight(),
                 "others_in_hand": u.others_in_flight,
                 "is_ejected": u.ejected_until_s > now_s,
                 "rest_left_s": round(u.backoff_left_s(now_s), 3),
-                "limit_per_s": u.reported_state.limit_per_s,
+                "limit_per_s": u.limit_state().limit_per_s,
             }
             for u in state.upstreams
         },
@@ -110,7 +111,7 @@
 
 
 def _count_limited(state: GatewayState) -> int:
-    return sum(1 for u in state.upstreams if u.reported_state.limit_per_s is not None)
+    return sum(1 for u in state.upstreams if u.limit_state().limit_per_s is not None)
 
 
 def make_status_handler(sources: StatusSources) -> Handler:
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ClientConnection
-from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.listed import ListedUpstream, name_run
 
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
@@ -52,6 +52,7 @@
 class ReportedState:
     """Hold the state that one run of an upstream reported in its answers."""
 
+    # Start of the run, or of the last listed run before it while it is not listed.
     started_at_ms: int
     # End of the backoff requested from this gateway.
     backoff_until_s: float = float("-inf")
@@ -64,7 +65,11 @@
 
 @dataclass
 class Upstream:
-    """Hold the state of one upstream as seen by this gateway."""
+    """Hold the state of one run of an upstream as seen by this gateway.
+
+    A run may be detected before the list contains its start; until then `listed` is the entry of
+    the last listed run.
+    """
 
     listed: ListedUpstream
     reported_state: ReportedState
@@ -75,6 +80,12 @@
     ejected_until_s: float = 0.0
     # Attempts in flight that can move to another upstream.
     moves: set[Move] = field(default_factory=set)
+    # Number of runs detected since the listed one, this one included; 0 for the listed run.
+    unlisted_runs: int = 0
+    # Time of the first connection to this run, None if there was none.
+    reached_at_s: float | None = None
+    # Runs before this one whose end the list has not confirmed, oldest first.
+    earlier_runs: list[Upstream] = field(default_factory=list)
     _ejections: int = 0
     _failure_share: float = 0.0
     _samples: int = 0
@@ -91,7 +102,23 @@
 
         Neither source overrides the other, because an answer often precedes the list.
         """
-        return self.listed.is_leaving or self.reported_state.is_leaving
+        return self.listed.is_leaving or any(
+            run.reported_state.is_leaving for run in self.list_runs()
+        )
+
+    @property
+    def run_name(self) -> str:
+        """Return a name that is unique to this run."""
+        return name_run(self.listed, self.unlisted_runs)
+
+    def list_runs(self) -> list[Upstream]:
+        """Return the runs that may be active, oldest first; this one is the last."""
+        return [*self.earlier_runs, self]
+
+    def record_reached(self, now_s: float) -> None:
+        """Record an established connection to this run."""
+        if self.reached_at_s is None:
+            self.reached_at_s = now_s
 
     def load(self, now_s: float) -> float:
         """Return the number of known and reported requests in flight per slot."""
@@ -100,7 +127,11 @@
 
     def known_in_flight(self) -> int:
         """Return the number of requests in flight from this and the other gateways."""
-        return self.in_flight + max(0, self.others_in_flight)
+        return self.own_in_flight() + max(0, self.others_in_flight)
+
+    def own_in_flight(self) -> int:
+        """Return the number of requests in flight from this gateway, also at earlier runs."""
+        return sum(run.in_flight for run in self.list_runs())
 
     def record_reported_load(self, reported: int, now_s: float) -> None:
         """Record the load reported in an answer.
@@ -122,7 +153,14 @@
 
     def backoff_left_s(self, now_s: float) -> float:
         """Return the remaining backoff, 0 if there is none."""
-        return max(0.0, self.reported_state.backoff_until_s - now_s)
+        until_s = max(run.reported_state.backoff_until_s for run in self.list_runs())
+        return max(0.0, until_s - now_s)
+
+    def limit_state(self) -> ReportedState:
+        """Return the state of the newest run that reported a limit or the end of one."""
+        states = [run.reported_state for run in reversed(self.list_runs())]
+        reported = (s for s in states if s.limit_reported_at_s > float("-inf"))
+        return next(reported, self.reported_state)
 
     def record_answer(self, *, failed: bool) -> None:
         """Record an answer, or a failure to answer, in the failure rate."""
@@ -135,6 +173,44 @@
         """Return whether too many recent requests failed."""
         return self._samples >= MIN_SAMPLES and self._failure_share > MAX_FAILURE_SHARE
 
+    def begin_run(self, now_s: float) -> Upstream:
+        """Return the next run, which is not listed yet, with this one as an earlier run.
+
+        Until the list confirms the end of this run, what it reported remains in force and its
+        requests occupy slots.
+        """
+        earlier = [run for run in self.list_runs() if run._affects_selection(now_s)]
+        return Upstream(
+            self.listed,
+            ReportedState(self.listed.started_at_ms),
+            others_in_flight=self.others_in_flight,
+            untracked=self.untracked,
+            untracked_at_s=self.untracked_at_s,
+            ejected_until_s=self.ejected_until_s,
+            unlisted_runs=self.unlisted_runs + 1,
+            earlier_runs=earlier,
+            _ejections=self._ejections,
+        )
+
+    def confirm_run(self, listed: ListedUpstream) -> None:
+        """Use the list entry of a run that was detected before it was listed."""
+        self.listed = listed
+        self.reported_state.started_at_ms = listed.started_at_ms
+        self.unlisted_runs, self.earlier_runs = 0, []
+        if self.reached_at_s is None:
+            # It was ejected while nothing listened on its port.
+            self.ejected_until_s, self._ejections = 0.0, 0
+
+    def _affects_selection(self, now_s: float) -> bool:
+        """Return whether the upstream is selected differently because of this run."""
+        state = self.reported_state
+        return bool(
+            self.in_flight
+            or state.is_leaving
+            or state.backoff_until_s > now_s
+            or state.limit_per_s is not None
+        )
+
     def eject(self, now_s: float) -> None:
         """Exclude the upstream from selection, for longer after each consecutive ejection."""
         pause_s = min(MAX_EJECTION_S, MIN_EJECTION_S * 2**self._ejections)
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -5,9 +5,10 @@
 import logging
 import random
 from collections import Counter
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 
+from dalehollow.clock import read_clock
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, MoveReason, ReportedState, Upstream
@@ -19,9 +20,12 @@
 is older than that of the local hall; without this, one in four such requests found no slot."""
 MAX_REPORT_TRANSIT_S = 0.1
 """Upper bound of the usual transit time of a report."""
-MAX_UNLISTED_STATES = 1_000
-"""Number of unlisted upstreams whose reported state is kept, because an expired list entry may
-reappear and does not reset that state."""
+MAX_UNLISTED_UPSTREAMS = 1_000
+"""Number of unlisted upstreams whose state is kept, because an expired list entry may reappear and
+does not reset that state."""
+START_LISTED_WITHIN_S = 6.0
+"""Longest time from the start of an upstream until it is listed, while the store is available:
+three heartbeats, without which its entry expires, and the delay until all gateways read it."""
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,6 +38,9 @@
     hall: str = ""
     # Enforces rate limits across gateways; None if there are no other gateways.
     tokens: LimitTokens | None = None
+    clock: Callable[[], float] = read_clock
+    # Returns for how long the list has been read without an outage of the store.
+    read_list_age_s: Callable[[], float] = lambda: 0.0
     _known: dict[str, Upstream] = field(default_factory=dict)
     _by_service: dict[str, dict[str, Upstream]] = field(default_factory=dict)
     # By key of the rank group, or by service for upstreams without a group.
@@ -41,7 +48,8 @@
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
     # Includes upstreams that are not listed yet, because reports may arrive before the list.
     _others_in_flight: Counter[str] = field(default_factory=Counter)
-    _reported_states: dict[str, ReportedState] = field(default_factory=dict)
+    # Upstreams whose entry has expired or was removed, by incarnation.
+    _unlisted: dict[str, Upstream] = field(default_factory=dict)
 
     def __iter__(self) -> Iterator[Upstream]:
         """Iterate over all upstreams."""
@@ -50,23 +58,16 @@
     def put(self, listed: ListedUpstream) -> None:
         """Add an upstream or update its list entry."""
         known = self._known.get(listed.incarnation)
-        if known is not None and listed.started_at_ms == known.listed.started_at_ms:
-            listed = known.listed.replace_with(listed)
-        if known is not None and listed.started_at_ms < known.listed.started_at_ms:
-            return
-        if known is not None and listed.started_at_ms > known.listed.started_at_ms:
-            self._remove_previous_run(known)
-            known = None
         if known is None:
-            others_in_flight = self._others_in_flight[listed.incarnation]
-            known = Upstream(
-                listed, self._find_reported_state(listed), others_in_flight=others_in_flight
-            )
-            self._forward_limit(known)
-            self._known[listed.incarnation] = known
-            log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
-        elif listed.is_leaving and not known.listed.is_leaving:
-            log_event(_LOG, "upstream_leaving", incarnation=listed.incarnation, by="list")
+            known = self._add(listed)
+        elif listed.started_at_ms < known.listed.started_at_ms:
+            return
+        elif listed.started_at_ms > known.listed.started_at_ms:
+            known = self._follow_restart(known, listed)
+        else:
+            listed = known.listed.replace_with(listed)
+            if listed.is_leaving and not known.listed.is_leaving:
+                _log_leaving(known)
         if (known.listed.group_epoch, known.listed.group_is_open) != (
             listed.group_epoch,
             listed.group_is_open,
@@ -81,25 +82,106 @@
             )
         self._drop_indexes(known.listed)
         known.listed = listed
-        self._by_service.setdefault(listed.service, {})[listed.incarnation] = known
-        self._by_group.setdefault(listed.group_key, {})[listed.incarnation] = known
+        self._index(known)
 
-    def _find_reported_state(self, listed: ListedUpstream) -> ReportedState:
-        """Return the state that this run of an upstream reported, also before its entry expired."""
-        state = self._reported_states.get(listed.incarnation)
-        if state is None or state.started_at_ms != listed.started_at_ms:
-            state = self._reported_states[listed.incarnation] = ReportedState(listed.started_at_ms)
-        return state
+    def _add(self, listed: ListedUpstream) -> Upstream:
+        """Add an upstream with the state from before its entry expired, if it has not restarted."""
+        known = self._unlisted.pop(listed.incarnation, None)
+        if known is not None and listed.started_at_ms > known.listed.started_at_ms:
+            known = self._follow_restart(known, listed)
+        elif known is None or listed.started_at_ms < known.listed.started_at_ms:
+            known = _make_run(listed)
+        known.others_in_flight = self._others_in_flight[listed.incarnation]
+        self._known[listed.incarnation] = known
+        self._forward_limit(known)
+        log_event(_LOG, "upstream_up", incarnation=listed.incarnation, service=listed.service)
+        return known
+
+    def _follow_restart(self, known: Upstream, listed: ListedUpstream) -> Upstream:
+        """Return the run with a newly listed start; move the requests of the runs before it.
+
+        A run that was detected before its start was listed keeps its state and its requests.
+        """
+        is_detected = bool(known.unlisted_runs) and not self._has_outlasted_list(known)
+        ended = known.earlier_runs if is_detected else known.list_runs()
+        run = known if is_detected else _make_run(listed)
+        log_event(
+            _LOG,
+            "upstream_restarted",
+            incarnation=listed.incarnation,
+            run=known.run_name,
+            started_at_ms=listed.started_at_ms,
+            was_detected=is_detected,
+            in_hand=sum(r.in_flight for r in ended),
+            moved=sum(len(r.moves) for r in ended),
+            kept=run.in_flight,
+        )
+        run.others_in_flight = self._others_in_flight[listed.incarnation]
+        if known.listed.incarnation in self._known:
+            self._drop_indexes(known.listed)
+            self._known[listed.incarnation] = run
+        run.confirm_run(listed)
+        self._forward_limit(run)
+        for ended_run in ended:
+            for move in list(ended_run.moves):
+                move.request(MoveReason.RESTARTED)
+        return run
+
+    def _has_outlasted_list(self, run: Upstream) -> bool:
+        """Return whether the list would contain the start of a run if it had just begun.
+
+        The port of a busy upstream may refuse a connection too: the run is then the listed one.
+        """
+        if run.reached_at_s is None:
+            return False
+        listed_for_s = min(self.clock() - run.reached_at_s, self.read_list_age_s())
+        return listed_for_s > START_LISTED_WITHIN_S
+
+    def record_port_closed(self, incarnation: str) -> None:
+        """Record that nothing listens on an upstream's port: its current run has ended.
+
+        Connections opened from now on are to another run, whether or not it is listed.
+        """
+        known = self._known.get(incarnation) or self._unlisted.get(incarnation)
+        if known is None or (known.unlisted_runs and known.reached_at_s is None):
+            # Unknown, or the next run has not begun yet.
+            return
+        self._begin_run(known, detected_by="port")
+
+    def _begin_run(self, known: Upstream, *, detected_by: str) -> Upstream:
+        """Replace a run by the next one, which is not listed yet."""
+        run = known.begin_run(self.clock())
+        incarnation = known.listed.incarnation
+        log_event(
+            _LOG,
+            "upstream_run_ended",
+            incarnation=incarnation,
+            run=known.run_name,
+            detected_by=detected_by,
+            in_hand=known.own_in_flight(),
+        )
+        if incarnation in self._known:
+            self._known[incarnation] = run
+            self._index(run)
+        else:
+            self._unlisted[incarnation] = run
+        return run
 
     def record_limit(self, upstream: Upstream, limit_per_s: float | None, at_s: float) -> None:
         """Record the rate limit set by an answer, None if the answer sets none."""
         state = upstream.reported_state
-        if limit_per_s != state.limit_per_s:
-            incarnation = upstream.listed.incarnation
-            log_event(_LOG, "upstream_limit", incarnation=incarnation, limit_per_s=limit_per_s)
-            state.limit_per_s = limit_per_s
-            self._forward_limit(upstream)
-        state.limit_reported_at_s = at_s
+        if limit_per_s != upstream.limit_state().limit_per_s:
+            log_event(
+                _LOG,
+                "upstream_limit",
+                incarnation=upstream.listed.incarnation,
+                run=upstream.run_name,
+                limit_per_s=limit_per_s,
+            )
+        state.limit_per_s, state.limit_reported_at_s = limit_per_s, at_s
+        known = self._known.get(upstream.listed.incarnation)
+        if known is not None:
+            self._forward_limit(known)
 
     def record_reported_limit(
         self, incarnation: str, limit_per_s: float | None, at_s: float
@@ -119,22 +201,8 @@
     def _forward_limit(self, upstream: Upstream) -> None:
         if self.tokens is not None:
             listed = upstream.listed
-            self.tokens.record_limit(
-                listed.incarnation, listed.hall, upstream.reported_state.limit_per_s
-            )
-
-    def _remove_previous_run(self, upstream: Upstream) -> None:
-        """Remove the previous run of a restarted upstream, whose requests will get no answer."""
-        log_event(
-            _LOG,
-            "upstream_restarted",
-            incarnation=upstream.listed.incarnation,
-            in_hand=upstream.in_flight,
-            moved=len(upstream.moves),
-        )
-        self.remove(upstream.listed.incarnation)
-        for move in upstream.moves:
-            move.request(MoveReason.RESTARTED)
+            limit_per_s = upstream.limit_state().limit_per_s
+            self.tokens.record_limit(listed.incarnation, listed.hall, limit_per_s)
 
     def find(self, incarnation: str) -> ListedUpstream | None:
         """Return the latest list entry of an upstream."""
@@ -144,15 +212,15 @@
     def remove(self, incarnation: str) -> None:
         """Remove an upstream that is no longer listed."""
         known = self._known.pop(incarnation, None)
-        if known is not None:
-            self._drop_indexes(known.listed)
-            log_event(_LOG, "upstream_gone", incarnation=incarnation)
-            if self.tokens is not None:
-                self.tokens.record_limit(incarnation, known.listed.hall, None)
-            if len(self._reported_states) > len(self._known) + MAX_UNLISTED_STATES:
-                del self._reported_states[
-                    next(name for name in self._reported_states if name not in self._known)
-                ]
+        if known is None:
+            return
+        self._drop_indexes(known.listed)
+        log_event(_LOG, "upstream_gone", incarnation=incarnation)
+        if self.tokens is not None:
+            self.tokens.record_limit(incarnation, known.listed.hall, None)
+        self._unlisted[incarnation] = known
+        if len(self._unlisted) > MAX_UNLISTED_UPSTREAMS:
+            del self._unlisted[next(iter(self._unlisted))]
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that are not leaving."""
@@ -282,6 +350,11 @@
         slow = self._slow_ranks.get(upstream.listed.group_key)
         return slow is not None and upstream.listed.group_rank in slow
 
+    def _index(self, upstream: Upstream) -> None:
+        listed = upstream.listed
+        self._by_service.setdefault(listed.service, {})[listed.incarnation] = upstream
+        self._by_group.setdefault(listed.group_key, {})[listed.incarnation] = upstream
+
     def _drop_indexes(self, listed: ListedUpstream) -> None:
         self._by_service.get(listed.service, {}).pop(listed.incarnation, None)
         self._by_group.get(listed.group_key, {}).pop(listed.incarnation, None)
@@ -315,6 +388,20 @@
         )
 
 
+def _make_run(listed: ListedUpstream) -> Upstream:
+    return Upstream(listed, ReportedState(listed.started_at_ms))
+
+
+def _log_leaving(upstream: Upstream) -> None:
+    log_event(
+        _LOG,
+        "upstream_leaving",
+        incarnation=upstream.listed.incarnation,
+        run=upstream.run_name,
+        by="list",
+    )
+
+
 def _occupied_share(upstreams: Collection[Upstream]) -> float:
     slots = sum(u.listed.slots for u in upstreams)
     return sum(u.known_in_flight() for u in upstreams) / max(1, slots)
--- /dev/null
+++ b/tests/test_restart_listed_late.py
@@ -0,0 +1,265 @@
+"""Test what a gateway keeps of an upstream's new run that answers before its start is listed.
+
+Guards against attributing what the new run reported, or has in flight, to the run before it: when
+its start is listed, its backoff was dropped and its streams were aborted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.gateway import upstreams as upstreams_module
+from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.upstream import Move, MoveReason
+from dalehollow.gateway.upstreams import UpstreamSet
+from standins.server import ResponseMode, ServerStandIn, make_stream_body
+from tests.crash_world import CrashingUpstream
+from tests.gateway_bench import Answer, GatewayBench, make_config, run_bench
+from tests.manual_clock import ManualClock
+
+SIGNALS = {
+    "backoff": (b"retry-after", b"30"),
+    "leaving": (b"server-leaving", b"1"),
+    "limit": (b"server-limit", b"0.25"),
+}
+
+
+@dataclass
+class _HeldServer(ServerStandIn):
+    """Hold requests back before they are answered, on command."""
+
+    _release: asyncio.Event | None = None
+    _is_holding: bool = False
+    _request_held: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _answer(self, caller: CallerConnection, request: CallerRequest) -> None:
+        if self._is_holding:
+            self._is_holding, self._release = False, asyncio.Event()
+            self._request_held.set()
+            await self._release.wait()
+        await super()._answer(caller, request)
+
+    async def hold(self, request: Coroutine[None, None, Answer]) -> asyncio.Task[Answer]:
+        """Send a request that stays unanswered until `release`; later requests are answered."""
+        self._is_holding = True
+        self._request_held.clear()
+        held = asyncio.ensure_future(request)
+        await self._request_held.wait()
+        return held
+
+    def release(self) -> None:
+        """Answer the request held back."""
+        assert self._release is not None
+        self._release.set()
+
+
+@dataclass
+class _RestartedUpstream:
+    """Hold the only upstream of a gateway, which restarts on its port under its id."""
+
+    bench: GatewayBench
+    server: _HeldServer
+    process: CrashingUpstream
+    _sequence: Iterator[int] = field(default_factory=lambda: itertools.count(2))
+
+    @classmethod
+    async def start(cls, bench: GatewayBench) -> _RestartedUpstream:
+        await bench.apply(make_config())
+        server = _HeldServer("s0")
+        process = CrashingUpstream("s0", server)
+        server.on_crash = process.close_port
+        await process.listen()
+        upstream = cls(bench, server, process)
+        bench.list_server("s0", upstream.address, born=1)
+        await bench.wait_until(lambda: bench.gateway.state.upstreams.find("s0") is not None)
+        return upstream
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.process.port}"
+
+    async def end_unnoticed(self) -> None:
+        """End the run; the gateway notices it by its next connection."""
+        self.process.close_port()
+        assert (await self.bench.send_request("/pay/1")).status == 503
+
+    async def crash(self) -> None:
+        """Crash while a request is in flight."""
+        cut = await self.server.hold(self.bench.send_request("/pay/1"))
+        self.server.crash()
+        assert (await cut).status == 502
+
+    async def begin_next_run(self) -> None:
+        """Listen again, as a run that has received nothing yet."""
+        await self.process.listen()
+        self.server.received.clear()
+        for listed in self.bench.gateway.state.upstreams:
+            listed.ejected_until_s = 0.0
+
+    async def list_start(self) -> None:
+        """List the start of the second run and wait until the gateway has read it."""
+        self.bench.list_server("s0", self.address, born=2)
+
+        def is_read() -> bool:
+            listed = self.bench.gateway.state.upstreams.find("s0")
+            return listed is not None and listed.started_at_ms == 2
+
+        await self.bench.wait_until(is_read)
+
+    async def rewrite_entry(self) -> None:
+        """Write the entry of the first run once more."""
+        number = next(self._sequence)
+        self.bench.list_server("s0", self.address, born=1, slots=number)
+        await self.bench.wait_until(lambda: self.bench.listed("s0").slots == number)
+
+    async def expire_entry(self) -> None:
+        """Delete the entry of the first run."""
+        self.bench.store.delete("servers/s0")
+        await self.bench.wait_until(lambda: self.bench.gateway.state.upstreams.find("s0") is None)
+
+    async def keep_entry(self) -> None:
+        """Leave the entry of the first run as it is."""
+
+
+Step = Callable[[_RestartedUpstream], Awaitable[None]]
+ENDS: dict[str, Step] = {
+    "refused connection": _RestartedUpstream.end_unnoticed,
+    "cut answer": _RestartedUpstream.crash,
+}
+ENTRY_CHANGES: dict[str, Step] = {
+    "kept": _RestartedUpstream.keep_entry,
+    "rewritten": _RestartedUpstream.rewrite_entry,
+    "expired": _RestartedUpstream.expire_entry,
+}
+
+
+def _run(scenario: Callable[[_RestartedUpstream], Awaitable[None]]) -> None:
+    async def run(bench: GatewayBench) -> None:
+        await scenario(await _RestartedUpstream.start(bench))
+
+    run_bench(run)
+
+
+@pytest.mark.parametrize("change", ENTRY_CHANGES)
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("signal", SIGNALS)
+def test_signals_of_a_new_run_are_kept_when_its_start_is_listed(
+    signal: str, end: str, change: str
+) -> None:
+    async def scenario(upstream: _RestartedUpstream) -> None:
+        await ENDS[end](upstream)
+        await upstream.begin_next_run()
+        upstream.server.extra_headers = [SIGNALS[signal]]
+        upstream.server.next_modes = [ResponseMode.REFUSE] if signal == "backoff" else []
+        await upstream.bench.send_request("/read/1")
+        upstream.server.extra_headers = []
+        await ENTRY_CHANGES[change](upstream)
+        await upstream.list_start()
+        for _ in range(3):
+            assert (await upstream.bench.send_request("/read/1")).status == 503
+        assert len(upstream.server.received) == 1
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("change", ENTRY_CHANGES)
+@pytest.mark.parametrize("end", ENDS)
+def test_requests_at_a_new_run_continue_when_its_start_is_listed(end: str, change: str) -> None:
+    """Guards against aborting streams of a live run, and against forgetting that it is busy."""
+
+    async def scenario(upstream: _RestartedUpstream) -> None:
+        bench = upstream.bench
+        await ENDS[end](upstream)
+        await upstream.begin_next_run()
+        stream = await upstream.server.hold(bench.send_request("/stream/1"))
+        await ENTRY_CHANGES[change](upstream)
+        await upstream.list_start()
+        (listed,) = bench.gateway.state.upstreams
+        assert listed.own_in_flight() == 1
+        upstream.server.release()
+        answer = await stream
+        assert answer.is_whole and answer.body == make_stream_body()
+        assert len(upstream.server.received) == 1
+        assert listed.own_in_flight() == 0
+
+    _run(scenario)
+
+
+def test_signals_of_the_ended_run_are_dropped_when_the_new_start_is_listed() -> None:
+    """Guards against keeping what the run before said for a run that was detected early."""
+
+    async def scenario(upstream: _RestartedUpstream) -> None:
+        bench, server = upstream.bench, upstream.server
+        payment = await server.hold(bench.send_request("/pay/1"))
+        server.extra_headers = [SIGNALS["backoff"], SIGNALS["leaving"], SIGNALS["limit"]]
+        server.next_modes = [ResponseMode.REFUSE]
+        assert (await bench.send_request("/pay/1")).status == 503
+        server.extra_headers = []
+        server.crash()
+        assert (await payment).status == 502
+        await upstream.begin_next_run()
+        # The port alone does not prove that the reported state is void.
+        assert (await bench.send_request("/read/1")).status == 503
+        await upstream.list_start()
+        assert (await bench.send_request("/read/1")).status == 200
+
+    _run(scenario)
+
+
+def _make_upstreams(clock: ManualClock) -> UpstreamSet:
+    return UpstreamSet(random.Random(1), "hall", clock=clock, read_list_age_s=lambda: clock.now_s)
+
+
+def _list(upstreams: UpstreamSet, started_at_ms: int) -> None:
+    upstreams.put(
+        ListedUpstream("s0", "desk", "127.0.0.1:9", "hall", 4, False, started_at_ms=started_at_ms)
+    )
+
+
+def test_a_port_that_refused_once_is_no_restart_if_the_list_shows_none() -> None:
+    """Guards against keeping what a busy upstream said, whose port refused, through a restart."""
+    clock = ManualClock()
+    upstreams = _make_upstreams(clock)
+    _list(upstreams, 1)
+    upstreams.record_port_closed("s0")
+    (busy,) = upstreams
+    busy.record_reached(clock.now_s)
+    busy.reported_state.is_leaving = True
+    move = Move()
+    busy.moves.add(move)
+    clock.now_s += upstreams_module.START_LISTED_WITHIN_S + 1.0
+    _list(upstreams, 2)
+    (restarted,) = upstreams
+    assert not restarted.is_leaving()
+    assert move.reason is MoveReason.RESTARTED
+
+
+def test_each_detected_run_is_told_apart_until_one_is_listed() -> None:
+    """Guards against signals and slots of a run that ended before any later start was listed."""
+    clock = ManualClock()
+    upstreams = _make_upstreams(clock)
+    _list(upstreams, 1)
+    moves = [Move() for _ in range(3)]
+    for number, move in enumerate(moves):
+        (run,) = upstreams
+        assert run.run_name == ("s0@1", "s0@1+1", "s0@1+2")[number]
+        run.record_reached(clock.now_s)
+        run.moves.add(move)
+        run.in_flight = 1
+        assert run.own_in_flight() == number + 1
+        if number < 2:
+            # Each refused connection but the first tells nothing new.
+            upstreams.record_port_closed("s0")
+            upstreams.record_port_closed("s0")
+    _list(upstreams, 3)
+    (listed,) = upstreams
+    assert listed is run and listed.run_name == "s0@3"
+    assert listed.own_in_flight() == 1
+    assert [m.is_requested for m in moves] == [True, True, False]
