Name crashes by the run that ended, also before its restart is listed

What callers saw: a request that crashed one upstream again and again while the store was away was still sent to it after the third crash. A request whose answer was merely lost, at a run that was not listed yet, was suspected of a crash once the start of that run was read.

Cause: crashes had the name of the listed run, so those of the runs after it counted once, and an attempt at the new run counted as one at the run that the list then ended.

Evidence: test_each_crash_counts_though_no_restart_is_listed answers 502 where 503 is due on the code before, test_a_lost_answer_of_a_new_run_is_no_crash_when_its_start_is_listed finds a suspect.

Change: the watch keeps the run of each broken attempt and names crashes by it. Gateways that detected different numbers of runs name one crash differently; a reported crash of the same upstream within half a second of a known one is that crash, where either run was not listed.

--- a/dalehollow/crashes/__init__.py
+++ b/dalehollow/crashes/__init__.py
@@ -6,10 +6,11 @@
 from dalehollow.crashes.shared import SharedSuspects
 from dalehollow.crashes.stored import CulpritRecords, StoredCulprit
 from dalehollow.crashes.suspect import PROBE_TIMEOUT_S
-from dalehollow.crashes.suspects import CrashEvidence, Ruling, Suspects
+from dalehollow.crashes.suspects import UNLISTED_RUN_MARK, CrashEvidence, Ruling, Suspects
 
 __all__ = [
     "PROBE_TIMEOUT_S",
+    "UNLISTED_RUN_MARK",
     "CrashDetector",
     "CrashEvidence",
     "CulpritRecords",
--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -38,6 +38,10 @@
 MAX_SUSPECTS = 1_000
 MAX_REPORTED_SUSPECTS = 64
 MAX_COMPANIONS = 8
+UNLISTED_RUN_MARK = "+"
+"""Contained in the names of crashes of runs that were detected before they were listed."""
+MIN_RESTART_S = 0.5
+"""An upstream does not crash twice within this time."""
 MAX_REPORT_TRANSIT_S = 0.1
 """Upper bound of the usual transit time of a report, by which received ages are too low."""
 
@@ -64,6 +68,21 @@
     is_probe: bool = False
 
 
+def _is_renamed_crash(crash: str, at_s: float, other: str, other_at_s: float) -> bool:
+    """Return whether a peer reports a known crash under another name.
+
+    Gateways name a run that is not listed yet by the number of runs that each detected before it.
+    """
+    is_same_upstream = crash.rpartition("@")[0] == other.rpartition("@")[0]
+    is_unlisted = UNLISTED_RUN_MARK in crash or UNLISTED_RUN_MARK in other
+    return (
+        crash != other
+        and is_unlisted
+        and is_same_upstream
+        and abs(at_s - other_at_s) < MIN_RESTART_S
+    )
+
+
 def _do_nothing() -> None:
     pass
 
@@ -231,7 +250,9 @@
             if probed_at_s > suspect.probed_at_s + MAX_REPORT_TRANSIT_S:
                 suspect.probed_at_s = probed_at_s
             for crash, age_s in suspicion.crashes.items():
-                self._add_crash(name, crash, now_s - age_s, suspicion.companions)
+                at_s, known = now_s - age_s, suspect.crashes.items()
+                if not any(_is_renamed_crash(crash, at_s, *other) for other in known):
+                    self._add_crash(name, crash, at_s, suspicion.companions)
         if reported:
             self._discard_expired(now_s)
             self._update()
--- a/dalehollow/gateway/crashes.py
+++ b/dalehollow/gateway/crashes.py
@@ -14,7 +14,7 @@
 
 from dalehollow.crashes import CrashEvidence, Fingerprint, Suspects
 from dalehollow.gateway.admit import Job
-from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.gateway.listed import ListedUpstream, name_run
 from dalehollow.gateway.upstream import Upstream
 from dalehollow.telemetry.logs import log_event
 
@@ -31,7 +31,7 @@
     """Describe an attempt whose connection broke before an answer was complete."""
 
     job: Job
-    listed: ListedUpstream
+    upstream: Upstream
     at_s: float
     events: int
     begun: frozenset[Fingerprint] | None
@@ -46,7 +46,7 @@
         self._clock = clock
         self.suspects = suspects
         self._broken_attempts: deque[_BrokenAttempt] = deque()
-        # By address: the newest instance seen there, and when.
+        # By address: the newest listed run there, and when it was listed.
         self._starts: dict[str, tuple[ListedUpstream, float]] = {}
 
     def record_broken_attempt(
@@ -63,17 +63,21 @@
         """
         if upstream.is_leaving():
             return
-        now_s, listed = self._clock(), upstream.listed
+        now_s = self._clock()
         while self._broken_attempts and now_s - self._broken_attempts[0].at_s > RESTART_S:
             self._broken_attempts.popleft()
-        self._broken_attempts.append(_BrokenAttempt(job, listed, now_s, events, begun))
-        newest = self._starts.get(listed.address)
-        if newest is not None and now_s - newest[1] < RESTART_S and _is_restart(listed, newest[0]):
-            self._record_crash(listed, "start")
-
-    def record_port_closed(self, listed: ListedUpstream) -> None:
-        """Record a crash of an upstream whose port refuses connections."""
-        self._record_crash(listed, "port")
+        self._broken_attempts.append(_BrokenAttempt(job, upstream, now_s, events, begun))
+        newest = self._starts.get(upstream.listed.address)
+        if (
+            newest is not None
+            and now_s - newest[1] < RESTART_S
+            and _is_restart(upstream, newest[0])
+        ):
+            self._record_crash(upstream.run_name, "start")
+
+    def record_port_closed(self, listed: ListedUpstream, unlisted_runs: int = 0) -> None:
+        """Record a crash of a run whose port refuses connections."""
+        self._record_crash(name_run(listed, unlisted_runs), "port")
 
     def record_started(self, listed: ListedUpstream) -> None:
         """Record the start of an upstream and the crash of any instance that it replaces."""
@@ -81,15 +85,15 @@
         self._starts[listed.address] = (listed, now_s)
         for address in [a for a, (_, at_s) in self._starts.items() if now_s - at_s > RESTART_S]:
             del self._starts[address]
-        ended = {_name_run(a.listed): a.listed for a in self._broken_attempts}
-        for earlier in ended.values():
-            if _is_restart(earlier, listed):
-                self._record_crash(earlier, "start")
-
-    def _record_crash(self, listed: ListedUpstream, detected_by: str) -> None:
-        """Report the attempts whose connections broke when an upstream crashed, each once."""
-        crash = _name_run(listed)
-        broken = [a for a in self._broken_attempts if _name_run(a.listed) == crash]
+        ended = {
+            a.upstream.run_name for a in self._broken_attempts if _is_restart(a.upstream, listed)
+        }
+        for run_name in ended:
+            self._record_crash(run_name, "start")
+
+    def _record_crash(self, crash: str, detected_by: str) -> None:
+        """Report the attempts whose connections broke when a run crashed, each once."""
+        broken = [a for a in self._broken_attempts if a.upstream.run_name == crash]
         last_s = max((a.at_s for a in broken), default=0.0)
         at_crash = [
             a for a in broken if not a.is_reported and last_s - a.at_s <= CONNECTION_BREAK_SPREAD_S
@@ -115,17 +119,9 @@
     )
 
 
-def _name_run(listed: ListedUpstream) -> str:
-    """Return a name that is unique to one run of an upstream."""
-    if not listed.started_at_ms:
-        return listed.incarnation
-    return f"{listed.incarnation}@{listed.started_at_ms}"
-
-
-def _is_restart(earlier: ListedUpstream, later: ListedUpstream) -> bool:
+def _is_restart(earlier: Upstream, later: ListedUpstream) -> bool:
     """Return whether `later` replaces `earlier` after a restart."""
-    if _name_run(earlier) == _name_run(later):
-        return False
-    if earlier.incarnation == later.incarnation:
-        return later.started_at_ms > earlier.started_at_ms
-    return (earlier.address, earlier.service) == (later.address, later.service)
+    listed = earlier.listed
+    if listed.incarnation == later.incarnation:
+        return later.started_at_ms > listed.started_at_ms
+    return (listed.address, listed.service) == (later.address, later.service)
--- a/dalehollow/gateway/listed.py
+++ b/dalehollow/gateway/listed.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from functools import cached_property
 
+from dalehollow.crashes import UNLISTED_RUN_MARK
+
 
 @dataclass(frozen=True)
 class ListedUpstream:
@@ -51,7 +53,7 @@
     if not (listed.started_at_ms or unlisted_runs):
         return listed.incarnation
     start = f"{listed.incarnation}@{listed.started_at_ms}"
-    return f"{start}+{unlisted_runs}" if unlisted_runs else start
+    return f"{start}{UNLISTED_RUN_MARK}{unlisted_runs}" if unlisted_runs else start
 
 
 def read_service(group_key: str) -> str:
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -254,7 +254,7 @@
             connection = await connect(upstream.listed.address, self.connect_timeout_s)
         except ConnectError as exc:
             if exc.is_refused:
-                self.crashes.record_port_closed(upstream.listed)
+                self.crashes.record_port_closed(upstream.listed, upstream.unlisted_runs)
                 self.record_port_closed(upstream)
             return
         connection.abort()
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -148,6 +148,30 @@
     assert bench.count(CRASHING) == other.count(CRASHING) == 1
 
 
+def test_a_second_crash_before_the_restart_is_listed_counts() -> None:
+    """Guards against taking crashes of unlisted runs for the crash of the listed one."""
+    bench, upstream = _CrashWatchBench(), _upstream()
+    for _ in range(3):
+        bench.watch.record_broken_attempt(_job_of(CRASHING), upstream)
+        bench.watch.record_port_closed(upstream.listed, upstream.unlisted_runs)
+        bench.clock.now_s += 1.0
+        upstream = upstream.begin_run(bench.clock.now_s)
+    assert bench.count(CRASHING) == 3
+    assert bench.refused_s(CRASHING) > 0
+
+
+def test_a_crash_that_gateways_name_differently_counts_once() -> None:
+    """Guards against counting a crash twice because one gateway missed the restart before it."""
+    bench, other = _CrashWatchBench(), _CrashWatchBench()
+    listed = _upstream()
+    detected = listed.begin_run(bench.clock.now_s)
+    for gateway, upstream in ((bench, detected), (other, listed)):
+        gateway.watch.record_broken_attempt(_job_of(CRASHING), upstream)
+        gateway.watch.record_port_closed(upstream.listed, upstream.unlisted_runs)
+    bench.suspects.merge_reported(other.suspects.export_suspicions())
+    assert bench.count(CRASHING) == 1
+
+
 def test_crashes_seen_by_several_gateways_add_up() -> None:
     benches = [_CrashWatchBench() for _ in range(4)]
     for number in range(3):
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -15,6 +15,7 @@
 import pytest
 
 from dalehollow.aio import CallerConnection, CallerRequest
+from dalehollow.crashes.suspect import MAX_CRASHES
 from dalehollow.gateway import upstreams as upstreams_module
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, MoveReason
@@ -213,6 +214,36 @@
     _run(scenario)
 
 
+def test_each_crash_counts_though_no_restart_is_listed() -> None:
+    """Guards against a request that crashes an upstream repeatedly while the store is away."""
+
+    async def scenario(upstream: _RestartedUpstream) -> None:
+        upstream.server.crash_body = b"crashes"
+        for _ in range(MAX_CRASHES):
+            answer = await upstream.bench.send_request("/pay/1", body=b"crashes")
+            assert answer.status == 502
+            await upstream.begin_next_run()
+        answer = await upstream.bench.send_request("/pay/1", body=b"crashes")
+        assert answer.status == 503
+        assert upstream.server.received == []
+
+    _run(scenario)
+
+
+def test_a_lost_answer_of_a_new_run_is_no_crash_when_its_start_is_listed() -> None:
+    """Guards against suspecting a request because its upstream had restarted before it was sent."""
+
+    async def scenario(upstream: _RestartedUpstream) -> None:
+        await upstream.end_unnoticed()
+        await upstream.begin_next_run()
+        upstream.server.next_modes = [ResponseMode.CUT_UNANSWERED]
+        assert (await upstream.bench.send_request("/pay/1")).status == 502
+        await upstream.list_start()
+        assert not upstream.bench.gateway.state.suspects.describe()
+
+    _run(scenario)
+
+
 def _make_upstreams(clock: ManualClock) -> UpstreamSet:
     return UpstreamSet(random.Random(1), "hall", clock=clock, read_list_age_s=lambda: clock.now_s)
 
