Tell other gateways which run of an upstream ended or named a limit

What callers saw: an upstream that had just restarted was limited, or refused work, for what the run before had reported, as long as another gateway had not read the new start; and a gateway that had not found the port closed itself dropped what the new run asked of it.

Cause: gateways report limits by the id of the upstream alone, and each knew only of the closed ports that it had found itself. A load that was observed before a restart counted for the run after it.

Evidence: the tests added here fail on the code before, where reports do not name runs.

Change: a limit is reported with the run that named it, and the end of a run that was detected by its port is reported for a second, in the hall and between halls. A gateway that hears of a later run than it knows keeps it apart until its start is listed; a limit of an ended run is ignored.

--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -29,6 +29,7 @@
 from dalehollow.gateway.upstream import REPORTED_LOAD_LIFE_S
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.protocol.reports import (
+    EndedRun,
     HallReport,
     HallSignals,
     Limit,
@@ -234,6 +235,7 @@
         now_s = asyncio.get_running_loop().time()
         for incarnation, (unknown, age_s) in report.unknown.items():
             self._upstreams.record_untracked(incarnation, unknown, now_s - age_s)
+        self._update_ended_runs(report.ended_runs)
         self._update_limits(report.limits)
         self._suspects.merge_reported(report.suspects)
         self._feed.record_peer(report.sender)
@@ -264,6 +266,7 @@
     def _handle_hall_signals(self, signals: HallSignals) -> None:
         if signals.hall == self._hall:
             return
+        self._update_ended_runs(signals.ended_runs)
         self._update_limits(signals.limits)
         self._suspects.merge_reported(signals.suspects)
         if not signals.is_passed_on:
@@ -297,19 +300,29 @@
         now_s = asyncio.get_running_loop().time()
         for incarnation, limit in limits.items():
             self._upstreams.record_reported_limit(
-                incarnation, limit.rate_per_s, now_s - limit.age_s
+                incarnation, limit.rate_per_s, now_s - limit.age_s, limit.run
             )
 
+    def _update_ended_runs(self, ended_runs: Mapping[str, EndedRun]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for incarnation, ended in ended_runs.items():
+            self._upstreams.record_reported_end(incarnation, ended.run, now_s - ended.age_s)
+
+    def _list_ended_runs(self, now_s: float) -> dict[str, EndedRun]:
+        return {
+            incarnation: EndedRun(run, round(now_s - at_s, 3))
+            for incarnation, (run, at_s) in self._upstreams.list_ended_runs().items()
+        }
+
     def _list_limits(self, now_s: float) -> dict[str, Limit]:
         """Return the limits of upstreams, and None for those whose limit ended recently."""
         limits = {}
         for upstream in self._upstreams:
-            rate_per_s, age_s = (
-                upstream.reported_state.limit_per_s,
-                now_s - upstream.reported_state.limit_reported_at_s,
-            )
+            run = upstream.limit_run()
+            rate_per_s = run.reported_state.limit_per_s
+            age_s = now_s - run.reported_state.limit_reported_at_s
             if rate_per_s is not None or age_s < LIMIT_END_REPORTED_S:
-                limits[upstream.listed.incarnation] = Limit(rate_per_s, round(age_s, 3))
+                limits[run.listed.incarnation] = Limit(rate_per_s, round(age_s, 3), run.run)
         return limits
 
     def _send_reports(self) -> None:
@@ -317,7 +330,7 @@
             return
         now_s = asyncio.get_running_loop().time()
         in_flight_counts = {
-            u.listed.incarnation: u.in_flight for u in self._upstreams if u.in_flight
+            u.listed.incarnation: count for u in self._upstreams if (count := u.own_in_flight())
         }
         served = _list_ages(self._health.served_at_s, now_s)
         refused = _list_ages(self._health.refused_at_s, now_s)
@@ -328,10 +341,19 @@
             if now_s - u.untracked_at_s < REPORTED_LOAD_LIFE_S
         }
         view = self._feed.view()
-        limits = self._list_limits(now_s)
+        limits, ended_runs = self._list_limits(now_s), self._list_ended_runs(now_s)
         suspects = self._suspects.export_suspicions() if self._must_send_suspects(now_s) else {}
         report = LoadReport(
-            self._name, in_flight_counts, served, refused, unknown, relay, view, limits, suspects
+            self._name,
+            in_flight_counts,
+            served,
+            refused,
+            unknown,
+            relay,
+            view,
+            limits,
+            suspects,
+            ended_runs,
         )
         self.send_to_hall(report)
         if not self._feed.reports_to_other_halls():
@@ -351,8 +373,9 @@
         if now_s < self._next_signals_at_s:
             return
         suspects = self._suspects.export_suspicions(MAX_SUSPECTS_TO_HALLS)
-        if limits or suspects:
-            size = self._send_to_halls(HallSignals(self._hall, limits, suspects), now_s)
+        if limits or suspects or ended_runs:
+            signals = HallSignals(self._hall, limits, suspects, ended_runs=ended_runs)
+            size = self._send_to_halls(signals, now_s)
             pause_s = size / (SIGNALS_SHARE * self._remote_bytes_per_s)
             self._next_signals_at_s = now_s + max(IDLE_INTERVAL_S, pause_s)
 
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -209,7 +209,7 @@
                 by="answer",
             )
             self.grant_all()
-        has_limit = upstream.limit_state().limit_per_s is not None
+        has_limit = upstream.limit_per_s() is not None
         if (has_limit or signals.limit_per_s is not None) and not signals.is_limit_unusable:
             self.upstreams.record_limit(upstream, signals.limit_per_s, loop.time())
             self.on_change()
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -99,7 +99,7 @@
                 "others_in_hand": u.others_in_flight,
                 "is_ejected": u.ejected_until_s > now_s,
                 "rest_left_s": round(u.backoff_left_s(now_s), 3),
-                "limit_per_s": u.limit_state().limit_per_s,
+                "limit_per_s": u.limit_per_s(),
             }
             for u in state.upstreams
         },
@@ -111,7 +111,7 @@
 
 
 def _count_limited(state: GatewayState) -> int:
-    return sum(1 for u in state.upstreams if u.limit_state().limit_per_s is not None)
+    return sum(1 for u in state.upstreams if u.limit_per_s() is not None)
 
 
 def make_status_handler(sources: StatusSources) -> Handler:
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -7,6 +7,7 @@
 
 from dalehollow.aio import ClientConnection
 from dalehollow.gateway.listed import ListedUpstream, name_run
+from dalehollow.protocol.reports import Run
 
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
@@ -20,6 +21,8 @@
 REPORTED_LOAD_LIFE_S = 2.0
 """Validity of the load reported in an answer, about the duration of a stream."""
 
+_NEVER_S = float("-inf")
+
 
 class MoveReason(enum.StrEnum):
     """List the reasons for ending an attempt early; only the last one forbids another."""
@@ -55,12 +58,12 @@
     # Start of the run, or of the last listed run before it while it is not listed.
     started_at_ms: int
     # End of the backoff requested from this gateway.
-    backoff_until_s: float = float("-inf")
+    backoff_until_s: float = _NEVER_S
     is_leaving: bool = False
     # Limit of requests per second from all gateways together, None for no limit, and the time of
     # the latest answer to any gateway that reported it.
     limit_per_s: float | None = None
-    limit_reported_at_s: float = float("-inf")
+    limit_reported_at_s: float = _NEVER_S
 
 
 @dataclass
@@ -76,7 +79,7 @@
     in_flight: int = 0
     others_in_flight: int = 0
     untracked: int = 0
-    untracked_at_s: float = float("-inf")
+    untracked_at_s: float = _NEVER_S
     ejected_until_s: float = 0.0
     # Attempts in flight that can move to another upstream.
     moves: set[Move] = field(default_factory=set)
@@ -106,6 +109,11 @@
             run.reported_state.is_leaving for run in self.list_runs()
         )
 
+    @property
+    def run(self) -> Run:
+        """Return what identifies this run in reports."""
+        return Run(self.listed.started_at_ms, self.unlisted_runs)
+
     @property
     def run_name(self) -> str:
         """Return a name that is unique to this run."""
@@ -156,11 +164,14 @@
         until_s = max(run.reported_state.backoff_until_s for run in self.list_runs())
         return max(0.0, until_s - now_s)
 
-    def limit_state(self) -> ReportedState:
-        """Return the state of the newest run that reported a limit or the end of one."""
-        states = [run.reported_state for run in reversed(self.list_runs())]
-        reported = (s for s in states if s.limit_reported_at_s > float("-inf"))
-        return next(reported, self.reported_state)
+    def limit_run(self) -> Upstream:
+        """Return the newest run that reported a limit or the end of one, this one by default."""
+        runs = reversed(self.list_runs())
+        return next((r for r in runs if r.reported_state.limit_reported_at_s > _NEVER_S), self)
+
+    def limit_per_s(self) -> float | None:
+        """Return the limit of requests per second from all gateways, None if there is none."""
+        return self.limit_run().reported_state.limit_per_s
 
     def record_answer(self, *, failed: bool) -> None:
         """Record an answer, or a failure to answer, in the failure rate."""
@@ -173,11 +184,11 @@
         """Return whether too many recent requests failed."""
         return self._samples >= MIN_SAMPLES and self._failure_share > MAX_FAILURE_SHARE
 
-    def begin_run(self, now_s: float) -> Upstream:
+    def begin_run(self, now_s: float, unlisted_runs: int = 0) -> Upstream:
         """Return the next run, which is not listed yet, with this one as an earlier run.
 
         Until the list confirms the end of this run, what it reported remains in force and its
-        requests occupy slots.
+        requests occupy slots. `unlisted_runs` is the number of the run, by default the next one.
         """
         earlier = [run for run in self.list_runs() if run._affects_selection(now_s)]
         return Upstream(
@@ -187,7 +198,7 @@
             untracked=self.untracked,
             untracked_at_s=self.untracked_at_s,
             ejected_until_s=self.ejected_until_s,
-            unlisted_runs=self.unlisted_runs + 1,
+            unlisted_runs=max(unlisted_runs, self.unlisted_runs + 1),
             earlier_runs=earlier,
             _ejections=self._ejections,
         )
@@ -200,6 +211,8 @@
         if self.reached_at_s is None:
             # It was ejected while nothing listened on its port.
             self.ejected_until_s, self._ejections = 0.0, 0
+        if self.reached_at_s is None or self.untracked_at_s < self.reached_at_s:
+            self.untracked = 0
 
     def _affects_selection(self, now_s: float) -> bool:
         """Return whether the upstream is selected differently because of this run."""
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -12,6 +12,7 @@
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, MoveReason, ReportedState, Upstream
+from dalehollow.protocol.reports import Run
 from dalehollow.telemetry.logs import log_event
 
 MAX_EJECTED_SHARE = 0.34
@@ -23,6 +24,8 @@
 MAX_UNLISTED_UPSTREAMS = 1_000
 """Number of unlisted upstreams whose state is kept, because an expired list entry may reappear and
 does not reset that state."""
+ENDED_RUN_REPORTED_S = 1.0
+"""The end of a run is reported for this time, a few reports long, since one may be lost."""
 START_LISTED_WITHIN_S = 6.0
 """Longest time from the start of an upstream until it is listed, while the store is available:
 three heartbeats, without which its entry expires, and the delay until all gateways read it."""
@@ -48,6 +51,8 @@
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
     # Includes upstreams that are not listed yet, because reports may arrive before the list.
     _others_in_flight: Counter[str] = field(default_factory=Counter)
+    # Runs whose end was detected recently, and when, by incarnation.
+    _ended_runs: dict[str, tuple[Run, float]] = field(default_factory=dict)
     # Upstreams whose entry has expired or was removed, by incarnation.
     _unlisted: dict[str, Upstream] = field(default_factory=dict)
 
@@ -105,6 +110,9 @@
         is_detected = bool(known.unlisted_runs) and not self._has_outlasted_list(known)
         ended = known.earlier_runs if is_detected else known.list_runs()
         run = known if is_detected else _make_run(listed)
+        if not is_detected:
+            # Loads observed before are those of the runs before it.
+            run.untracked_at_s = self.clock()
         log_event(
             _LOG,
             "upstream_restarted",
@@ -146,11 +154,26 @@
         if known is None or (known.unlisted_runs and known.reached_at_s is None):
             # Unknown, or the next run has not begun yet.
             return
+        self._ended_runs[incarnation] = known.run, self.clock()
         self._begin_run(known, detected_by="port")
 
-    def _begin_run(self, known: Upstream, *, detected_by: str) -> Upstream:
+    def record_reported_end(self, incarnation: str, ended: Run, at_s: float) -> None:
+        """Record the end of a run that another gateway detected."""
+        known = self._known.get(incarnation) or self._unlisted.get(incarnation)
+        if known is None or known.run > ended:
+            return
+        self._ended_runs[incarnation] = ended, at_s
+        self._begin_run(known, detected_by="peer", unlisted_runs=ended.unlisted_runs + 1)
+
+    def list_ended_runs(self) -> dict[str, tuple[Run, float]]:
+        """Return the runs whose end was detected recently, and when, by incarnation."""
+        since_s = self.clock() - ENDED_RUN_REPORTED_S
+        self._ended_runs = {n: (r, s) for n, (r, s) in self._ended_runs.items() if s > since_s}
+        return self._ended_runs
+
+    def _begin_run(self, known: Upstream, *, detected_by: str, unlisted_runs: int = 0) -> Upstream:
         """Replace a run by the next one, which is not listed yet."""
-        run = known.begin_run(self.clock())
+        run = known.begin_run(self.clock(), unlisted_runs)
         incarnation = known.listed.incarnation
         log_event(
             _LOG,
@@ -170,7 +193,7 @@
     def record_limit(self, upstream: Upstream, limit_per_s: float | None, at_s: float) -> None:
         """Record the rate limit set by an answer, None if the answer sets none."""
         state = upstream.reported_state
-        if limit_per_s != upstream.limit_state().limit_per_s:
+        if limit_per_s != upstream.limit_per_s():
             log_event(
                 _LOG,
                 "upstream_limit",
@@ -184,7 +207,7 @@
             self._forward_limit(known)
 
     def record_reported_limit(
-        self, incarnation: str, limit_per_s: float | None, at_s: float
+        self, incarnation: str, limit_per_s: float | None, at_s: float, run: Run | None = None
     ) -> None:
         """Record a rate limit reported by another gateway if it is newer than the known one.
 
@@ -192,17 +215,26 @@
         than that.
         """
         known = self._known.get(incarnation)
+        if known is not None and run is not None:
+            known = self._find_run(known, run)
         if (
             known is not None
             and at_s > known.reported_state.limit_reported_at_s + MAX_REPORT_TRANSIT_S
         ):
             self.record_limit(known, limit_per_s, at_s)
 
+    def _find_run(self, known: Upstream, reported: Run) -> Upstream | None:
+        """Return the run that another gateway reports on, None if it has ended."""
+        is_listed_elsewhere = reported.started_at_ms > known.listed.started_at_ms
+        if reported > known.run and not (is_listed_elsewhere and known.unlisted_runs):
+            unlisted_runs = 0 if is_listed_elsewhere else reported.unlisted_runs
+            return self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs)
+        return next((run for run in reversed(known.list_runs()) if run.run <= reported), None)
+
     def _forward_limit(self, upstream: Upstream) -> None:
         if self.tokens is not None:
             listed = upstream.listed
-            limit_per_s = upstream.limit_state().limit_per_s
-            self.tokens.record_limit(listed.incarnation, listed.hall, limit_per_s)
+            self.tokens.record_limit(listed.incarnation, listed.hall, upstream.limit_per_s())
 
     def find(self, incarnation: str) -> ListedUpstream | None:
         """Return the latest list entry of an upstream."""
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -37,11 +37,32 @@
     era_heard_s: float
 
 
+class Run(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Identify a run of an upstream: its listed start, or the last one before it was listed.
+
+    `unlisted_runs` counts the runs since that start, as far as the sender detected them.
+    """
+
+    started_at_ms: int
+    unlisted_runs: int = 0
+
+
+class EndedRun(msgspec.Struct, frozen=True, array_like=True):
+    """Report a run whose end was detected before a later start was listed, and its age."""
+
+    run: Run
+    age_s: float
+
+
 class Limit(msgspec.Struct, frozen=True, array_like=True):
-    """Report an upstream's limit in requests per second, None for no limit, and its age."""
+    """Report an upstream's limit in requests per second, None for no limit, and its age.
+
+    `run` reported the limit; None if the sender does not distinguish runs.
+    """
 
     rate_per_s: float | None
     age_s: float
+    run: Run | None = None
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
@@ -74,6 +95,8 @@
     limits: dict[str, Limit] = {}
     # What is suspected of crashing upstreams, by fingerprint.
     suspects: dict[bytes, Suspicion] = {}
+    # By incarnation.
+    ended_runs: dict[str, EndedRun] = {}
 
 
 class HallReport(msgspec.Struct, frozen=True, array_like=True, tag="h"):
@@ -91,7 +114,7 @@
 
 
 class HallSignals(msgspec.Struct, frozen=True, array_like=True, tag="i"):
-    """Report upstream limits and suspected requests to another hall.
+    """Report upstream limits, suspected requests and ended runs to another hall.
 
     Sent separately from `HallReport`, which is sent less often the larger it is.
     """
@@ -100,6 +123,7 @@
     limits: dict[str, Limit]
     suspects: dict[bytes, Suspicion]
     is_passed_on: bool = False
+    ended_runs: dict[str, EndedRun] = {}
 
 
 class StoreChanges(msgspec.Struct, frozen=True, array_like=True, tag="s"):
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -19,7 +19,7 @@
 from dalehollow.gateway import upstreams as upstreams_module
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, MoveReason
-from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.gateway.upstreams import MAX_REPORT_TRANSIT_S, UpstreamSet
 from standins.server import ResponseMode, ServerStandIn, make_stream_body
 from tests.crash_world import CrashingUpstream
 from tests.gateway_bench import Answer, GatewayBench, make_config, run_bench
@@ -294,3 +294,99 @@
     assert listed is run and listed.run_name == "s0@3"
     assert listed.own_in_flight() == 1
     assert [m.is_requested for m in moves] == [True, True, False]
+
+
+class _Gateways:
+    """Hold what two gateways know of one upstream, of which they tell each other."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.first, self.second = _make_upstreams(self.clock), _make_upstreams(self.clock)
+        for upstreams in (self.first, self.second):
+            _list(upstreams, 1)
+
+    def report(self, sender: UpstreamSet, receiver: UpstreamSet) -> None:
+        """Send a report of ended runs and limits."""
+        self.clock.now_s += MAX_REPORT_TRANSIT_S + 0.01
+        for incarnation, (run, at_s) in sender.list_ended_runs().items():
+            receiver.record_reported_end(incarnation, run, at_s)
+        for upstream in sender:
+            run = upstream.limit_run()
+            state = run.reported_state
+            if state.limit_reported_at_s > float("-inf"):
+                receiver.record_reported_limit(
+                    "s0", state.limit_per_s, state.limit_reported_at_s, run.run
+                )
+
+    def set_limit(self, upstreams: UpstreamSet, limit_per_s: float | None) -> None:
+        """Record the limit of an answer."""
+        (upstream,) = upstreams
+        upstream.record_reached(self.clock.now_s)
+        self.clock.now_s += MAX_REPORT_TRANSIT_S + 0.01
+        upstreams.record_limit(upstream, limit_per_s, self.clock.now_s)
+
+    def read_limits(self) -> list[float | None]:
+        return [u.limit_per_s() for upstreams in (self.first, self.second) for u in upstreams]
+
+
+def test_a_limit_of_the_ended_run_is_not_taken_for_the_next_one() -> None:
+    """Guards against limiting a restarted upstream because a gateway has not read its start."""
+    gateways = _Gateways()
+    gateways.set_limit(gateways.first, 2.0)
+    _list(gateways.second, 2)
+    gateways.report(gateways.first, gateways.second)
+    assert gateways.read_limits() == [2.0, None]
+
+
+@pytest.mark.parametrize("is_listed_at_sender", [False, True])
+def test_a_reported_limit_of_a_new_run_is_kept_when_its_start_is_listed(
+    is_listed_at_sender: bool,
+) -> None:
+    """Guards against dropping a limit that another gateway learned from the new run."""
+    gateways = _Gateways()
+    gateways.first.record_port_closed("s0")
+    gateways.set_limit(gateways.first, 2.0)
+    if is_listed_at_sender:
+        _list(gateways.first, 2)
+        gateways.clock.now_s += 1.0
+    gateways.report(gateways.first, gateways.second)
+    _list(gateways.second, 2)
+    assert gateways.read_limits()[1] == 2.0
+
+
+def test_a_run_that_ended_is_told_to_other_gateways() -> None:
+    """Guards against dropping a backoff because only another gateway found the port closed."""
+    gateways = _Gateways()
+    gateways.first.record_port_closed("s0")
+    for _ in range(2):
+        gateways.report(gateways.first, gateways.second)
+        gateways.report(gateways.second, gateways.first)
+    (upstream,) = gateways.second
+    assert upstream.run_name == "s0@1+1"
+    upstream.record_reached(gateways.clock.now_s)
+    upstream.start_backoff(30.0, gateways.clock.now_s)
+    _list(gateways.second, 2)
+    (listed,) = gateways.second
+    assert listed.backoff_left_s(gateways.clock.now_s) > 0
+    assert [u.run_name for u in gateways.first] == ["s0@1+1"]
+
+
+def test_the_end_of_a_limit_of_a_new_run_ends_that_of_the_run_before() -> None:
+    """Guards against a limit that stays for good after a port that refused without a restart."""
+    gateways = _Gateways()
+    gateways.set_limit(gateways.first, 2.0)
+    gateways.first.record_port_closed("s0")
+    assert gateways.read_limits()[0] == 2.0
+    gateways.set_limit(gateways.first, None)
+    assert gateways.read_limits()[0] is None
+
+
+def test_a_load_observed_before_a_restart_does_not_occupy_the_new_run() -> None:
+    """Guards against a restarted upstream that gets no requests for what it ran before."""
+    gateways = _Gateways()
+    seen_at_s = gateways.clock.now_s
+    gateways.clock.now_s += 0.5
+    _list(gateways.first, 2)
+    gateways.first.record_untracked("s0", 4, seen_at_s)
+    (upstream,) = gateways.first
+    assert upstream.load(gateways.clock.now_s) == 0.0
