Let an entry tell the runs of a sidecar apart in every response

What callers saw: an entry sent requests to a sidecar whose new run had just asked for a backoff, as soon as its next heartbeat showed the restart; and to one that had said it leaves, when a heartbeat that was under way said the opposite.

Cause: only heartbeats named the sidecar's run. What a response said counted for whichever run the last heartbeat had shown, and the leaving flag was whatever came last.

Change: a sidecar names its run in each response. The first response of a new run, of whatever kind, ends what the run before said; a response of an ended run changes nothing. Runs are ordered by their start and, since a VM's clock may be set back, by when the message was sent that was answered. A run that leaves does not take that back.

--- a/dalehollow/entry/attempt.py
+++ b/dalehollow/entry/attempt.py
@@ -16,7 +16,7 @@
 from dalehollow.verdict import Step, Verdict, assess_failure
 from dalehollow.web import Answer, CallError, HttpClient
 from dalehollow.web.client import TruncatedResponseError
-from dalehollow.web.refusal import read_refusal
+from dalehollow.web.refusal import parse_ms, read_refusal
 
 _MS_PER_S = 1000
 _RETRY_UNREACHABLE_MS = 1_000
@@ -35,11 +35,14 @@
         """Send a job to a known upstream, counting it as in flight until its response ends."""
         view.record_sent()
         is_direct = view.upstream.control is None
+        sent_at_s = read_clock()
         tried = self.call_address(job, view.upstream.http, is_direct=is_direct)
         now_s = read_clock()
         if isinstance(tried, Err):
             view.record_done()
             failure = tried.err_value
+            if not _follow_run(view, failure.incarnation_ms, sent_at_s, now_s):
+                return tried
             if failure.backoff_ms is not None:
                 view.start_backoff(job.priority, now_s + failure.backoff_ms / _MS_PER_S)
             if failure.reason in (Reason.UPSTREAM_UNREACHABLE, Reason.UPSTREAM_FAILED):
@@ -48,8 +51,12 @@
             elif failure.reason is Reason.LEAVING:
                 view.is_leaving = True
             return tried
+        headers = tried.ok_value.headers
+        incarnation_ms = None if is_direct else parse_ms(headers.get(hdr.INCARNATION_MS))
+        if not _follow_run(view, incarnation_ms, sent_at_s, now_s):
+            return tried
         view.record_success()
-        report = parse_load(tried.ok_value.headers.get(hdr.LOAD))
+        report = parse_load(headers.get(hdr.LOAD))
         if report is not None:
             view.apply_report(report, now_s)
         return tried
@@ -73,6 +80,13 @@
         return _read_inner_refusal(sent.ok_value, is_direct=is_direct)
 
 
+def _follow_run(
+    view: UpstreamView, incarnation_ms: int | None, sent_at_s: float, now_s: float
+) -> bool:
+    """Return whether a response counts for the sidecar's current run, as one without a run does."""
+    return incarnation_ms is None or view.follow_run(incarnation_ms, sent_at_s, now_s)
+
+
 def _read_inner_refusal(answer: Answer, *, is_direct: bool) -> Result[Answer, Failure]:
     if is_direct or hdr.REASON not in answer.headers:
         return Ok(answer)
--- a/dalehollow/entry/pool.py
+++ b/dalehollow/entry/pool.py
@@ -31,17 +31,20 @@
         *,
         subset_size: int,
         peer_limit: int,
+        heartbeat_timeout_s: float = 0.5,
     ) -> None:
         """Create an empty pool; `clock` returns monotonic seconds.
 
         Each service gets a subset of `subset_size` upstreams, or fewer where all services
-        together would exceed `peer_limit`, but never fewer than `MIN_SUBSET_SIZE`.
+        together would exceed `peer_limit`, but never fewer than `MIN_SUBSET_SIZE`. A heartbeat
+        reply is to one sent at most `heartbeat_timeout_s` before.
         """
         self._entry = entry
         self._hall = hall
         self._subset_size = subset_size
         self._peer_limit = peer_limit
         self._clock = clock
+        self._heartbeat_timeout_s = heartbeat_timeout_s
         self._rng = random.Random(entry)
         self._views: dict[str, UpstreamView] = {}
         self._subsets: dict[str, tuple[str, ...]] = {}
@@ -100,8 +103,11 @@
         view = self.find(name)
         if view is None:
             return
+        now_s = self._clock()
+        if not view.follow_run(reply.incarnation_ms, now_s - self._heartbeat_timeout_s, now_s):
+            return
         report = LoadReport(reply.running, reply.waiting, reply.slots, reply.service_ms)
-        view.apply_report(report, self._clock())
+        view.apply_report(report, now_s)
         view.mark_leaving(reply.is_leaving, reply.incarnation_ms)
 
     def set_listed_leaving(self, leaving: frozenset[str]) -> None:
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -73,6 +73,7 @@
             read_clock,
             subset_size=settings.subset_size,
             peer_limit=settings.peer_limit,
+            heartbeat_timeout_s=settings.beat_interval_ms / _MS_PER_S,
         )
         connect_timeout_s = settings.connect_timeout_ms / _MS_PER_S
         self.suspects = SharedSuspects()
--- a/dalehollow/errors.py
+++ b/dalehollow/errors.py
@@ -73,7 +73,8 @@
     """Describe why a request was refused or failed, as reported to the caller.
 
     `backoff_ms` is the time in which the upstream is to receive no request of this priority or a
-    lower one.
+    lower one. `incarnation_ms` identifies the run of the sidecar that refused the request, None if
+    none did or if it does not tell.
     """
 
     reason: Reason
@@ -82,6 +83,7 @@
     retry_after_ms: int | None = None
     may_retry: bool = False
     backoff_ms: int | None = None
+    incarnation_ms: int | None = None
 
     @property
     def status(self) -> int:
--- a/dalehollow/membership/view.py
+++ b/dalehollow/membership/view.py
@@ -26,7 +26,9 @@
     is_listed_leaving: bool = False
     is_silent: bool = False
     in_flight: int = 0
+    # Run of the sidecar and when this entry first heard from it, 0 if it has not.
     incarnation_ms: int = 0
+    _run_heard_at_s: float = float("-inf")
     _sent_since_report: int = 0
     _failures: int = 0
     _ejections: int = 0
@@ -35,6 +37,24 @@
     _backoff_until_s: dict[str, float] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
+    def follow_run(self, incarnation_ms: int, sent_at_s: float, now_s: float) -> bool:
+        """Return whether a reply is from the sidecar's current run.
+
+        The reply is to a message sent at `sent_at_s`. The first reply of a new run ends what the
+        run before it had reported.
+        """
+        with self._lock:
+            if incarnation_ms == self.incarnation_ms:
+                return True
+            # The clock of a VM may have been set back before the sidecar started again.
+            if incarnation_ms < self.incarnation_ms and sent_at_s < self._run_heard_at_s:
+                return False
+            self.incarnation_ms, self._run_heard_at_s = incarnation_ms, now_s
+            self.is_leaving = False
+            self._backoff_until_s.clear()
+            self._clear_failures()
+            return True
+
     def apply_report(self, report: LoadReport, now_s: float) -> None:
         """Replace the load report, which includes all requests sent before the upstream replied."""
         with self._lock:
@@ -48,13 +68,10 @@
         self.is_silent = True
 
     def mark_leaving(self, is_leaving: bool, incarnation_ms: int) -> None:
-        """Record the sidecar's leaving flag; a new incarnation clears failures and backoffs."""
+        """Record the leaving flag of the sidecar's run, which no run takes back."""
+        self.follow_run(incarnation_ms, sent_at_s=float("inf"), now_s=self.reported_at_s)
         with self._lock:
-            self.is_leaving = is_leaving
-            if incarnation_ms != self.incarnation_ms:
-                self.incarnation_ms = incarnation_ms
-                self._backoff_until_s.clear()
-                self._clear_failures()
+            self.is_leaving = self.is_leaving or is_leaving
 
     def start_backoff(self, priority: str, until_s: float) -> None:
         """Send no requests of this or a lower priority until the end of a requested backoff."""
--- a/dalehollow/protocol/headers.py
+++ b/dalehollow/protocol/headers.py
@@ -28,6 +28,7 @@
 MAY_RETRY = "dalehollow-may-retry"
 REST_MS = "dalehollow-rest-ms"
 LOAD = "dalehollow-load"
+INCARNATION_MS = "dalehollow-incarnation-ms"
 
 # Hop-by-hop headers and headers for Dalehollow only; not forwarded.
 _NOT_FORWARDED = frozenset(
--- a/dalehollow/sidecar/forward.py
+++ b/dalehollow/sidecar/forward.py
@@ -198,7 +198,15 @@
         return {**hdr.strip_internal(answer.end_to_end_headers()), **self._sidecar_headers()}
 
     def _sidecar_headers(self) -> dict[str, str]:
-        return {hdr.VERDICT: Verdict.RAN, hdr.UPSTREAM: self.upstream, hdr.LOAD: self.format_load()}
+        return {hdr.VERDICT: Verdict.RAN, **self._state_headers()}
+
+    def _state_headers(self) -> dict[str, str]:
+        """Return the headers that describe this sidecar in every response to an entry."""
+        return {
+            hdr.UPSTREAM: self.upstream,
+            hdr.INCARNATION_MS: str(self.ownership.started_at_ms),
+            hdr.LOAD: self.format_load(),
+        }
 
     def format_load(self) -> str:
         """Return the gate's load as the value of the header sent with every response."""
@@ -209,8 +217,7 @@
         response = make_refusal(failure, request_id=call.request_id)
         headers = {
             **response.headers,
-            hdr.UPSTREAM: self.upstream,
-            hdr.LOAD: self.format_load(),
+            **self._state_headers(),
             hdr.MAY_RETRY: "true" if failure.may_retry else "false",
         }
         return HttpResponse(response.status, headers, response.body)
--- a/dalehollow/web/refusal.py
+++ b/dalehollow/web/refusal.py
@@ -48,11 +48,12 @@
         message=_read_message(body),
         retry_after_ms=int(retry_after) if retry_after is not None else None,
         may_retry=headers.get(hdr.MAY_RETRY) == "true",
-        backoff_ms=_read_ms(headers.get(hdr.REST_MS)),
+        backoff_ms=parse_ms(headers.get(hdr.REST_MS)),
+        incarnation_ms=parse_ms(headers.get(hdr.INCARNATION_MS)),
     )
 
 
-def _read_ms(value: str | None) -> int | None:
+def parse_ms(value: str | None) -> int | None:
     """Return the milliseconds; None if the value is missing or not a non-negative integer."""
     return int(value) if value is not None and value.isascii() and value.isdigit() else None
 
