Count first attempts when their requests were sent, also through a standstill

Cause: a first attempt earned its share of a retry when it was accepted. A gateway that resumes accepts the backlog of its suspension at once, so its window held the requests of two windows beside the retries made before. The first hypothesis; restarts of suspended gateways (the second) raise the excess, but are not needed for it.

Change: a process detects that it stood still by the gaps between its checks and logs it. A request that is accepted before a check is on time again counts at a time within the standstill, spread evenly and as far back as its caller's timeout allows.

The simulation gained the checks that a process makes, and decides a request at the process that ran when it was sent, as before; ResumingFleet decides it at the one that accepts it.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -41,7 +41,8 @@
         refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, CRASHES_UPSTREAMS, ruling.refused_s)
         outcome.refuse(state, caller, request, refusal)
         return
-    progress = Progress(is_probe=ruling.is_probe)
+    arrived_at_s = state.standstills.estimate_arrival_s(admitted.caller_time_left_s)
+    progress = Progress(arrived_at_s, is_probe=ruling.is_probe)
     try:
         async with asyncio.timeout_at(admitted.deadline_s):
             await _Exchange(state, caller, admitted, progress).run()
@@ -184,10 +185,10 @@
             state.unanswered.pop(move, None)
 
     def _count_attempt(self) -> None:
-        """Count an attempt in the retry window at the time it is sent."""
+        """Count a first attempt in the retry window when its request arrived, a retry now."""
         window = self._state.retry_window(self._job.service)
         if self._retry_taken_at_s is None:
-            window.count_first_attempt(self._clock())
+            window.count_first_attempt(self._progress.arrived_at_s, self._clock())
         else:
             window.mark_sent(self._retry_taken_at_s, self._clock())
             self._retry_taken_at_s = None
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -29,6 +29,8 @@
 class Progress:
     """Track the progress of a request; times are seconds on the monotonic clock."""
 
+    # When its caller probably sent it.
+    arrived_at_s: float = 0.0
     tried: list[str] = field(default_factory=list)
     # Whether the request tests if a culprit still crashes upstreams.
     is_probe: bool = False
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -135,6 +135,7 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serve until `stopping` is set, then finish requests in flight."""
         await self._open_peers()
+        self._tasks.append(keep_running("standstills", self.state.standstills.run))
         self._tasks += self._start_store_tasks()
         ready = await self._listen(
             self._settings.ready, self._answer_ready, self._auxiliary_connections
--- a/dalehollow/gateway/retries.py
+++ b/dalehollow/gateway/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -29,10 +30,10 @@
     _first_attempts: deque[float] = field(default_factory=deque)
     _retries: deque[float] = field(default_factory=deque)
 
-    def count_first_attempt(self, now_s: float) -> None:
-        """Count a first attempt."""
-        self._first_attempts.append(now_s)
-        self._expire(now_s)
+    def count_first_attempt(self, arrived_at_s: float, now_s: float | None = None) -> None:
+        """Count a first attempt at the time its request arrived, by default now."""
+        bisect.insort(self._first_attempts, arrived_at_s)
+        self._expire(arrived_at_s if now_s is None else now_s)
 
     def try_take(self, now_s: float) -> bool:
         """Count a retry if the budget allows one."""
--- /dev/null
+++ b/dalehollow/gateway/standstill.py
@@ -0,0 +1,76 @@
+"""Detect when this process stood still, and since when requests accepted now may have waited.
+
+A process that gets no turn, or whose VM is suspended, accepts at once what callers sent meanwhile.
+Anything counted by the time at which it is taken in would then count for a moment instead of the
+seconds in which it happened.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from dalehollow.telemetry.logs import log_event
+
+CHECK_INTERVAL_S = 0.2
+MIN_STANDSTILL_S = 2 * CHECK_INTERVAL_S
+"""A busy event loop delays a check as well, but requests do not wait long behind it."""
+_GOLDEN_RATIO = 0.6180339887498949
+"""Its multiples, modulo 1, are spread evenly however many there are."""
+
+_LOG = logging.getLogger(__name__)
+
+
+class StandstillWatch:
+    """Track standstills of this process by the gaps between its checks."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Begin with a process that runs."""
+        self._clock = clock
+        self._checked_at_s = clock()
+        # The last standstill; the requests that it delayed are accepted after it.
+        self._began_at_s = self._ended_at_s = float("-inf")
+        self._spread = 0.0
+
+    async def run(self) -> None:
+        """Check periodically; never returns."""
+        while True:
+            self.check()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def check(self) -> None:
+        """Record a standstill since the last check if there was one."""
+        now_s = self._clock()
+        gap_s = now_s - self._checked_at_s
+        began_at_s, self._checked_at_s = self._checked_at_s, now_s
+        if gap_s < MIN_STANDSTILL_S:
+            return
+        log_event(_LOG, "stood_still", logging.WARNING, for_s=round(gap_s, 3))
+        if not self._is_backlog_left(began_at_s, gap_s):
+            self._began_at_s = began_at_s
+        self._ended_at_s = now_s
+
+    def waiting_since_s(self) -> float:
+        """Return since when a request that is accepted now may have waited."""
+        self.check()
+        now_s = self._clock()
+        return self._began_at_s if now_s - self._ended_at_s < CHECK_INTERVAL_S else now_s
+
+    def estimate_arrival_s(self, timeout_s: float) -> float:
+        """Return when the caller probably sent a request that is accepted now.
+
+        Requests that waited are spread evenly over the standstill, as far back as their callers'
+        timeouts allow.
+        """
+        now_s = self._clock()
+        waited_s = min(timeout_s, now_s - self.waiting_since_s())
+        if waited_s <= 0:
+            return now_s
+        self._spread = (self._spread + _GOLDEN_RATIO) % 1.0
+        return now_s - self._spread * waited_s
+
+    def _is_backlog_left(self, began_at_s: float, gap_s: float) -> bool:
+        """Return whether a gap is spent on the requests that a longer standstill before delayed."""
+        is_continued = began_at_s - self._ended_at_s < MIN_STANDSTILL_S
+        return is_continued and gap_s < self._ended_at_s - self._began_at_s
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ConnectError, connect
+from dalehollow.clock import read_clock
 from dalehollow.crashes import Fingerprint, Suspects
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.crashes import CrashWatch
@@ -18,6 +19,7 @@
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
 from dalehollow.gateway.signals import Signals
+from dalehollow.gateway.standstill import StandstillWatch
 from dalehollow.gateway.table import EngineFigures, RoutingTable
 from dalehollow.gateway.upstream import Move, MoveReason, Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
@@ -68,6 +70,7 @@
     crashes: CrashWatch
     # Start time of the process; the default gives the full retry budget immediately.
     started_at_s: float = float("-inf")
+    standstills: StandstillWatch = field(default_factory=lambda: StandstillWatch(read_clock))
     health: GroupHealth = field(default_factory=GroupHealth)
     metrics: Metrics = field(default_factory=Metrics)
     table: RoutingTable | None = None
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import bisect
+import heapq
+import itertools
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from dalehollow.crashes import Suspects
 from dalehollow.gateway.crashes import CrashWatch
+from dalehollow.gateway.standstill import CHECK_INTERVAL_S, StandstillWatch
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform.names import HEADERS
@@ -101,7 +104,11 @@
 
 
 class Fleet:
-    """Simulate one run of a fleet of gateways."""
+    """Simulate one run of a fleet of gateways.
+
+    A request to a suspended gateway is decided by the process that ran when it was sent, even if
+    that was restarted before the suspension ended. `ResumingFleet` decides it by the later process.
+    """
 
     def __init__(self, size: FleetSize, schedule: Schedule, seed: int) -> None:
         self._size, self._schedule = size, schedule
@@ -109,6 +116,8 @@
         self._states: list[GatewayState] = []
         self._result = FleetResult(size=size)
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = itertools.count()
+        self._now_s = -INITIAL_UPTIME_S
         for _ in range(size.gateways):
             self._states.append(self._make_state(-INITIAL_UPTIME_S))
         self._update_gateway_counts(0.0)
@@ -117,14 +126,16 @@
         """Process all events and return the times of requests and retries."""
         self._schedule_disturbances()
         self._schedule_requests()
-        for at_s, _, handle_event in sorted(self._events, key=lambda event: event[:2]):
-            handle_event(at_s)
+        self._schedule_checks()
+        while self._events:
+            self._now_s, _, handle_event = heapq.heappop(self._events)
+            handle_event(self._now_s)
         self._result.requests_s.sort()
         self._result.retries_s.sort()
         return self._result
 
     def _schedule_event(self, at_s: float, handle_event: Callable[[float], None]) -> None:
-        self._events.append((at_s, len(self._events), handle_event))
+        heapq.heappush(self._events, (at_s, next(self._numbers), handle_event))
 
     def _schedule_disturbances(self) -> None:
         for at_s, numbers in self._schedule.restarts:
@@ -142,6 +153,16 @@
             at_s += self._rng.expovariate(self._size.requests_per_s * self._rate_at(at_s))
             self._schedule_event(at_s, self._send_request)
 
+    def _schedule_checks(self) -> None:
+        """Let each gateway check for standstills, as its process does while it runs."""
+        for number in range(round(DURATION_S / CHECK_INTERVAL_S)):
+            self._schedule_event(number * CHECK_INTERVAL_S, self._check_for_standstills)
+
+    def _check_for_standstills(self, at_s: float) -> None:
+        for number, state in enumerate(self._states):
+            if self._accept_time_s(number, at_s) == at_s:
+                state.standstills.check()
+
     def _rate_at(self, at_s: float) -> float:
         if self._schedule.burst is None:
             return 1.0
@@ -153,7 +174,14 @@
         crashes = CrashWatch(lambda: 0.0, Suspects(lambda: 0.0))
         upstreams = UpstreamSet(self._rng, "hall")
         return GatewayState(
-            HEADERS, self._rng, upstreams, limits, 1.0, crashes, started_at_s=started_at_s
+            HEADERS,
+            self._rng,
+            upstreams,
+            limits,
+            1.0,
+            crashes,
+            started_at_s=started_at_s,
+            standstills=StandstillWatch(lambda: self._now_s),
         )
 
     def _restart(self, at_s: float, numbers: Sequence[int]) -> None:
@@ -178,8 +206,15 @@
         accepted_s = self._accept_time_s(number, at_s)
         if accepted_s - at_s > CALLER_TIMEOUT_S:
             return
-        window = self._states[number].retry_window(SERVICE)
-        window.count_first_attempt(accepted_s)
+        self._accept(number, accepted_s)
+
+    def _accept(self, number: int, accepted_s: float) -> None:
+        """Send a request to an upstream, and again if the budget allows it."""
+        self._now_s = accepted_s
+        state = self._states[number]
+        window = state.retry_window(SERVICE)
+        arrived_at_s = state.standstills.estimate_arrival_s(CALLER_TIMEOUT_S)
+        window.count_first_attempt(arrived_at_s, accepted_s)
         if self._fails(accepted_s) and window.try_take(accepted_s):
             self._result.retries_s.append(accepted_s)
 
@@ -203,6 +238,17 @@
         return self._rng.random() < self._schedule.failed_share
 
 
+class ResumingFleet(Fleet):
+    """Simulate gateways whose waiting requests are accepted by the process that then runs."""
+
+    def _accept(self, number: int, accepted_s: float) -> None:
+        if accepted_s > self._now_s:
+            accept = super()._accept
+            self._schedule_event(accepted_s, lambda at_s: accept(number, at_s))
+        else:
+            super()._accept(number, accepted_s)
+
+
 def make_schedules(gateways: int) -> dict[str, Schedule]:
     """Return one schedule per kind of disturbance; all first attempts fail from 12 s on."""
     all_gateways = range(gateways)
@@ -253,3 +299,21 @@
     if rng.random() < 0.3:
         schedule.burst = (begin_s := draw_time_s(), begin_s + 3.0, rng.uniform(1.2, 2.0))
     return schedule
+
+
+def draw_suspensions(rng: random.Random, gateways: int) -> Schedule:
+    """Draw a random schedule with one to three long suspensions that may overlap.
+
+    Each suspends a third of the gateways or more; the other disturbances are as in `draw_schedule`.
+    """
+    schedule = draw_schedule(rng, gateways)
+    begin_s = rng.uniform(8.0, 22.0)
+    schedule.suspensions = [
+        (
+            begin_s + rng.uniform(0.0, 4.0),
+            rng.uniform(4.0, 12.0),
+            rng.sample(range(gateways), rng.randint(gateways // 3, gateways)),
+        )
+        for _ in range(rng.randint(1, 3))
+    ]
+    return schedule
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -6,6 +6,7 @@
 import itertools
 import logging
 import random
+import statistics
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
@@ -16,6 +17,7 @@
 from dalehollow.aio import CallerConnection, CallerRequest, connect
 from dalehollow.gateway.process import Gateway
 from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.standstill import StandstillWatch
 from dalehollow.gateway.state import GatewayState
 from standins.platform import listen
 from standins.server import ResponseMode, ServerStandIn
@@ -34,10 +36,13 @@
     SIZES,
     Fleet,
     FleetSize,
+    ResumingFleet,
     Schedule,
     draw_schedule,
+    draw_suspensions,
     make_schedules,
 )
+from tests.test_suspended_vm import SUSPENDED_S, suspended
 
 
 def test_retry_decisions_are_logged_counted_and_dumped(caplog: pytest.LogCaptureFixture) -> None:
@@ -178,6 +183,62 @@
         assert Fleet(SIZES["medium"], schedule, seed=41).run().worst_excess() <= 0
 
 
+OVERLAPPING_SUSPENSION_SEEDS = (36, 37, 129, 139, 165, *range(1, 16))
+"""Seeds that exceeded the budget or came close to it, and others."""
+
+
+@pytest.mark.parametrize(
+    ("fleet", "caller_timeout_s"),
+    [(Fleet, 8.0), (ResumingFleet, 8.0), (ResumingFleet, float("inf"))],
+)
+def test_fleet_uses_and_keeps_to_its_retry_budget_when_suspensions_overlap(
+    fleet: type[Fleet], caller_timeout_s: float
+) -> None:
+    """Guards against counting what callers sent during a suspension for the window after it."""
+    size = SIZES["medium"]
+    shares = []
+    with override_attribute(retry_fleet, "CALLER_TIMEOUT_S", caller_timeout_s):
+        for seed in OVERLAPPING_SUSPENSION_SEEDS:
+            schedule = draw_suspensions(random.Random(seed), size.gateways)
+            result = fleet(size, schedule, seed).run()
+            assert result.worst_excess() <= 0, f"seed {seed}"
+            shares.append(result.worst_share())
+    assert statistics.median(shares) > 0.5
+
+
+def test_fleet_simulation_detects_a_backlog_that_counts_at_once() -> None:
+    """Guards against a simulation that misses requests counted when a suspension ends."""
+    size, seed = SIZES["medium"], 139
+    schedule = draw_suspensions(random.Random(seed), size.gateways)
+    with (
+        override_attribute(retry_fleet, "CALLER_TIMEOUT_S", 8.0),
+        override_attribute(
+            StandstillWatch, "estimate_arrival_s", lambda watch, timeout_s: watch._clock()
+        ),
+    ):
+        assert ResumingFleet(size, schedule, seed).run().worst_excess() > 0
+
+
+def test_requests_that_waited_for_a_suspended_gateway_count_when_they_were_sent() -> None:
+    """Guards against a resumed gateway that counts its backlog as requests of one instant."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        await bench.add_server("s0")
+        window = bench.gateway.state.retry_window("desk")
+        with suspended(SUSPENDED_S):
+            for _ in range(20):
+                assert (await bench.send_request("/read/1", deadline_ms=4_000)).status == 200
+                # The requests of a backlog are accepted before the event loop is idle again.
+                bench.gateway.state.standstills.check()
+            resumed_at_s = asyncio.get_running_loop().time()
+            ages_s = [resumed_at_s - at_s for at_s in window._first_attempts]
+        assert len(ages_s) == 20
+        assert sum(age_s > 2.0 for age_s in ages_s) in range(8, 13)
+
+    run_bench(scenario)
+
+
 class _FullBudgetFleet(Fleet):
     """Simulate gateways that have their full budget as soon as they start."""
 
