Measure how fast upstreams are without standstills of this process

What callers saw: after a suspension a gateway refused callers at once with no place in time, though its upstreams answered as fast as before.

Cause: the time until an answer began, the time between completions and the pauses between pieces include a standstill of the gateway itself, and decide how long a request is expected to wait.

Evidence: test_a_suspension_does_not_count_as_slowness_of_upstreams, 503 on the code before: one answer that was in flight during a suspension of 4 s is enough.

Change: these durations are measured by a clock that excludes standstills. The pause that a caller sees is logged as it was.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -93,6 +93,8 @@
     health: GroupHealth
     rng: random.Random
     clock: Callable[[], float]
+    # Excludes standstills of this process, by default the same as `clock`.
+    running_clock: Callable[[], float] | None = None
     waiting: list[_Waiter] = field(default_factory=list)
     _max_time_left_s: dict[str, float] = field(default_factory=dict)
     _probed_at_s: float = float("-inf")
@@ -100,6 +102,7 @@
     _group_probed_at_s: dict[str, float] = field(default_factory=dict)
     _promised_until_s: float = 0.0
     _completion_interval_s: float = 0.1
+    # On the running clock.
     _completed_at_s: float = 0.0
     # Moving average of the time until a streamed answer begins or another answer is complete.
     _answer_latency_s: float = 0.0
@@ -136,7 +139,7 @@
     def release(self, upstream: Upstream) -> None:
         """Release the slot of a finished request."""
         upstream.in_flight -= 1
-        now_s = self.clock()
+        now_s = self._running_s()
         if self._completed_at_s:
             interval_s = min(1.0, now_s - self._completed_at_s)
             self._completion_interval_s += COMPLETION_INTERVAL_WEIGHT * (
@@ -238,9 +241,14 @@
 
     def _expected_wait_s(self) -> float:
         """Return the expected wait of a request that joins the queue now."""
-        since_completion_s = self.clock() - self._completed_at_s if self._completed_at_s else 0.0
+        since_completion_s = (
+            self._running_s() - self._completed_at_s if self._completed_at_s else 0.0
+        )
         return (len(self.waiting) + 1) * max(self._completion_interval_s, since_completion_s)
 
+    def _running_s(self) -> float:
+        return (self.running_clock or self.clock)()
+
     def _choose_upstream(
         self, tried: Collection[str], *, requests_tokens: bool = False
     ) -> Upstream | None:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -15,7 +15,6 @@
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.headers import HOP_HEADERS
 from dalehollow.gateway.outcome import Progress
-from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.state import GatewayState
 from dalehollow.gateway.upstream import Move, MoveReason, Upstream
 from dalehollow.telemetry.logs import log_event
@@ -64,7 +63,9 @@
         self._job = job
         self._progress = progress
         self._clock = asyncio.get_running_loop().time
-        self._sent_at_s = 0.0
+        # Excludes standstills of this process.
+        self._running_clock = state.standstills.running_s
+        self._sent_running_s = 0.0
         # Events received from earlier upstreams, and what this one began to answer.
         self._events_before = 0
         self._begun: frozenset[Fingerprint] | None = None
@@ -145,7 +146,7 @@
         self._count_attempt()
         resume_after = progress.splitter.last_id if self._caller.has_sent_head else None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
-        self._sent_at_s, self._events_before = self._clock(), progress.splitter.count
+        self._sent_running_s, self._events_before = self._running_clock(), progress.splitter.count
         self._begun = None
         move = Move()
         if self._is_movable():
@@ -309,20 +310,21 @@
             # The length of this body is not passed on: a resumed stream continues in another body.
             self._caller.begin_stream(head.status, _end_to_end_headers(head))
         pass_times = self._state.pass_times_of(upstream.listed)
-        last_s = None
+        last_s = last_running_s = None
         while (piece := await connection.read_piece()) is not None:
             events = splitter.feed(piece)
             if events:
                 if self._begun is None:
                     self._state.unanswered.pop(move, None)
                     self._begun = self._state.suspects.record_begun(self._job.fingerprints)
-                now_s = self._clock()
-                if last_s is not None:
-                    self._record_pause(pass_times, now_s - last_s)
+                now_s, running_s = self._clock(), self._running_clock()
+                if last_s is not None and last_running_s is not None:
+                    pass_times.record_pause(running_s - last_running_s)
+                    self._record_pause(now_s - last_s)
                 elif not self._progress.first_piece_at_s:
                     outcome.record_first_piece(self._state, self._job, self._progress)
                     self._record_answer_latency()
-                last_s = now_s
+                last_s, last_running_s = now_s, running_s
             await self._caller.send_piece(events)
         bodies.check_stream_end(head, splitter)
         self._record_answer_end(is_complete=True)
@@ -330,11 +332,10 @@
         self._caller.end_stream()
 
     def _record_answer_latency(self) -> None:
-        latency_s = self._clock() - self._sent_at_s
+        latency_s = self._running_clock() - self._sent_running_s
         self._state.admission(self._job.service).record_answer_latency(latency_s)
 
-    def _record_pause(self, pass_times: PassTimes, pause_s: float) -> None:
-        pass_times.record_pause(pause_s)
+    def _record_pause(self, pause_s: float) -> None:
         self._progress.longest_pause_s = max(self._progress.longest_pause_s, pause_s)
 
     def _take_retry(self, *, is_answered: bool = False) -> bool:
--- a/dalehollow/gateway/standstill.py
+++ b/dalehollow/gateway/standstill.py
@@ -31,6 +31,7 @@
         self._checked_at_s = clock()
         # The last standstill; the requests that it delayed are accepted after it.
         self._began_at_s = self._ended_at_s = float("-inf")
+        self._stood_still_s = 0.0
         self._spread = 0.0
 
     async def run(self) -> None:
@@ -50,6 +51,7 @@
         if not self._is_backlog_left(began_at_s, gap_s):
             self._began_at_s = began_at_s
         self._ended_at_s = now_s
+        self._stood_still_s += gap_s
 
     def waiting_since_s(self) -> float:
         """Return since when a request that is accepted now may have waited."""
@@ -57,6 +59,15 @@
         now_s = self._clock()
         return self._began_at_s if now_s - self._ended_at_s < CHECK_INTERVAL_S else now_s
 
+    def running_s(self) -> float:
+        """Return the time for which the process ran, in seconds from an arbitrary origin.
+
+        What upstreams and callers did during a standstill was not seen, so durations that say how
+        fast they are exclude it.
+        """
+        self.check()
+        return self._clock() - self._stood_still_s
+
     def estimate_arrival_s(self, timeout_s: float) -> float:
         """Return when the caller probably sent a request that is accepted now.
 
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -152,7 +152,14 @@
         admission = self.admissions.get(service)
         if admission is None:
             clock = asyncio.get_running_loop().time
-            admission = Admission(service, self.upstreams, self.health, self.rng, clock)
+            admission = Admission(
+                service,
+                self.upstreams,
+                self.health,
+                self.rng,
+                clock,
+                running_clock=self.standstills.running_s,
+            )
             self.admissions[service] = admission
         return admission
 
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -4,13 +4,20 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable, Iterator, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import msgspec
 
-from dalehollow.aio import ClientConnection, ResponseError, ResponseHead, connect
+from dalehollow.aio import (
+    CallerConnection,
+    CallerRequest,
+    ClientConnection,
+    ResponseError,
+    ResponseHead,
+    connect,
+)
 from dalehollow.clock import BootTimeEventLoop
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.process import Gateway
@@ -35,6 +42,35 @@
     is_whole: bool
 
 
+@dataclass
+class HeldServer(ServerStandIn):
+    """Hold requests back before they are answered, on command."""
+
+    _release: asyncio.Event | None = None
+    _is_holding: bool = False
+    _request_held: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _answer(self, caller: CallerConnection, request: CallerRequest) -> None:
+        if self._is_holding:
+            self._is_holding, self._release = False, asyncio.Event()
+            self._request_held.set()
+            await self._release.wait()
+        await super()._answer(caller, request)
+
+    async def hold(self, request: Coroutine[None, None, Answer]) -> asyncio.Task[Answer]:
+        """Send a request that stays unanswered until `release`; later requests are answered."""
+        self._is_holding = True
+        self._request_held.clear()
+        held = asyncio.ensure_future(request)
+        await self._request_held.wait()
+        return held
+
+    def release(self) -> None:
+        """Answer the request held back."""
+        assert self._release is not None
+        self._release.set()
+
+
 def make_config(version: int = 1, **changes: object) -> dict[str, object]:
     """Return a configuration with a safe, an unsafe, a streaming and a public route."""
     route = {"host": HOST, "service": "desk", "timeoutMs": 5000, "targetLatencyMs": 400}
@@ -81,11 +117,16 @@
     async def add_server(self, incarnation: str, *ways: object, slots: int = 4) -> ServerStandIn:
         """Start a server, list it in the store and wait until the gateway knows it."""
         server = ServerStandIn(incarnation, list(ways))  # type: ignore[arg-type]
+        await self.start_server(server, slots=slots)
+        return server
+
+    async def start_server(self, server: ServerStandIn, *, slots: int = 4) -> None:
+        """Start a given server, list it in the store and wait until the gateway knows it."""
+        incarnation = server.incarnation
         address = await listen(server.handle)
         self.servers[incarnation] = server
         self.list_server(incarnation, address, slots=slots)
         await self.wait_until(lambda: self.gateway.state.upstreams.find(incarnation) is not None)
-        return server
 
     def list_server(self, incarnation: str, address: str, **changes: object) -> None:
         """Write a server's entry to the store."""
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -6,23 +6,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 import pytest
 
-from dalehollow.aio import CallerConnection, CallerRequest
 from dalehollow.crashes.suspect import MAX_CRASHES
 from dalehollow.gateway import upstreams as upstreams_module
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Move, MoveReason
 from dalehollow.gateway.upstreams import MAX_REPORT_TRANSIT_S, UpstreamSet
-from standins.server import ResponseMode, ServerStandIn, make_stream_body
+from standins.server import ResponseMode, make_stream_body
 from tests.crash_world import CrashingUpstream
-from tests.gateway_bench import Answer, GatewayBench, make_config, run_bench
+from tests.gateway_bench import GatewayBench, HeldServer, make_config, run_bench
 from tests.manual_clock import ManualClock
 
 SIGNALS = {
@@ -32,48 +30,19 @@
 }
 
 
-@dataclass
-class _HeldServer(ServerStandIn):
-    """Hold requests back before they are answered, on command."""
-
-    _release: asyncio.Event | None = None
-    _is_holding: bool = False
-    _request_held: asyncio.Event = field(default_factory=asyncio.Event)
-
-    async def _answer(self, caller: CallerConnection, request: CallerRequest) -> None:
-        if self._is_holding:
-            self._is_holding, self._release = False, asyncio.Event()
-            self._request_held.set()
-            await self._release.wait()
-        await super()._answer(caller, request)
-
-    async def hold(self, request: Coroutine[None, None, Answer]) -> asyncio.Task[Answer]:
-        """Send a request that stays unanswered until `release`; later requests are answered."""
-        self._is_holding = True
-        self._request_held.clear()
-        held = asyncio.ensure_future(request)
-        await self._request_held.wait()
-        return held
-
-    def release(self) -> None:
-        """Answer the request held back."""
-        assert self._release is not None
-        self._release.set()
-
-
 @dataclass
 class _RestartedUpstream:
     """Hold the only upstream of a gateway, which restarts on its port under its id."""
 
     bench: GatewayBench
-    server: _HeldServer
+    server: HeldServer
     process: CrashingUpstream
     _sequence: Iterator[int] = field(default_factory=lambda: itertools.count(2))
 
     @classmethod
     async def start(cls, bench: GatewayBench) -> _RestartedUpstream:
         await bench.apply(make_config())
-        server = _HeldServer("s0")
+        server = HeldServer("s0")
         process = CrashingUpstream("s0", server)
         server.on_crash = process.close_port
         await process.listen()
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -20,7 +20,14 @@
 from standins.metadata import MetadataStandIn
 from standins.platform import listen
 from tests.fake_keyvalue import FakeKeyValue
-from tests.gateway_bench import TIMEOUT_S, GatewayBench, make_config, override_attribute, run_bench
+from tests.gateway_bench import (
+    TIMEOUT_S,
+    GatewayBench,
+    HeldServer,
+    make_config,
+    override_attribute,
+    run_bench,
+)
 
 SUSPENDED_S = 5.0
 
@@ -91,3 +98,26 @@
         assert (await bench.send_request("/read/1")).status == 503
 
     run_bench(scenario)
+
+
+def test_a_suspension_does_not_count_as_slowness_of_upstreams() -> None:
+    """Guards against refusing callers because answers seemed to take as long as a suspension."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        server = HeldServer("s0")
+        await bench.start_server(server, slots=1)
+        assert (await bench.send_request("/read/1")).status == 200
+        delayed = await server.hold(bench.send_request("/read/2"))
+        with suspended(4.0):
+            server.release()
+            assert (await delayed).status == 200
+            current = await server.hold(bench.send_request("/read/3"))
+            waiting = asyncio.ensure_future(bench.send_request("/read/4"))
+            admission = bench.gateway.state.admission("desk")
+            await bench.wait_until(lambda: waiting.done() or bool(admission.waiting))
+            server.release()
+            assert (await current).status == 200
+            assert (await waiting).status == 200
+
+    run_bench(scenario)
