Take a retry again if it waited longer than the window before it is sent

What callers saw: upstreams got more retries than the budget allows, where retries waited for a slot through a suspension.

Cause: a retry counts from when it is taken until it is sent. One that waits for longer than the window leaves it, its place is given to another, and both are sent.

Evidence: test_a_retry_that_waited_longer_than_the_window_is_taken_again; on the code before all four of the waiting retries are sent beside the four that took their places.

Change: such a retry is taken from the budget once more when it is due, and given up if there is none left. Others are not affected.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -91,6 +91,11 @@
             if refused_s := self._refused_s():
                 admission.release(granted)
                 return self._give_up(CRASHES_UPSTREAMS, refused_s)
+            if not self._count_attempt():
+                admission.release(granted)
+                return self._give_up(
+                    "no_try_left", admission.suggest_retry_after_s(self._make_admission_request())
+                )
             self._record_chosen(granted)
             self._state.on_change()
             try:
@@ -143,7 +148,6 @@
     async def _run_attempt(self, upstream: Upstream) -> bool:
         """Make one attempt; return whether the request is finished."""
         job, state, progress = self._job, self._state, self._progress
-        self._count_attempt()
         resume_after = progress.splitter.last_id if self._caller.has_sent_head else None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
         self._sent_running_s, self._events_before = self._running_clock(), progress.splitter.count
@@ -185,14 +189,17 @@
             upstream.moves.discard(move)
             state.unanswered.pop(move, None)
 
-    def _count_attempt(self) -> None:
-        """Count a first attempt in the retry window when its request arrived, a retry now."""
+    def _count_attempt(self) -> bool:
+        """Count a first attempt when its request arrived, or a retry now.
+
+        Returns False if the retry budget does not allow the retry any more.
+        """
         window = self._state.retry_window(self._job.service)
-        if self._retry_taken_at_s is None:
-            window.count_first_attempt(self._progress.arrived_at_s, self._clock())
-        else:
-            window.mark_sent(self._retry_taken_at_s, self._clock())
-            self._retry_taken_at_s = None
+        taken_at_s, self._retry_taken_at_s = self._retry_taken_at_s, None
+        if taken_at_s is not None:
+            return window.mark_sent(taken_at_s, self._clock())
+        window.count_first_attempt(self._progress.arrived_at_s, self._clock())
+        return True
 
     async def _handle_broken_connection(self, upstream: Upstream, move: Move) -> None:
         """Record a broken connection and check whether the upstream crashed."""
--- a/dalehollow/gateway/retries.py
+++ b/dalehollow/gateway/retries.py
@@ -42,10 +42,18 @@
         self._retries.append(now_s)
         return True
 
-    def mark_sent(self, taken_at_s: float, now_s: float) -> None:
-        """Count a retry from the time it is sent instead of the time it was taken."""
+    def mark_sent(self, taken_at_s: float, now_s: float) -> bool:
+        """Count a retry from the time it is sent; return False if it may not be sent any more.
+
+        A retry that waited for longer than the window must be taken again: another one may have
+        used its place in the budget.
+        """
+        if taken_at_s not in self._retries:
+            return self.try_take(now_s)
         self.release(taken_at_s)
         self._retries.append(now_s)
+        self._expire(now_s)
+        return True
 
     def release(self, taken_at_s: float) -> None:
         """Stop counting a retry that was taken at `taken_at_s`, if it is still in the window."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -297,6 +297,16 @@
     assert window.try_take(16.0)
 
 
+def test_a_retry_that_waited_longer_than_the_window_is_taken_again() -> None:
+    """Guards against sending retries whose places in the budget were given to others meanwhile."""
+    window = RetryWindow(window_s=10.0, share=0.2, extra=4.0)
+    waiting_since_s = 0.0
+    assert all(window.try_take(waiting_since_s) for _ in range(4))
+    assert [window.try_take(11.0) for _ in range(5)] == [True, True, True, True, False]
+    assert not any(window.mark_sent(waiting_since_s, 12.0) for _ in range(4))
+    assert window.mark_sent(11.0, 12.0)
+
+
 def test_a_retry_that_is_not_sent_is_given_back() -> None:
     """Guards against retries that find no free slot and still use up the budget."""
 
