Blame no upstream for an attempt in which this process stood still

What callers saw: after a suspension a gateway left out upstreams that were sound, and refused callers or retried elsewhere for want of them.

Cause: the time-out of a connection that was being opened passes in a standstill, and a peer may drop a connection that nobody reads. Both counted as failures, and an unreachable upstream is ejected at once.

Evidence: test_a_timeout_that_passed_in_a_suspension_is_no_failure_of_the_upstream; on the code before the upstream is ejected.

Change: such an attempt fails and may be retried, but is no failure of its upstream. A port that refuses and an answer of another upstream count as before.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -65,7 +65,7 @@
         self._clock = asyncio.get_running_loop().time
         # Excludes standstills of this process.
         self._running_clock = state.standstills.running_s
-        self._sent_running_s = 0.0
+        self._sent_at_s = self._sent_running_s = 0.0
         # Events received from earlier upstreams, and what this one began to answer.
         self._events_before = 0
         self._begun: frozenset[Fingerprint] | None = None
@@ -150,7 +150,8 @@
         job, state, progress = self._job, self._state, self._progress
         resume_after = progress.splitter.last_id if self._caller.has_sent_head else None
         may_have_run_before, progress.may_have_run = progress.may_have_run, True
-        self._sent_running_s, self._events_before = self._running_clock(), progress.splitter.count
+        self._sent_at_s, self._sent_running_s = self._clock(), self._running_clock()
+        self._events_before = progress.splitter.count
         self._begun = None
         move = Move()
         if self._is_movable():
@@ -225,7 +226,7 @@
                 self._record_attempt(upstream, "attempt_moved", str(move.reason), **body)
             else:
                 self._record_answer_end(is_complete=False)
-                self._state.upstreams.record_failure(upstream, self._clock(), is_unreachable=False)
+                self._record_failure(upstream, is_unreachable=False)
                 self._record_attempt(upstream, "answer_broken", str(exc), **body)
             return False
         finally:
@@ -246,14 +247,16 @@
             self._progress.is_own_failure = True
             return
         if isinstance(result, MayHaveRun):
-            state.upstreams.record_failure(upstream, now_s, is_unreachable=False)
+            self._record_failure(upstream, is_unreachable=False)
             return
-        if result.is_unreachable or result.is_other_upstream:
+        if result.is_port_closed or result.is_other_upstream:
             # An answer with another identity means that the listed upstream is gone and that its
             # address has been reused.
             state.upstreams.record_failure(upstream, now_s, is_unreachable=True)
             if result.is_port_closed:
                 state.record_port_closed(upstream)
+        elif result.is_unreachable:
+            self._record_failure(upstream, is_unreachable=True)
         elif not result.is_group_broken:
             # An upstream that refuses immediately has no requests in flight, so least-loaded
             # selection would choose it again.
@@ -261,6 +264,15 @@
         if result.is_group_broken:
             self._record_group_broken(upstream.listed.group_key)
 
+    def _record_failure(self, upstream: Upstream, *, is_unreachable: bool) -> None:
+        """Record a failed attempt, unless this process stood still during it.
+
+        Time-outs pass and connections break in a standstill whatever the upstream does.
+        """
+        state = self._state
+        if not state.standstills.has_ended_since(self._sent_at_s):
+            state.upstreams.record_failure(upstream, self._clock(), is_unreachable=is_unreachable)
+
     def _record_group_broken(self, group_key: str) -> None:
         health = self._state.health
         if not health.is_broken(group_key):
--- a/dalehollow/gateway/standstill.py
+++ b/dalehollow/gateway/standstill.py
@@ -59,6 +59,11 @@
         now_s = self._clock()
         return self._began_at_s if now_s - self._ended_at_s < CHECK_INTERVAL_S else now_s
 
+    def has_ended_since(self, at_s: float) -> bool:
+        """Return whether a standstill has ended since `at_s`."""
+        self.check()
+        return self._ended_at_s > at_s
+
     def running_s(self) -> float:
         """Return the time for which the process ran, in seconds from an arbitrary origin.
 
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -11,9 +11,13 @@
 import asyncio
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
+import pytest
+
+from dalehollow.aio import ClientConnection, ConnectError
 from dalehollow.clock import BootTimeEventLoop
+from dalehollow.gateway import attempt
 from dalehollow.gateway.listed import Member
 from dalehollow.groups.duty import PlannerLease
 from dalehollow.platform.session import Session
@@ -121,3 +125,28 @@
             assert (await waiting).status == 200
 
     run_bench(scenario)
+
+
+@pytest.mark.parametrize("is_suspended", [False, True])
+def test_a_timeout_that_passed_in_a_suspension_is_no_failure_of_the_upstream(
+    is_suspended: bool,
+) -> None:
+    """Guards against ejecting upstreams that were connected to when the gateway was suspended."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        await bench.add_server("s0")
+        (upstream,) = bench.gateway.state.upstreams
+        with ExitStack() as stack:
+
+            async def time_out(address: str, timeout_s: float) -> ClientConnection:
+                if is_suspended:
+                    stack.enter_context(suspended(4.0))
+                raise ConnectError("timed out")
+
+            with override_attribute(attempt, "connect", time_out):
+                await bench.send_request("/pay/1")
+            is_ejected = upstream.ejected_until_s > asyncio.get_running_loop().time()
+        assert is_ejected is not is_suspended
+
+    run_bench(scenario)
