Take messages that waited through a standstill for as old as it

What callers saw: after a suspension a gateway sent requests to a limited upstream by tokens that had been granted before it and had long expired, and left upstreams out for loads of seconds ago.

Cause: tokens and reports of other gateways counted from when they were read. Datagrams wait in the socket while a process stands still.

Evidence: test_messages_read_after_a_suspension_are_as_old_as_it; on the code before the token of before the suspension may be used.

Change: what a message says is dated from the earliest time at which it may have been sent. The list also counts as read only since the last standstill, where a restart is judged by it.

--- a/dalehollow/gateway/limit_tokens.py
+++ b/dalehollow/gateway/limit_tokens.py
@@ -128,14 +128,20 @@
         list_peers: Callable[[], list[Peer]],
         send: Callable[[PeerMessage, Address], None],
         on_tokens: Callable[[], None],
+        read_sent_at_s: Callable[[], float] | None = None,
     ) -> None:
-        """Initialize; `on_tokens` is called soon after tokens have been received."""
+        """Initialize; `on_tokens` is called soon after tokens have been received.
+
+        `read_sent_at_s` returns the earliest time at which a message handled now may have been
+        sent, by default the current time.
+        """
         self._name = name
         self._hall = hall
         self._clock = clock
         self._list_peers = list_peers
         self._send = send
         self._on_tokens = on_tokens
+        self._read_sent_at_s = read_sent_at_s or clock
         self._grants_from_s = clock() + GRANT_DELAY_S
         self._limits: dict[str, _LimitState] = {}
         self._allocations: dict[str, _Allocation] = {}
@@ -226,7 +232,10 @@
 
     def handle_token_grant(self, grant: TokenGrant) -> None:
         """Store granted tokens; a grant of 0 acknowledges a request while none is available."""
-        expires_at_s = self._clock() + TOKEN_LIFETIME_S
+        self._store_tokens(grant, self._read_sent_at_s())
+
+    def _store_tokens(self, grant: TokenGrant, granted_at_s: float) -> None:
+        expires_at_s = granted_at_s + TOKEN_LIFETIME_S
         for incarnation, tokens in grant.tokens.items():
             limit = self._limits.get(incarnation)
             if limit is not None:
@@ -296,7 +305,7 @@
         for name, tokens_of in answers.items():
             self._send(TokenGrant(tokens_of), self._addresses[name])
         if own:
-            self.handle_token_grant(TokenGrant(own))
+            self._store_tokens(TokenGrant(own), now_s)
 
 
 def _request_interval_s(peers: int) -> float:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -105,7 +105,7 @@
             lambda changes: self._reports.send_to_hall(changes),
             StoreContact(read_clock, outage_s),
         )
-        self.state.upstreams.read_list_age_s = self._feed.contact.unbroken_s
+        self.state.upstreams.read_list_age_s = self._read_list_age_s
         self._copies = StoreCopies(self._feed, rng)
         self._era = StoreEra()
         self._reports = PeerReports(
@@ -127,7 +127,9 @@
             self._reports.list_peers,
             self._reports.send,
             self.state.grant_all,
+            self.state.standstills.waiting_since_s,
         )
+        self._reports.read_sent_at_s = self.state.standstills.waiting_since_s
         self._tokens = self._reports.tokens = self.state.upstreams.tokens = tokens
         self.state.describe_store = self._feed.describe
         self.state.on_change = self._reports.schedule_report
@@ -254,6 +256,10 @@
         for upstream in self.state.upstreams:
             self._planners.plan_group_of(upstream.listed)
 
+    def _read_list_age_s(self) -> float:
+        """Return for how long this process has read the list without an outage of the store."""
+        return min(self._feed.contact.unbroken_s(), self.state.standstills.running_for_s())
+
     def _apply_upstream(self, listed: ListedUpstream) -> None:
         before = self.state.upstreams.find(listed.incarnation)
         self.state.upstreams.put(listed)
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -128,6 +128,9 @@
         self._suspects_sent_at_s, self._suspects_changes_sent = float("-inf"), 0
         # Set by the owner if limits of upstreams are shared among gateways.
         self.tokens: LimitTokens | None = None
+        # Returns the earliest time at which a message handled now may have been sent, which is long
+        # ago after a standstill of this process. Set by the owner.
+        self.read_sent_at_s: Callable[[], float] = lambda: asyncio.get_running_loop().time()
         self._transport: asyncio.DatagramTransport | None = None
         self._hall_peers: dict[str, _Address] = {}
         self._remote_halls: dict[str, _RemoteHall] = {}
@@ -161,8 +164,8 @@
             if self.tokens is not None:
                 self.tokens.handle_token_grant(message)
         else:
-            # A relay forwards responses of the store at once, so the store has just answered.
-            self._feed.contact.record_answered()
+            # A relay forwards responses of the store at once, so the store answered then.
+            self._feed.contact.record_answered(self.read_sent_at_s())
             self._feed.apply_changes(message)
 
     def error_received(self, exc: Exception) -> None:
@@ -232,9 +235,9 @@
         self._record_sender(report.sender, self._hall, addr)
         self._update_load(self._peer_loads, report.sender, report.in_flight_counts, SILENT_AFTER_S)
         self._update_health(report.served_age_s, report.refused_age_s)
-        now_s = asyncio.get_running_loop().time()
+        sent_at_s = self.read_sent_at_s()
         for incarnation, (unknown, age_s) in report.unknown.items():
-            self._upstreams.record_untracked(incarnation, unknown, now_s - age_s)
+            self._upstreams.record_untracked(incarnation, unknown, sent_at_s - age_s)
         self._update_ended_runs(report.ended_runs)
         self._update_limits(report.limits)
         self._suspects.merge_reported(report.suspects)
@@ -283,30 +286,31 @@
             return
         if view.revision:
             self._feed.contact.record_era(read_era(view.revision), view.era_heard_s)
-        self._feed.contact.record_peer_contact(view.answer_age_s, view.unbroken_s)
+        delay_s = asyncio.get_running_loop().time() - self.read_sent_at_s()
+        self._feed.contact.record_peer_contact(view.answer_age_s + delay_s, view.unbroken_s)
         if address is not None:
             self._copies.record_peer_revision(f"{address[0]}:{address[1]}", view.revision)
 
     def _update_health(
         self, served_age_s: Mapping[str, float], refused_age_s: Mapping[str, float]
     ) -> None:
-        now_s = asyncio.get_running_loop().time()
+        sent_at_s = self.read_sent_at_s()
         for service, age_s in served_age_s.items():
-            self._health.record_served(service, now_s - age_s)
+            self._health.record_served(service, sent_at_s - age_s)
         for service, age_s in refused_age_s.items():
-            self._health.record_refused(service, now_s - age_s)
+            self._health.record_refused(service, sent_at_s - age_s)
 
     def _update_limits(self, limits: Mapping[str, Limit]) -> None:
-        now_s = asyncio.get_running_loop().time()
+        sent_at_s = self.read_sent_at_s()
         for incarnation, limit in limits.items():
             self._upstreams.record_reported_limit(
-                incarnation, limit.rate_per_s, now_s - limit.age_s, limit.run
+                incarnation, limit.rate_per_s, sent_at_s - limit.age_s, limit.run
             )
 
     def _update_ended_runs(self, ended_runs: Mapping[str, EndedRun]) -> None:
-        now_s = asyncio.get_running_loop().time()
+        sent_at_s = self.read_sent_at_s()
         for incarnation, ended in ended_runs.items():
-            self._upstreams.record_reported_end(incarnation, ended.run, now_s - ended.age_s)
+            self._upstreams.record_reported_end(incarnation, ended.run, sent_at_s - ended.age_s)
 
     def _list_ended_runs(self, now_s: float) -> dict[str, EndedRun]:
         return {
--- a/dalehollow/gateway/standstill.py
+++ b/dalehollow/gateway/standstill.py
@@ -26,9 +26,9 @@
     """Track standstills of this process by the gaps between its checks."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
-        """Begin with a process that runs."""
+        """Detect nothing before `start`."""
         self._clock = clock
-        self._checked_at_s = clock()
+        self._checked_at_s: float | None = None
         # The last standstill; the requests that it delayed are accepted after it.
         self._began_at_s = self._ended_at_s = float("-inf")
         self._stood_still_s = 0.0
@@ -36,15 +36,22 @@
 
     async def run(self) -> None:
         """Check periodically; never returns."""
+        self.start()
         while True:
             self.check()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def start(self) -> None:
+        """Expect checks from now on."""
+        self._checked_at_s = self._clock()
+
     def check(self) -> None:
         """Record a standstill since the last check if there was one."""
+        if self._checked_at_s is None:
+            return
         now_s = self._clock()
-        gap_s = now_s - self._checked_at_s
         began_at_s, self._checked_at_s = self._checked_at_s, now_s
+        gap_s = now_s - began_at_s
         if gap_s < MIN_STANDSTILL_S:
             return
         log_event(_LOG, "stood_still", logging.WARNING, for_s=round(gap_s, 3))
@@ -73,6 +80,11 @@
         self.check()
         return self._clock() - self._stood_still_s
 
+    def running_for_s(self) -> float:
+        """Return the time since the last standstill, infinite if there was none."""
+        self.check()
+        return self._clock() - self._ended_at_s
+
     def estimate_arrival_s(self, timeout_s: float) -> float:
         """Return when the caller probably sent a request that is accepted now.
 
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 from dalehollow.aio import ConnectError, connect
-from dalehollow.clock import read_clock
 from dalehollow.crashes import Fingerprint, Suspects
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.crashes import CrashWatch
@@ -58,6 +57,10 @@
     pass
 
 
+def _read_loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 @dataclass
 class GatewayState:
     """Hold the active configuration, the upstreams and the state of each service."""
@@ -70,7 +73,7 @@
     crashes: CrashWatch
     # Start time of the process; the default gives the full retry budget immediately.
     started_at_s: float = float("-inf")
-    standstills: StandstillWatch = field(default_factory=lambda: StandstillWatch(read_clock))
+    standstills: StandstillWatch = field(default_factory=lambda: StandstillWatch(_read_loop_time))
     health: GroupHealth = field(default_factory=GroupHealth)
     metrics: Metrics = field(default_factory=Metrics)
     table: RoutingTable | None = None
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -117,7 +117,7 @@
         self._result = FleetResult(size=size)
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = itertools.count()
-        self._now_s = -INITIAL_UPTIME_S
+        self._now_s = 0.0
         for _ in range(size.gateways):
             self._states.append(self._make_state(-INITIAL_UPTIME_S))
         self._update_gateway_counts(0.0)
@@ -173,6 +173,8 @@
         limits = RetryLimits(WINDOW_S, SHARE, self._size.extra, GATEWAYS_EXPECTED)
         crashes = CrashWatch(lambda: 0.0, Suspects(lambda: 0.0))
         upstreams = UpstreamSet(self._rng, "hall")
+        standstills = StandstillWatch(lambda: self._now_s)
+        standstills.start()
         return GatewayState(
             HEADERS,
             self._rng,
@@ -181,7 +183,7 @@
             1.0,
             crashes,
             started_at_s=started_at_s,
-            standstills=StandstillWatch(lambda: self._now_s),
+            standstills=standstills,
         )
 
     def _restart(self, at_s: float, numbers: Sequence[int]) -> None:
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.watch = StandstillWatch(self.clock)
+        self.watch.start()
 
     def run_for(self, duration_s: float) -> None:
         for _ in range(round(duration_s / CHECK_INTERVAL_S)):
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
+import msgspec
 import pytest
 
 from dalehollow.aio import ClientConnection, ConnectError
@@ -21,6 +22,7 @@
 from dalehollow.gateway.listed import Member
 from dalehollow.groups.duty import PlannerLease
 from dalehollow.platform.session import Session
+from dalehollow.protocol.reports import LoadReport, StoreView, TokenGrant
 from standins.metadata import MetadataStandIn
 from standins.platform import listen
 from tests.fake_keyvalue import FakeKeyValue
@@ -150,3 +152,28 @@
         assert is_ejected is not is_suspended
 
     run_bench(scenario)
+
+
+def test_messages_read_after_a_suspension_are_as_old_as_it() -> None:
+    """Guards against using tokens, and trusting reports, that waited through a suspension."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await bench.apply(make_config())
+        await bench.add_server("s0")
+        gateway, clock = bench.gateway, asyncio.get_running_loop().time
+        await bench.wait_until(lambda: gateway._feed.relay_state() is not None)
+        (upstream,) = gateway.state.upstreams
+        gateway.state.upstreams.record_limit(upstream, 1.0, clock())
+        view = StoreView(revision=0, answer_age_s=0.1, unbroken_s=0.0, era_heard_s=0.0)
+        with suspended():
+            for message in (
+                LoadReport("gw-2", {}, {}, {}, {"s0": (4, 0.1)}, view=view),
+                TokenGrant({"s0": 1}),
+            ):
+                data = msgspec.msgpack.encode(message)
+                gateway._reports.datagram_received(data, ("127.0.0.1", 9))
+            assert not gateway._tokens.may_send("s0")
+            assert gateway._feed.contact.answer_age_s() >= SUSPENDED_S - 1.0
+            assert upstream.load(clock()) == 0.0
+
+    run_bench(scenario)
