Move the pause of an answer to its progress, and forward a limit only on change

No change of behaviour but one: a limit that is reported again without a change no longer wakes the task that asks for tokens, as before the runs of an upstream were told apart.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -10,7 +10,12 @@
 from dalehollow.crashes import Fingerprint
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway import bodies, outcome
-from dalehollow.gateway.admission import CRASHES_UPSTREAMS, AdmissionRefusal, AdmissionRequest
+from dalehollow.gateway.admission import (
+    CRASHES_UPSTREAMS,
+    Admission,
+    AdmissionRefusal,
+    AdmissionRequest,
+)
 from dalehollow.gateway.admit import Job, Refusal, admit
 from dalehollow.gateway.attempt import Answered, AttemptResult, MayHaveRun, NotRun, send_attempt
 from dalehollow.gateway.headers import HOP_HEADERS
@@ -93,9 +98,7 @@
                 return self._give_up(CRASHES_UPSTREAMS, refused_s)
             if not self._count_attempt():
                 admission.release(granted)
-                return self._give_up(
-                    "no_try_left", admission.suggest_retry_after_s(self._make_admission_request())
-                )
+                return self._give_up_retry(admission)
             self._record_chosen(granted)
             self._state.on_change()
             try:
@@ -110,9 +113,7 @@
             if refused_s := self._refused_s():
                 return self._give_up(CRASHES_UPSTREAMS, refused_s)
             if self._retry_taken_at_s is None and not self._take_retry():
-                return self._give_up(
-                    "no_try_left", admission.suggest_retry_after_s(self._make_admission_request())
-                )
+                return self._give_up_retry(admission)
 
     def _refused_s(self) -> float:
         """Return how long the request is refused by now, 0 if it is not or is itself the probe.
@@ -329,7 +330,7 @@
             # The length of this body is not passed on: a resumed stream continues in another body.
             self._caller.begin_stream(head.status, _end_to_end_headers(head))
         pass_times = self._state.pass_times_of(upstream.listed)
-        last_s = last_running_s = None
+        last: tuple[float, float] | None = None
         while (piece := await connection.read_piece()) is not None:
             events = splitter.feed(piece)
             if events:
@@ -337,13 +338,13 @@
                     self._state.unanswered.pop(move, None)
                     self._begun = self._state.suspects.record_begun(self._job.fingerprints)
                 now_s, running_s = self._clock(), self._running_clock()
-                if last_s is not None and last_running_s is not None:
-                    pass_times.record_pause(running_s - last_running_s)
-                    self._record_pause(now_s - last_s)
+                if last is not None:
+                    self._progress.record_pause(now_s - last[0])
+                    pass_times.record_pause(running_s - last[1])
                 elif not self._progress.first_piece_at_s:
                     outcome.record_first_piece(self._state, self._job, self._progress)
                     self._record_answer_latency()
-                last_s, last_running_s = now_s, running_s
+                last = now_s, running_s
             await self._caller.send_piece(events)
         bodies.check_stream_end(head, splitter)
         self._record_answer_end(is_complete=True)
@@ -354,9 +355,6 @@
         latency_s = self._running_clock() - self._sent_running_s
         self._state.admission(self._job.service).record_answer_latency(latency_s)
 
-    def _record_pause(self, pause_s: float) -> None:
-        self._progress.longest_pause_s = max(self._progress.longest_pause_s, pause_s)
-
     def _take_retry(self, *, is_answered: bool = False) -> bool:
         """Return whether a retry is allowed; if so, take it from the retry budget."""
         job, progress = self._job, self._progress
@@ -372,6 +370,11 @@
         self._retry_taken_at_s = self._state.take_retry(job.service, job.request_id)
         return self._retry_taken_at_s is not None
 
+    def _give_up_retry(self, admission: Admission) -> None:
+        """End the request because another attempt is not allowed."""
+        retry_after_s = admission.suggest_retry_after_s(self._make_admission_request())
+        self._give_up("no_try_left", retry_after_s)
+
     def _give_up(self, reason: str, retry_after_s: float) -> None:
         """End the request with an error response, or cut off an answer that has begun."""
         state, caller, job, progress = self._state, self._caller, self._job, self._progress
--- a/dalehollow/gateway/outcome.py
+++ b/dalehollow/gateway/outcome.py
@@ -49,6 +49,10 @@
     longest_pause_s: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
+    def record_pause(self, pause_s: float) -> None:
+        """Record a pause between two pieces of the answer."""
+        self.longest_pause_s = max(self.longest_pause_s, pause_s)
+
 
 def refuse(
     state: GatewayState, caller: CallerConnection, request: CallerRequest, refusal: Refusal
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -192,17 +192,19 @@
 
     def record_limit(self, upstream: Upstream, limit_per_s: float | None, at_s: float) -> None:
         """Record the rate limit set by an answer, None if the answer sets none."""
-        state = upstream.reported_state
-        if limit_per_s != upstream.limit_per_s():
-            log_event(
-                _LOG,
-                "upstream_limit",
-                incarnation=upstream.listed.incarnation,
-                run=upstream.run_name,
-                limit_per_s=limit_per_s,
-            )
+        state, incarnation = upstream.reported_state, upstream.listed.incarnation
+        is_changed = limit_per_s != upstream.limit_per_s()
         state.limit_per_s, state.limit_reported_at_s = limit_per_s, at_s
-        known = self._known.get(upstream.listed.incarnation)
+        if not is_changed:
+            return
+        log_event(
+            _LOG,
+            "upstream_limit",
+            incarnation=incarnation,
+            run=upstream.run_name,
+            limit_per_s=limit_per_s,
+        )
+        known = self._known.get(incarnation)
         if known is not None:
             self._forward_limit(known)
 
