Let the soak list restarts late, and suspend gateways in series while callers wait

New faults: a restarted server says in its answers that it leaves, and is listed as ready seconds later; callers that send at a fixed rate and wait. Two chains of late restarts, and one of suspensions in series with a retry window of 1 s and a share of 0.2.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,21 +24,26 @@
     CONNECTION_DEFECTS,
     DEFECTS,
     PROPAGATION_DEFECTS,
+    RESTART_DEFECTS,
     RETRY_DEFECTS,
     SIGNAL_DEFECTS,
     STREAM_DEFECTS,
+    SUSPENSION_DEFECTS,
 )
 from soak.faults import (
     CONNECTION_CHAINS,
     PROPAGATION_CHAINS,
+    RESTART_CHAINS,
     RETRY_CHAINS,
     SIGNAL_CHAINS,
     STREAM_CHAINS,
+    SUSPENSION_CHAINS,
+    SUSPENSION_RETRY_LIMITS,
     Fault,
     draw_faults,
     inject_fault,
 )
-from soak.promises import Violation, find_violations
+from soak.promises import RETRY_LIMITS, RetryLimits, RunHistory, Violation, find_violations
 from soak.signal_promises import check_signals
 from soak.world import GATEWAY_PROGRAM, Cluster
 
@@ -69,13 +74,14 @@
     run_duration_s: float = RUN_DURATION_S,
     faults: int | Sequence[Fault] = FAULT_COUNT,
     clients: int = CLIENT_COUNT,
+    retry_limits: RetryLimits = RETRY_LIMITS,
 ) -> RunResult:
     """Run one seed with the given number of random faults, or with the given faults."""
     rng = random.Random(seed)
     drawn_faults = (
         draw_faults(rng, run_duration_s, faults) if isinstance(faults, int) else list(faults)
     )
-    cluster = Cluster(rng, directory, program)
+    cluster = Cluster(rng, directory, program, RunHistory(retry_limits=retry_limits))
     try:
         await cluster.open(GATEWAY_COUNT, SERVER_COUNT)
         load_generator = LoadGenerator(cluster)
@@ -130,7 +136,13 @@
     """Run each named fault sequence; exit with status 1 if a guarantee was violated."""
     failed_runs = 0
     all_chains = (
-        PROPAGATION_CHAINS | SIGNAL_CHAINS | CONNECTION_CHAINS | STREAM_CHAINS | RETRY_CHAINS
+        PROPAGATION_CHAINS
+        | SIGNAL_CHAINS
+        | CONNECTION_CHAINS
+        | STREAM_CHAINS
+        | RETRY_CHAINS
+        | RESTART_CHAINS
+        | SUSPENSION_CHAINS
     )
     for name, faults in all_chains.items():
         print(name)
@@ -159,10 +171,13 @@
         (CONNECTION_DEFECTS, CONNECTION_CHAINS),
         (STREAM_DEFECTS, STREAM_CHAINS),
         (RETRY_DEFECTS, RETRY_CHAINS),
+        (RESTART_DEFECTS, RESTART_CHAINS),
+        (SUSPENSION_DEFECTS, SUSPENSION_CHAINS),
     ):
         if name in group:
             schedules = group_chains
-    checks_timing = name in PROPAGATION_DEFECTS | SIGNAL_DEFECTS | CONNECTION_DEFECTS
+    timed_defects = PROPAGATION_DEFECTS | SIGNAL_DEFECTS | CONNECTION_DEFECTS | RESTART_DEFECTS
+    checks_timing = name in timed_defects
     for seed in range(1, max_seeds + 1):
         for schedule, faults in schedules.items():
             if _run_and_report(seed, "", program, checks_timing, faults).violations:
@@ -178,10 +193,16 @@
     checks_timing: bool,
     faults: int | Sequence[Fault] = FAULT_COUNT,
 ) -> RunResult:
+    is_suspension = faults in SUSPENSION_CHAINS.values()
     with tempfile.TemporaryDirectory() as directory:
         result = asyncio.run(
             run_seed(
-                seed, Path(directory), checks_timing=checks_timing, program=program, faults=faults
+                seed,
+                Path(directory),
+                checks_timing=checks_timing,
+                program=program,
+                faults=faults,
+                retry_limits=SUSPENSION_RETRY_LIMITS if is_suspension else RETRY_LIMITS,
             )
         )
         if keep or (result.violations and program == GATEWAY_PROGRAM):
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -18,7 +18,9 @@
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.retries import RetryWindow
+from dalehollow.gateway.standstill import StandstillWatch
 from dalehollow.gateway.state import GatewayState
+from dalehollow.gateway.upstreams import UpstreamSet
 from dalehollow.platform import follow, servers
 from dalehollow.platform.store import StoreEra
 
@@ -128,6 +130,17 @@
     )
 
 
+def _count_backlog_at_once() -> None:
+    """Count requests that waited through a standstill when they are accepted."""
+    StandstillWatch.estimate_arrival_s = lambda watch, *args: watch._clock()  # type: ignore[method-assign]
+
+
+def _know_runs_by_the_list_alone() -> None:
+    """Take what answers before a restart is listed for the run before it."""
+    UpstreamSet.record_port_closed = lambda *args: None  # type: ignore[method-assign]
+    UpstreamSet.record_reported_end = lambda *args: None  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "false_refusals": _report_failures_as_not_run,
     "runs_twice": _mark_all_routes_repeatable,
@@ -144,6 +157,8 @@
     "own_tokens": _allocate_tokens_locally,
     "any_stream_end": _ignore_incomplete_events,
     "full_budget_at_start": _start_with_full_budget,
+    "backlog_at_once": _count_backlog_at_once,
+    "listed_runs_only": _know_runs_by_the_list_alone,
 }
 PROPAGATION_DEFECTS = frozenset({"history_in_a_hurry", "no_copies", "no_eras"})
 """Defects in the propagation of store changes, detected only by the timing checks."""
@@ -157,6 +172,10 @@
 """Defects that only streams which end too early can expose."""
 RETRY_DEFECTS = frozenset({"full_budget_at_start"})
 """Defects that only a large number of retries can expose."""
+SUSPENSION_DEFECTS = frozenset({"backlog_at_once"})
+"""Defects that only a backlog of callers' requests can expose."""
+RESTART_DEFECTS = frozenset({"listed_runs_only"})
+"""Defects that only a restart listed late can expose."""
 
 
 if __name__ == "__main__":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from soak.callers import LoadGenerator
 from soak.connection_promises import NEW_CONNECTION_ID
 from soak.peers import DATAGRAM_LOSS_SHARE
-from soak.promises import CRASHING_ID, CRASHING_PART_ID
+from soak.promises import CRASHING_ID, CRASHING_PART_ID, RetryLimits
 from soak.proxy import Mode
 from soak.world import CRASHING_BODY, CRASHING_PART, Cluster, Gateway
 from standins.server import ResponseMode
@@ -52,6 +52,10 @@
 CRASHING_INTERVAL_S = 0.25
 CRASHING_PART_INTERVAL_S = 0.1
 NEW_CONNECTION_INTERVAL_S = 0.015
+WAITING_CALLER_INTERVAL_S = 0.02
+SERVING_AFTER_RESTART_S = 1.0
+LISTED_AFTER_S = 5.0
+"""Delay from a server's restart until it is listed; gateways must act on its answers before."""
 EXTRA_CONNECTIONS_DURATION_S = 3.0
 """The connections outnumber a gateway's descriptors."""
 EXTRA_CRASHING_DURATION_S = 6.0
@@ -256,9 +260,37 @@
 async def _restart_server(cluster: Cluster, fault: Fault) -> None:
     """Restart a server under the same name."""
     name = _choose_server(cluster, fault)
-    cluster.proxies[name].set_mode(Mode.RESET)
+    cluster.proxies[name].close_port()
     await _record_fault_interval(cluster, name, fault)
-    cluster.restart_server(name)
+    await cluster.restart_server(name)
+
+
+async def _restart_server_listed_late(cluster: Cluster, fault: Fault) -> None:
+    """Restart a server that says it leaves in its answers and is listed as ready seconds later."""
+    name = _choose_server(cluster, fault)
+    if name in cluster.history.signalling_servers:
+        return
+    await cluster.add_server()
+    cluster.proxies[name].close_port()
+    await _record_fault_interval(cluster, name, fault)
+    restarted = asyncio.ensure_future(cluster.restart_server(name, listed_after_s=LISTED_AFTER_S))
+    await asyncio.sleep(SERVING_AFTER_RESTART_S)
+    await _send_signal_header(
+        cluster, name, "server-leaving", "1", LISTED_AFTER_S + DRAIN_DURATION_S
+    )
+    await restarted
+    await _remove_server(cluster, name)
+
+
+async def _send_from_waiting_callers(cluster: Cluster, fault: Fault) -> None:
+    """Send requests to all gateways at a fixed rate, whether or not they are answered."""
+    load_generator = LoadGenerator(cluster, id_prefix=f"waiting-{fault.at_s}-")
+    ends_at_s = cluster.now_s() + fault.duration_s
+    sent: list[asyncio.Task[None]] = []
+    while cluster.now_s() < ends_at_s:
+        sent.append(asyncio.ensure_future(_send_to_any(cluster, load_generator)))
+        await asyncio.sleep(WAITING_CALLER_INTERVAL_S)
+    await asyncio.gather(*sent)
 
 
 async def _restore_store(cluster: Cluster, fault: Fault) -> None:
@@ -277,10 +309,9 @@
 
 
 async def _send_signal_header(
-    cluster: Cluster, fault: Fault, name: str, value: str, duration_s: float
+    cluster: Cluster, server_name: str, name: str, value: str, duration_s: float
 ) -> None:
     """Have a server send a header in all its responses for `duration_s`."""
-    server_name = _choose_server(cluster, fault)
     if server_name in cluster.history.signalling_servers:
         return
     cluster.history.signalling_servers.add(server_name)
@@ -295,12 +326,14 @@
 
 
 async def _request_backoff(cluster: Cluster, fault: Fault) -> None:
-    await _send_signal_header(cluster, fault, "retry-after", RETRY_AFTER_S, fault.duration_s)
+    name = _choose_server(cluster, fault)
+    await _send_signal_header(cluster, name, "retry-after", RETRY_AFTER_S, fault.duration_s)
 
 
 async def _advertise_limit(cluster: Cluster, fault: Fault) -> None:
+    name = _choose_server(cluster, fault)
     await _send_signal_header(
-        cluster, fault, "server-limit", LIMIT_PER_S, fault.duration_s + EXTRA_LIMIT_DURATION_S
+        cluster, name, "server-limit", LIMIT_PER_S, fault.duration_s + EXTRA_LIMIT_DURATION_S
     )
 
 
@@ -309,7 +342,7 @@
     await cluster.add_server()
     name = _choose_server(cluster, fault)
     await _send_signal_header(
-        cluster, fault, "server-leaving", "1", fault.duration_s + DRAIN_DURATION_S
+        cluster, name, "server-leaving", "1", fault.duration_s + DRAIN_DURATION_S
     )
     await _remove_server(cluster, name)
 
@@ -382,6 +415,7 @@
     "replace server": _replace_server,
     "lose server": _remove_server_unannounced,
     "restart server": _restart_server,
+    "restart listed late": _restart_server_listed_late,
     "restore": _restore_store,
     "configuration": _change_configuration,
     "rest": _request_backoff,
@@ -390,6 +424,7 @@
     "crashing request": _send_crashing_request,
     "crashing part": _send_crashing_part,
     "new connections": _open_new_connections,
+    "waiting callers": _send_from_waiting_callers,
 }
 
 
@@ -516,6 +551,26 @@
 }
 """Fault sequences with streams that end too early; one server always answers as usual."""
 
+RESTART_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "a server whose restart is listed late": (Fault(1.0, 0.5, "restart listed late", 0),),
+    "servers whose restarts are listed late, in series": tuple(
+        Fault(0.5 + 1.5 * n, 0.5, "restart listed late", n) for n in range(3)
+    ),
+}
+"""Fault sequences in which the list tells of a restart later than the server's own answers."""
+
+SUSPENSION_CHAINS: dict[str, tuple[Fault, ...]] = {
+    "gateways suspended in series while callers wait": (
+        Fault(0.5, 12.0, "waiting callers", 0),
+        *(Fault(0.5, 12.0, "server", target) for target in range(4)),
+        *(Fault(3.0 + 0.2 * target, 3.5, "pause", target) for target in range(4)),
+        *(Fault(8.5 + 0.2 * target, 3.0, "pause", target) for target in range(4)),
+    ),
+}
+"""Fault sequences in which gateways resume with a backlog; run with `SUSPENSION_RETRY_LIMITS`."""
+SUSPENSION_RETRY_LIMITS = RetryLimits(window_s=1.0, share=0.2, extra=1.0)
+"""A window shorter than the time that callers wait."""
+
 RETRY_CHAINS: dict[str, tuple[Fault, ...]] = {
     "gateways killed in series while servers fail": (
         *(Fault(0.5, 9.0, "server", target) for target in range(4)),
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -26,10 +26,17 @@
 TIMING_MARGIN_S = 0.5
 """Added to time limits, because the test driver shares its machine with the gateways."""
 
-RETRY_WINDOW_S = 10.0
-RETRY_SHARE = 0.02
-RETRY_EXTRA = 24.0
-"""Per window, all gateways together may retry RETRY_SHARE of the requests plus RETRY_EXTRA."""
+
+@dataclass(frozen=True)
+class RetryLimits:
+    """Per window, all gateways together may retry a share of the requests plus an extra."""
+
+    window_s: float = 10.0
+    share: float = 0.02
+    extra: float = 24.0
+
+
+RETRY_LIMITS = RetryLimits()
 
 
 @dataclass(frozen=True)
@@ -86,6 +93,7 @@
     )
     planned_stops: list[tuple[str, int, float]] = field(default_factory=list)
     server_signals: list[ServerSignal] = field(default_factory=list)
+    retry_limits: RetryLimits = RETRY_LIMITS
     # Servers that send a signal header now; no second signal starts there.
     signalling_servers: set[str] = field(default_factory=set)
     # By the cause, as `find_crash_cause` tells it from a request's ID.
@@ -226,16 +234,17 @@
     The allowance uses the largest request count of that window, the one before it, and the one
     that starts half a window earlier.
     """
+    limits = history.retry_limits
     request_times_s = sorted(request.sent_at_s for request in history.requests)
     retry_times_s = sorted(_find_retry_times(history))
 
     def count_in_window(times_s: Sequence[float], start_s: float) -> int:
-        return bisect_left(times_s, start_s + RETRY_WINDOW_S) - bisect_left(times_s, start_s)
+        return bisect_left(times_s, start_s + limits.window_s) - bisect_left(times_s, start_s)
 
     def compute_allowed(start_s: float) -> float:
-        starts_s = (start_s - RETRY_WINDOW_S, start_s - RETRY_WINDOW_S / 2, start_s)
+        starts_s = (start_s - limits.window_s, start_s - limits.window_s / 2, start_s)
         most_requests = max(count_in_window(request_times_s, s) for s in starts_s)
-        return RETRY_SHARE * most_requests + RETRY_EXTRA
+        return limits.share * most_requests + limits.extra
 
     worst_start_s = max(
         retry_times_s,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -47,6 +47,19 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
+    def close_port(self) -> None:
+        """Refuse new connections and reset open ones, like a server that has crashed."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.set_mode(Mode.RESET)
+
+    async def reopen_port(self) -> None:
+        """Listen again on the same port."""
+        self.set_mode(Mode.PASS)
+        if self._server is None:
+            await self.open(int(self.address.rpartition(":")[2]))
+
     def set_mode(self, mode: Mode) -> None:
         """Set the fault mode of open and future connections."""
         self._mode = mode
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,16 +14,13 @@
 from dalehollow.aio import CallerConnection, CallerRequest
 from soak.peers import PeerNetwork, SoakStore
 from soak.promises import (
-    RETRY_EXTRA,
-    RETRY_SHARE,
-    RETRY_WINDOW_S,
     TRAP_SERVER,
     Arrival,
     RunHistory,
     ServerSignal,
     find_crash_cause,
 )
-from soak.proxy import Mode, Proxy
+from soak.proxy import Proxy
 from standins.platform import GatewayProcess, launch_gateway, listen
 from standins.server import CrashPoint, ResponseMode, ServerStandIn
 
@@ -192,9 +189,9 @@
             self.program,
             hall=gateway.hall,
             gateways_expected=len(self.gateways),
-            retry_window_ms=round(RETRY_WINDOW_S * 1000),
-            retry_share=RETRY_SHARE,
-            retry_extra=RETRY_EXTRA,
+            retry_window_ms=round(self.history.retry_limits.window_s * 1000),
+            retry_share=self.history.retry_limits.share,
+            retry_extra=self.history.retry_limits.extra,
             descriptor_limit=DESCRIPTOR_LIMIT,
         )
 
@@ -225,13 +222,18 @@
         cause = find_crash_cause(self.servers[name].crashed_by)
         self.history.crash_times_s[cause].append(now_s)
         self.history.fault_intervals[name].append((now_s, now_s + SERVER_RESTART_S))
-        self.proxies[name].set_mode(Mode.RESET)
-        asyncio.get_running_loop().call_later(SERVER_RESTART_S, self.restart_server, name)
+        self.proxies[name].close_port()
+        self._tasks.append(asyncio.ensure_future(self._restart_crashed_server(name)))
 
-    def restart_server(self, name: str) -> None:
-        """Restart a stopped server under the same name."""
-        self.proxies[name].set_mode(Mode.PASS)
+    async def _restart_crashed_server(self, name: str) -> None:
+        await asyncio.sleep(SERVER_RESTART_S)
+        await self.restart_server(name)
+
+    async def restart_server(self, name: str, *, listed_after_s: float = 0.0) -> None:
+        """Start a stopped server again under the same name, and list its start some time later."""
+        await self.proxies[name].reopen_port()
         self.born_ms[name] += 1
+        await asyncio.sleep(listed_after_s)
         if name not in self.history.leaving_at_s:
             self.write_entry(name, "ready")
 
