--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,7 @@
 NEW_CONNECTION_INTERVAL_S = 0.015
 WAITING_CALLER_INTERVAL_S = 0.02
 SERVING_AFTER_RESTART_S = 1.0
+"""Time in which a restarted server says nothing; signals right after a fault are not checked."""
 LISTED_AFTER_S = 5.0
 """Delay from a server's restart until it is listed; gateways must act on its answers before."""
 EXTRA_CONNECTIONS_DURATION_S = 3.0
--- a/tests/test_entry_restarts.py
+++ b/tests/test_entry_restarts.py
@@ -88,6 +88,7 @@
 @pytest.mark.parametrize("new_ms", [NEW_MS, SET_BACK_MS])
 @pytest.mark.parametrize("refusal", REFUSALS)
 def test_a_refusal_of_a_new_run_is_kept_at_its_first_heartbeat(refusal: str, new_ms: int) -> None:
+    """Guards against sending to a sidecar that refused requests since its restart."""
     sidecar = _start()
     sidecar.refuse(REFUSALS[refusal], new_ms)
     sidecar.beat(new_ms, is_leaving=refusal == "leaving")
@@ -96,6 +97,7 @@
 
 @pytest.mark.parametrize("refusal", REFUSALS)
 def test_a_late_refusal_of_the_ended_run_is_ignored(refusal: str) -> None:
+    """Guards against leaving out a restarted sidecar for a response that was still under way."""
     sidecar = _start()
     sidecar.refuse(REFUSALS[refusal], OLD_MS, after=lambda: sidecar.beat(NEW_MS))
     assert sidecar.is_usable()
@@ -111,6 +113,7 @@
 
 
 def test_a_new_run_ends_what_the_run_before_said() -> None:
+    """Guards against a sidecar that gets no requests after its restart."""
     for refusal in REFUSALS.values():
         sidecar = _start()
         sidecar.refuse(refusal, OLD_MS)
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -123,6 +123,8 @@
 def test_signals_of_a_new_run_are_kept_when_its_start_is_listed(
     signal: str, end: str, change: str
 ) -> None:
+    """Guards against sending requests to an upstream whose new run had refused or limited them."""
+
     async def scenario(upstream: _RestartedUpstream) -> None:
         await ENDS[end](upstream)
         await upstream.begin_next_run()
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -31,6 +31,7 @@
 
 
 def test_requests_of_a_running_process_did_not_wait() -> None:
+    """Guards against dating requests back while nothing delays them."""
     process = _Process()
     process.run_for(3.0)
     process.stand_still(MIN_STANDSTILL_S - 0.01)
@@ -52,6 +53,7 @@
 
 
 def test_later_requests_did_not_wait() -> None:
+    """Guards against dating requests back after the backlog of a standstill is accepted."""
     process = _Process()
     process.stand_still()
     process.watch.check()
@@ -70,6 +72,7 @@
 
 
 def test_a_process_that_is_always_late_does_not_remember_its_first_standstill() -> None:
+    """Guards against a backlog that never ends on a VM without enough processor time."""
     process = _Process()
     for _ in range(20):
         began_at_s = process.stand_still(0.7)
@@ -78,6 +81,7 @@
 
 
 def test_estimated_arrivals_are_spread_over_the_standstill_or_the_callers_timeout() -> None:
+    """Guards against estimates that gather in one part of a standstill."""
     for timeout_s in (4.0, 60.0):
         process = _Process()
         process.stand_still()
