--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -361,3 +361,24 @@
     gateways.first.record_untracked("s0", 4, seen_at_s)
     (upstream,) = gateways.first
     assert upstream.load(gateways.clock.now_s) == 0.0
+
+
+def test_a_gateway_that_starts_after_a_run_ended_is_told_of_it() -> None:
+    """Guards against dropping what a new run says at a gateway that never found its port closed."""
+    gateways = _Gateways()
+    gateways.first.record_port_closed("s0")
+    gateways.clock.now_s += upstreams_module.ENDED_RUN_REPORTED_S + 1.0
+    gateways.second = _make_upstreams(gateways.clock)
+    _list(gateways.second, 1)
+    gateways.report(gateways.first, gateways.second)
+    assert [u.run_name for u in gateways.second] == ["s0@1+1"]
+
+
+def test_repeated_reports_of_one_ended_run_end_it_once() -> None:
+    """Guards against ending live runs while others report a start that is not listed here yet."""
+    gateways = _Gateways()
+    _list(gateways.first, 2)
+    gateways.first.record_port_closed("s0")
+    for _ in range(3):
+        gateways.report(gateways.first, gateways.second)
+    assert [u.run_name for u in gateways.second] == ["s0@1+1"]
