--- a/dalehollow/entry/attempt.py
+++ b/dalehollow/entry/attempt.py
@@ -83,7 +83,7 @@
 def _follow_run(
     view: UpstreamView, incarnation_ms: int | None, sent_at_s: float, now_s: float
 ) -> bool:
-    """Return whether a response counts for the sidecar's current run, as one without a run does."""
+    """Return whether a response is from the sidecar's current run, or names no run."""
     return incarnation_ms is None or view.follow_run(incarnation_ms, sent_at_s, now_s)
 
 
--- a/dalehollow/errors.py
+++ b/dalehollow/errors.py
@@ -74,7 +74,7 @@
 
     `backoff_ms` is the time in which the upstream is to receive no request of this priority or a
     lower one. `incarnation_ms` identifies the run of the sidecar that refused the request, None if
-    none did or if it does not tell.
+    it is unknown.
     """
 
     reason: Reason
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -55,8 +55,6 @@
 class ReportedState:
     """Hold the state that one run of an upstream reported in its answers."""
 
-    # Start of the run, or of the last listed run before it while it is not listed.
-    started_at_ms: int
     # End of the backoff requested from this gateway.
     backoff_until_s: float = _NEVER_S
     is_leaving: bool = False
@@ -193,7 +191,7 @@
         earlier = [run for run in self.list_runs() if run._affects_selection(now_s)]
         return Upstream(
             self.listed,
-            ReportedState(self.listed.started_at_ms),
+            ReportedState(),
             others_in_flight=self.others_in_flight,
             untracked=self.untracked,
             untracked_at_s=self.untracked_at_s,
@@ -206,7 +204,6 @@
     def confirm_run(self, listed: ListedUpstream) -> None:
         """Use the list entry of a run that was detected before it was listed."""
         self.listed = listed
-        self.reported_state.started_at_ms = listed.started_at_ms
         self.unlisted_runs, self.earlier_runs = 0, []
         if self.reached_at_s is None:
             # It was ejected while nothing listened on its port.
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -423,7 +423,7 @@
 
 
 def _make_run(listed: ListedUpstream) -> Upstream:
-    return Upstream(listed, ReportedState(listed.started_at_ms))
+    return Upstream(listed, ReportedState())
 
 
 def _log_leaving(upstream: Upstream) -> None:
--- a/dalehollow/membership/view.py
+++ b/dalehollow/membership/view.py
@@ -46,7 +46,7 @@
         with self._lock:
             if incarnation_ms == self.incarnation_ms:
                 return True
-            # The clock of a VM may have been set back before the sidecar started again.
+            # An earlier start is a late reply of an ended run, unless the VM's clock was set back.
             if incarnation_ms < self.incarnation_ms and sent_at_s < self._run_heard_at_s:
                 return False
             self.incarnation_ms, self._run_heard_at_s = incarnation_ms, now_s
@@ -68,7 +68,7 @@
         self.is_silent = True
 
     def mark_leaving(self, is_leaving: bool, incarnation_ms: int) -> None:
-        """Record the leaving flag of the sidecar's run, which no run takes back."""
+        """Record the sidecar's leaving flag, which is not reset within one run."""
         self.follow_run(incarnation_ms, sent_at_s=float("inf"), now_s=self.reported_at_s)
         with self._lock:
             self.is_leaving = self.is_leaving or is_leaving
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -48,7 +48,7 @@
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
-    """Report a run whose end was detected before a later start was listed, and its age."""
+    """Report a run whose end was detected before a later start was listed, and how long ago."""
 
     run: Run
     age_s: float
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -25,7 +25,7 @@
 def _upstream(number: int = 0, **changes: object) -> Upstream:
     address = f"127.0.0.1:{number + 1}"
     listed = replace(FIRST, incarnation=f"s{number}", address=address, **changes)  # type: ignore[arg-type]
-    return Upstream(listed, ReportedState(listed.started_at_ms))
+    return Upstream(listed, ReportedState())
 
 
 def _restart(upstream: Upstream) -> ListedUpstream:
