Read durations in seconds where the platform gives them so

Cause: the deploy template scaled seconds to milliseconds by appending three zeros to the text of the number, so 7.5 became 7.5000, and any figure written with a fraction, 8.0 too, was refused. The same in budgetWindowS. Where no unit is changed, a heartbeat interval and a count written as 4200.0 were refused because only whole numbers without a fraction were read.

Evidence: the message names 7.5, not 7500; budgetWindowS 10.5 fails alike.

Checks are stricter elsewhere: infinite and NaN figures, both units at once and fractions of counts are errors. A reload reads the same way.

--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -10,6 +10,7 @@
 from dalehollow.settings_text import (
     check_address,
     check_choice,
+    check_number,
     parse_settings_text,
     read_settings_text,
 )
@@ -44,7 +45,7 @@
     gateways_expected: int = 12
     connect_timeout_ms: int = 150
     # Interval at which upstreams renew their entries in the list.
-    heartbeat_ms: int = 1_200
+    heartbeat_ms: float = 1_200
     # File descriptors that the process may use, 0 to rely on its resource limit.
     max_descriptors: int = 0
     # Bandwidth of this VM's link, and the byte rate of it for reports to other halls.
@@ -74,8 +75,8 @@
 
 def parse_gateway_settings(text: str) -> GatewaySettings:
     """Parse and validate settings; fields unknown to this release are ignored."""
-    raw = parse_settings_text(text, _find_mistakes)
-    return GatewaySettings(**{name: raw[name] for name in _fields() if name in raw})
+    values = parse_settings_text(text, _fields(), _find_mistakes)
+    return GatewaySettings(**{name: values[name] for name in _fields() if name in values})
 
 
 def read_unknown(path: str) -> list[str]:
@@ -85,7 +86,7 @@
 
 def list_unknown(text: str) -> list[str]:
     """Return the field names that this release does not know."""
-    return sorted(set(parse_settings_text(text, lambda raw: [])) - set(_fields()))
+    return sorted(set(parse_settings_text(text, _fields(), _find_mistakes)) - set(_fields()))
 
 
 def _fields() -> dict[str, dataclasses.Field[Any]]:
@@ -110,7 +111,5 @@
     if name in _ADDRESS_FIELDS:
         return check_address(name, value)
     if kind in ("int", "float"):
-        allowed = (int,) if kind == "int" else (int, float)
-        is_valid = isinstance(value, allowed) and not isinstance(value, bool) and value >= 0
-        return [] if is_valid else [f"{name!r} is {value!r}, must be a number from 0"]
+        return check_number(name, value, is_whole=kind == "int")
     return [] if isinstance(value, str) else [f"{name!r} is {value!r}, must be text"]
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -10,6 +10,7 @@
 from dalehollow.settings_text import (
     check_address,
     check_choice,
+    check_number,
     is_address,
     parse_settings_text,
     read_settings_text,
@@ -58,13 +59,17 @@
 
 def parse_settings(text: str) -> Settings:
     """Parse and validate settings; raise SettingsError with every error in them."""
-    raw = parse_settings_text(text, _find_mistakes)
+    raw = parse_settings_text(text, _fields(), _find_mistakes)
     values: dict[str, Any] = {k: tuple(v) if isinstance(v, list) else v for k, v in raw.items()}
     return Settings(**values)
 
 
+def _fields() -> dict[str, dataclasses.Field[Any]]:
+    return {f.name: f for f in dataclasses.fields(Settings)}
+
+
 def _find_mistakes(raw: Mapping[str, Any]) -> list[str]:
-    fields = {f.name: f for f in dataclasses.fields(Settings)}
+    fields = _fields()
     mistakes = [
         f"{name!r} is unknown; choices: {', '.join(fields)}" for name in raw if name not in fields
     ]
@@ -83,8 +88,7 @@
     if choices is not None:
         return check_choice(name, value, choices)
     if kind == "int":
-        is_valid = isinstance(value, int) and not isinstance(value, bool) and value >= 0
-        return [] if is_valid else [f"{name!r} is {value!r}, must be a whole number from 0"]
+        return check_number(name, value, is_whole=True)
     if name == "peers":
         is_list = isinstance(value, list) and all(is_address(v) for v in value)
         return [] if is_list else [f"{name!r} is {value!r}, must be a list of addresses"]
--- a/dalehollow/settings_text.py
+++ b/dalehollow/settings_text.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import re
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -11,7 +12,11 @@
 from dalehollow.jsonc import JsoncError, parse_jsonc
 
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+_MS_PER_S = 1000
+MAX_NUMBER = 2**53
+"""Largest number in settings: up to it, JSON numbers hold every whole number exactly."""
 
+Fields = Mapping[str, dataclasses.Field[Any]]
 FindMistakes = Callable[[Mapping[str, Any]], list[str]]
 
 
@@ -23,8 +28,13 @@
         raise SettingsError(f"settings file {path!r} cannot be read: {exc.strerror}") from exc
 
 
-def parse_settings_text(text: str, find_mistakes: FindMistakes) -> dict[str, Any]:
-    """Parse settings; raise SettingsError with every error that `find_mistakes` returns."""
+def parse_settings_text(text: str, fields: Fields, find_mistakes: FindMistakes) -> dict[str, Any]:
+    """Parse settings and convert their numbers to the units and types of the fields.
+
+    A duration in milliseconds may be given in seconds instead, which need not be whole:
+    `stop_grace_s` for `stop_grace_ms`. Raises SettingsError with every mistake, also those that
+    `find_mistakes` returns.
+    """
     try:
         raw, _ = parse_jsonc(text)
     except JsoncError as exc:
@@ -32,10 +42,43 @@
         raise SettingsError(message) from exc
     if not isinstance(raw, dict):
         raise SettingsError(f"settings are {raw!r}, must be an object")
-    mistakes = find_mistakes(raw)
+    values, mistakes = _convert_seconds(raw, fields)
+    mistakes += find_mistakes(values)
     if mistakes:
         raise SettingsError("; ".join(mistakes))
-    return raw
+    return {name: _convert_whole(value, fields.get(name)) for name, value in values.items()}
+
+
+def _convert_seconds(raw: Mapping[str, Any], fields: Fields) -> tuple[dict[str, Any], list[str]]:
+    """Return the settings with all durations in milliseconds, and error messages."""
+    values, mistakes = dict(raw), list[str]()
+    for name in fields:
+        name_in_s = name.removesuffix("_ms") + "_s"
+        if not name.endswith("_ms") or name_in_s not in raw:
+            continue
+        value_s = values.pop(name_in_s)
+        if name in raw:
+            mistakes.append(f"{name_in_s!r} and {name!r} are both given")
+        elif wrong := check_number(name_in_s, value_s):
+            mistakes += wrong
+        else:
+            values[name] = round(value_s * _MS_PER_S)
+    return values, mistakes
+
+
+def _convert_whole(value: Any, field: dataclasses.Field[Any] | None) -> Any:
+    """Return a whole number that is written with a fraction, such as 8.0, as an integer."""
+    is_whole = field is not None and field.type == "int"
+    return int(value) if is_whole else value
+
+
+def check_number(name: str, value: Any, *, is_whole: bool = False) -> list[str]:
+    """Return an error message if a value is not a number from 0, or not whole where it must be."""
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if is_number and 0 <= value <= MAX_NUMBER and (not is_whole or value == int(value)):
+        return []
+    kind = "whole number" if is_whole else "number"
+    return [f"{name!r} is {value!r}, must be a {kind} from 0 to {MAX_NUMBER}"]
 
 
 def check_choice(name: str, value: Any, choices: tuple[str, ...]) -> list[str]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -113,6 +113,9 @@
         ({"role": "boss"}, "'role' is 'boss', choices: entry, sidecar"),
         ({"leave_ms": -1}, "'leave_ms' is -1, must be a whole number from 0"),
         ({"leave_ms": True}, "'leave_ms' is True"),
+        ({"leave_ms": 0.5}, "'leave_ms' is 0.5, must be a whole number from 0"),
+        ({"leave_s": -1}, "'leave_s' is -1, must be a number from 0"),
+        ({"leave_s": 1, "leave_ms": 1000}, "'leave_s' and 'leave_ms' are both given"),
         ({"http": "localhost"}, "'http' is 'localhost', must be like 127.0.0.1:80"),
         ({"peers": ["x"]}, "must be a list of addresses"),
         ({"colour": 1}, "'colour' is unknown; choices: role"),
@@ -125,5 +128,11 @@
         parse_settings(json.dumps({**SETTINGS, **change}))
 
 
+def test_durations_may_be_given_in_seconds() -> None:
+    """Guards against entries and sidecars that do not start because a figure has a fraction."""
+    settings = parse_settings(json.dumps({**SETTINGS, "drain_timeout_s": 7.5, "leave_ms": 500.0}))
+    assert (settings.drain_timeout_ms, settings.leave_ms) == (7_500, 500)
+
+
 def test_settings_defaults() -> None:
     assert parse_settings("{role: 'entry', name: 'e', hall: 'h'} // fine").beat_interval_ms == 500
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -25,6 +25,7 @@
 from dalehollow.platform.operator import decode_config
 from dalehollow.platform.servers import decode_upstream
 from tests.gateway_bench import HOST, make_config
+from tests.platform_fields import fill_template
 
 SETTINGS = {
     "role": "gateway",
@@ -50,6 +51,15 @@
         ({"http": None}, "'http' is None"),
         ({"retry_share": -1}, "'retry_share' is -1"),
         ({"stop_grace_ms": 1.5}, "'stop_grace_ms' is 1.5"),
+        ({"stop_grace_ms": True}, "'stop_grace_ms' is True, must be a whole number from 0"),
+        ({"stop_grace_s": -0.5}, "'stop_grace_s' is -0.5, must be a number from 0"),
+        ({"stop_grace_s": "7.5"}, "'stop_grace_s' is '7.5', must be a number from 0"),
+        ({"stop_grace_s": None}, "'stop_grace_s' is None, must be a number from 0"),
+        ({"stop_grace_s": float("nan")}, "'stop_grace_s' is nan, must be a number from 0"),
+        ({"stop_grace_s": 1e300}, "'stop_grace_s' is 1e.300, must be a number from 0"),
+        ({"stop_grace_s": 8, "stop_grace_ms": 8000}, "'stop_grace_s' and 'stop_grace_ms' are both"),
+        ({"retry_extra": float("inf")}, "'retry_extra' is inf, must be a number from 0"),
+        ({"max_descriptors": 4200.5}, "'max_descriptors' is 4200.5, must be a whole number"),
         ({"log_level": "loud"}, "choices: debug, info"),
     ],
 )
@@ -90,6 +100,31 @@
     assert list_unknown(text) == []
 
 
+@pytest.mark.parametrize(
+    ("path", "figure", "field", "value"),
+    [
+        ("bounds.graceS", 7.5, "stop_grace_ms", 7_500),
+        ("bounds.graceS", 8.0, "stop_grace_ms", 8_000),
+        ("bounds.graceS", 7.0004, "stop_grace_ms", 7_000),
+        ("bounds.budgetWindowS", 10.25, "retry_window_ms", 10_250),
+        ("bounds.retryBudgetRatio", 1, "retry_share", 1),
+        ("bounds.budgetExtra", 90.5, "retry_extra", 90.5),
+        ("heartbeatMs", 1200.5, "heartbeat_ms", 1200.5),
+        ("limits.maxFds", 4200.0, "max_descriptors", 4_200),
+        ("limits.linkMbps", 1000, "link_mbps", 1_000),
+    ],
+)
+def test_gateway_starts_with_whole_and_fractional_figures_of_the_platform(
+    path: str, figure: float, field: str, value: float
+) -> None:
+    """Guards against gateways that do not start because a figure has a fraction."""
+    text = fill_template({path: figure})
+    settings = parse_gateway_settings(text)
+    assert getattr(settings, field) == value
+    assert isinstance(getattr(settings, field), type(value))
+    assert list_unknown(text) == []
+
+
 @pytest.mark.parametrize(
     ("path", "name"),
     [
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -117,6 +117,26 @@
     _run(tmp_path, scenario)
 
 
+def test_reload_and_start_accept_figures_with_a_fraction(tmp_path: Path) -> None:
+    """Guards against gateways that keep old settings, or do not start, for such a figure."""
+
+    async def scenario(
+        gateway: GatewayProcess, store: MetadataStandIn, servers: list[ServerStandIn]
+    ) -> None:
+        settings = json.loads(gateway.settings_path.read_text())
+        figures = {"stop_grace_s": 7.5, "retry_window_s": 10.5, "heartbeat_ms": 1200.5}
+        gateway.settings_path.write_text(json.dumps({**settings, **figures}))
+        gateway.process.send_signal(signal.SIGHUP)
+        line = await _await_log(gateway, "event=reload")
+        assert 'changed="stop_grace_ms,retry_window_ms,heartbeat_ms"' in line
+        checked = await _run_command("check-settings", str(gateway.settings_path))
+        assert json.loads(checked.stdout)["stop_grace_ms"] == 7500
+        async with start_gateway(settings["store"], "gw-2", tmp_path, **figures) as started:
+            await wait_until_ready(started)
+
+    _run(tmp_path, scenario)
+
+
 def test_killed_gateway_resets_the_stream_of_an_http_1_0_caller(tmp_path: Path) -> None:
     """Guards against a stream that ends with its connection and looks complete after a crash."""
 
