Accept fractions in the operator's configuration and in lifetimes of leases

A lease whose lifetime is told as 12000.0 failed to decode, so the gateway did not register.

These figures are measures, of which nothing says that they are whole; they are decoded as such now. Counts, versions, priorities and sizes in bytes stay whole numbers.

test_a_configuration_with_fractions_of_milliseconds_and_tokens_is_decoded failed before; the rows of test_a_configuration_with_a_figure_of_the_wrong_type_is_rejected passed before and after.

--- a/dalehollow/gateway/table.py
+++ b/dalehollow/gateway/table.py
@@ -32,9 +32,9 @@
     path_prefix: str
     kind: RequestKind
     targets: tuple[Target, ...]
-    timeout_ms: int
-    objective_ms: int
-    pause_objective_ms: int
+    timeout_ms: float
+    objective_ms: float
+    pause_objective_ms: float
     max_attempts: int
     priority: int
     is_public: bool
@@ -75,8 +75,8 @@
     per_1k_context_ms: float
     prefill_tokens_per_s: float
     steps_per_pass: int
-    typical_prompt_tokens: int
-    typical_answer_tokens: int
+    typical_prompt_tokens: float
+    typical_answer_tokens: float
     form_ms: float
     experts: ExpertFigures | None = None
 
@@ -110,8 +110,8 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
 
 
 @dataclass(frozen=True)
--- a/dalehollow/platform/operator.py
+++ b/dalehollow/platform/operator.py
@@ -34,20 +34,21 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: int
-    target_latency_ms: int = 0
+    timeout_ms: float
+    target_latency_ms: float = 0.0
     priority: int = _DEFAULT_PRIORITY
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: int = 0
+    gap_aim_ms: float = 0.0
     service: str = ""
     traffic_split: list[_Split] = msgspec.field(default_factory=list)
 
 
 class _Usual(msgspec.Struct):
-    prompt: int = 0
-    answer: int = 0
+    # Mean numbers of tokens.
+    prompt: float = 0.0
+    answer: float = 0.0
 
 
 class _Engine(msgspec.Struct):
@@ -79,8 +80,8 @@
 class _Limits(msgspec.Struct, rename="camel"):
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
 
 
 class _Account(msgspec.Struct, rename="camel"):
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -114,7 +114,7 @@
 
 class _Lease(msgspec.Struct):
     lease: int
-    ttl_ms: int = msgspec.field(name="ttlMs")
+    ttl_ms: float = msgspec.field(name="ttlMs")
 
 
 class Store:
