Start a gateway where the platform leaves out a figure

Null stays an error.

test_gateway_starts_without_figures_of_rules_that_are_not_in_force failed before.

--- a/tests/platform_fields.py
+++ b/tests/platform_fields.py
@@ -10,6 +10,7 @@
 
 _TEMPLATE = Path(__file__).parent.parent / "deploy" / "gateway.json5"
 _GAP = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+_SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 
 FIELDS: Mapping[str, Any] = {
     "nodeName": "gw",
@@ -25,14 +26,23 @@
 
 
 def fill_template(changes: Mapping[str, object]) -> str:
-    """Return the filled template; `changes` replaces fields by path, such as `bounds.graceS`."""
-    text = _TEMPLATE.read_text()
-    return _GAP.sub(lambda gap: _fill_gap(gap[1], gap[2] is not None, changes), text)
+    """Return the filled template; `changes` replaces fields by path, such as `bounds.graceS`.
 
+    A field that is changed to None is absent: its section is left out.
+    """
+    text = _SECTION.sub(
+        lambda section: "" if _find(section[1], changes) is None else section[2],
+        _TEMPLATE.read_text(),
+    )
+    return _GAP.sub(lambda gap: _fill_gap(_find(gap[1], changes), gap[2] is not None), text)
 
-def _fill_gap(path: str, is_json: bool, changes: Mapping[str, object]) -> str:
+
+def _find(path: str, changes: Mapping[str, object]) -> object:
     value: Any = FIELDS
     for name in path.split("."):
         value = value[int(name)] if isinstance(value, list) else value[name]
-    value = changes.get(path, value)
+    return changes.get(path, value)
+
+
+def _fill_gap(value: object, is_json: bool) -> str:
     return json.dumps(value) if is_json else str(value)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -17,7 +17,7 @@
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.pass_times import PassTimes
 from dalehollow.gateway.retries import RetryWindow
-from dalehollow.gateway.settings import list_unknown, parse_gateway_settings
+from dalehollow.gateway.settings import GatewaySettings, list_unknown, parse_gateway_settings
 from dalehollow.gateway.state import GatewayState, RetryLimits
 from dalehollow.gateway.table import RequestKind
 from dalehollow.gateway.upstreams import UpstreamSet
@@ -125,6 +125,16 @@
     assert list_unknown(text) == []
 
 
+def test_gateway_starts_without_figures_of_rules_that_are_not_in_force() -> None:
+    """Guards against gateways that do not start because the platform leaves out a figure."""
+    names = ("graceS", "budgetWindowS", "retryBudgetRatio", "budgetExtra")
+    settings = parse_gateway_settings(fill_template({f"bounds.{name}": None for name in names}))
+    assert settings.stop_grace_ms == GatewaySettings.stop_grace_ms
+    assert settings.retry_window_ms == GatewaySettings.retry_window_ms
+    assert settings.retry_share == GatewaySettings.retry_share
+    assert settings.retry_extra == GatewaySettings.retry_extra
+
+
 @pytest.mark.parametrize(
     ("path", "name"),
     [
