Settle a late hold by all ranks of the group, not by those that reported

What callers saw: answers of a group whose ranks computed with two maps.

Cause: a rank carried out a hold seconds late, for the pass at which a switch that all ranks had accepted was still to take effect, since the group was idle. The planner settled that hold by aborting the switch at the ranks whose reports it had, and released the hold; the one rank without a report stayed armed.

In the test the maps differ whether or not the silent rank accepts orders.

A planner completes its own switch now: it releases the late hold alone, and every rank, armed before, takes the new map. It does so only while it holds the duty and every report there is shows the rank armed for that switch. Anything else is aborted by all ranks of the map, and a hold is released only after each of them has confirmed that it cannot be armed any more. After an abort the active map is read again; until now the planner took the aborted map for the active one.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -17,8 +17,21 @@
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.place import ImprovedLayer, improve_layers, layer_loads, place_round_robin
-from dalehollow.groups.ranks import GroupMap, OrderReply, RankCounts, RankPort, StoredPlan
-from dalehollow.groups.switch import Proposal, SwitchOutcome, abort_unfinished_switch, switch_map
+from dalehollow.groups.ranks import (
+    GroupMap,
+    OrderReply,
+    RankCounts,
+    RankPort,
+    RankReport,
+    StoredPlan,
+)
+from dalehollow.groups.switch import (
+    Proposal,
+    SwitchOutcome,
+    abort_unfinished_switch,
+    complete_switch,
+    switch_map,
+)
 from dalehollow.telemetry.logs import log_event
 
 VERSIONS_PER_FENCE = 1_000_000
@@ -108,8 +121,8 @@
     _is_slower: bool = False
     _read_at_s: float = float("-inf")
     _has_unanswered_orders: bool = False
-    # Step at which the last switch takes effect; until then ranks refuse another map.
-    _switch_step: int = 0
+    # Last switch that all ranks accepted; until its step begins they refuse another map.
+    _switch: Proposal | None = None
     _paces: list[float] = field(default_factory=list)
     _stored_slow_ranks: tuple[int, ...] = ()
 
@@ -199,8 +212,9 @@
         if not read:
             return
         epoch = max(counts.epoch for counts in read.values())
-        if epoch == self._epoch and self._steps.is_standing_still and self.load() > 0:
-            await self._settle_holds(fence)
+        is_standing_still = self._steps.is_standing_still and self.load() > 0
+        if epoch == self._epoch and is_standing_still and not await self._settle_holds(fence):
+            return
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
             self._next_round_in_s = EPOCH_RETRY_S
@@ -222,16 +236,20 @@
             return
         is_new = self._window.add(read, self._relative_longest)
         self._is_slower = False
-        if not self._steps.has_begun(self._switch_step):
+        if not self._steps.has_begun(self._switch_step()):
             self._next_round_in_s = self._switch_wait_s()
         elif is_new:
             await self._improve(fence, self._window.demand)
         if not self._window.demand:
             self._next_round_in_s = WINDOW_S
 
+    def _switch_step(self) -> int:
+        """Return the step at which the last switch takes effect, 0 if there was none."""
+        return self._switch.step if self._switch is not None else 0
+
     def _switch_wait_s(self) -> float:
         """Return the expected time until the last switch takes effect, within bounds."""
-        return max(MIN_WAIT_S, min(MAX_WAIT_S, self._steps.wait_s(self._switch_step)))
+        return max(MIN_WAIT_S, min(MAX_WAIT_S, self._steps.wait_s(self._switch_step())))
 
     def _relative_longest(self, demand: Demand | list[list[float]]) -> float:
         """Return the load of the most loaded rank over the mean, averaged over the layers."""
@@ -240,19 +258,61 @@
         longest = [max(layer_loads(layer, wanted)) for layer, wanted in layers]
         return sum(longest) / len(longest)
 
-    async def _settle_holds(self, fence: int) -> None:
-        """Settle a hold that a rank applied late, after its planner had stopped waiting for it."""
+    async def _settle_holds(self, fence: int) -> bool:
+        """Settle a hold that a rank applied late, after its planner had stopped waiting for it.
+
+        A switch of this planner that the hold delays is completed. Anything else is aborted, and
+        the map is read again. If neither can be done, the duty is released; returns whether it is
+        kept.
+        """
         assert self.current is not None
         ranks = sorted(self.ranks())
-        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
-        known = {rank: r for rank, r in zip(ranks, reports, strict=True) if r is not None}
-        if not any(r.held_step for r in known.values()):
-            return
-        log_event(_LOG, "group_held", logging.WARNING, duty=self.duty, epoch=self._epoch)
-        if not await abort_unfinished_switch(
-            self.port, known, self.current, self._next_version(fence)
-        ):
+        reports = await self._read_reports(ranks)
+        if not any(r.held_step for r in reports.values()):
+            return True
+        is_own = self._is_switch_pending(reports, fence)
+        log_event(
+            _LOG,
+            "group_held",
+            logging.WARNING,
+            duty=self.duty,
+            epoch=self._epoch,
+            reports=len(reports),
+            ranks=len(ranks),
+            is_switch_pending=is_own,
+        )
+        if is_own:
+            assert self._switch is not None
+            is_settled = await complete_switch(self.port, reports, self._switch)
+        else:
+            is_settled = await abort_unfinished_switch(
+                self.port, reports, self.current, self._next_version(fence)
+            )
+            self._epoch = -1
+        if not is_settled:
             await self.duties.release_duty(self.duty, "hold could not be settled")
+        return is_settled
+
+    def _is_switch_pending(self, reports: Mapping[int, RankReport], fence: int) -> bool:
+        """Return whether the last switch is still to take effect, by all reports there are.
+
+        Without the duty, the hold may be a successor's, which aborts the switch.
+        """
+        switch = self._switch
+        return (
+            switch is not None
+            and self.duties.fence(self.duty) == fence
+            and all(
+                (r.epoch, r.armed_version, r.armed_step)
+                == (switch.epoch, switch.version, switch.step)
+                for r in reports.values()
+            )
+        )
+
+    async def _read_reports(self, ranks: list[int]) -> dict[int, RankReport]:
+        """Return the reports of the ranks that answer."""
+        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
+        return {rank: r for rank, r in zip(ranks, reports, strict=True) if r is not None}
 
     def _advance_window_s(self) -> float:
         """Return the time since the last read, and start the next window."""
@@ -274,8 +334,7 @@
     async def _begin_epoch(self, epoch: int, fence: int) -> bool:
         """Read the active map, and settle a switch that another planner left open."""
         ranks = sorted(self.ranks())
-        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
-        known = {rank: r for rank, r in zip(ranks, reports, strict=True) if r is not None}
+        known = await self._read_reports(ranks)
         if len(known) < len(ranks) or any(
             r.epoch != epoch or not r.is_open for r in known.values()
         ):
@@ -291,7 +350,7 @@
             return False
         if any(r.armed_version for r in known.values()):
             return False
-        self.current, self._epoch, self._switch_step = current, epoch, 0
+        self.current, self._epoch, self._switch = current, epoch, None
         log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
         return True
 
@@ -369,8 +428,8 @@
     async def _update_paces(self) -> None:
         """Read which ranks are slow regardless of the experts they hold."""
         ranks = sorted(self.ranks())
-        reports = await asyncio.gather(*(self.port.read_report(rank) for rank in ranks))
-        paces = [r.pace if r is not None else 1.0 for r in reports]
+        reports = await self._read_reports(ranks)
+        paces = [reports[rank].pace if rank in reports else 1.0 for rank in ranks]
         usual = self._paces or [1.0] * len(paces)
         if [p >= SLOW_PACE for p in paces] != [p >= SLOW_PACE for p in usual]:
             log_event(_LOG, "paces_changed", duty=self.duty, paces=",".join(map(str, paces)))
@@ -402,7 +461,7 @@
             )
             outcome = await switch_map(self.port, ranks, proposal)
             if outcome is SwitchOutcome.SWITCHED:
-                self._switch_step = proposal.step
+                self._switch = proposal
             if outcome is not SwitchOutcome.TOO_LATE:
                 return outcome
             counts = await self.port.read_counts(ranks[0])
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -12,8 +12,8 @@
 
 import asyncio
 import enum
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from dalehollow.groups.ranks import GroupMap, OrderReply, RankPort, RankReport
 
@@ -82,6 +82,23 @@
     return outcome
 
 
+async def complete_switch(
+    port: RankPort, reports: Mapping[int, RankReport], proposal: Proposal
+) -> bool:
+    """Release the holds that delay a switch whose arm all ranks accepted; return whether they are.
+
+    Ranks without a report are armed as well, since only the planner itself would disarm them.
+    """
+    holders = [rank for rank, r in reports.items() if r.held_step]
+    released = await asyncio.gather(
+        *(
+            _release(port, [rank], replace(proposal, step=reports[rank].held_step))
+            for rank in holders
+        )
+    )
+    return all(released)
+
+
 async def abort_unfinished_switch(
     port: RankPort, reports: dict[int, RankReport], current: GroupMap, next_version: int
 ) -> bool:
@@ -90,11 +107,13 @@
     The other planner may only be paused and may resume at any moment. The group is therefore first
     held on a rank that the other planner does not hold, so that its release does not end this hold.
     Then all ranks are disarmed and prepared with a newer version, so that none can be armed again.
+    That includes ranks without a report: a hold is released only after every rank has confirmed.
     """
+    ranks = range(len(current[0]))
     armed = [r for r in reports.values() if r.armed_version]
     holders = [rank for rank, r in reports.items() if r.held_step]
     if not armed and not holders:
-        return True
+        return len(reports) == len(ranks)
     epoch = max(r.epoch for r in reports.values())
     step = max([r.armed_step for r in armed] + [reports[rank].held_step for rank in holders])
     version = max((r.armed_version for r in armed), default=next_version - 1)
@@ -104,7 +123,7 @@
     own_holders, is_held, has_started = await _hold(port, free, proposal)
     if not is_held and not has_started:
         return False
-    if is_held and not await _disarm_all(port, sorted(reports), proposal, next_version):
+    if is_held and not await _disarm_all(port, ranks, proposal, next_version):
         return False
     return await _release(port, [*own_holders, *holders], proposal)
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -15,6 +15,7 @@
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
 from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.table import ExpertFigures
+from dalehollow.groups.place import place_round_robin
 from dalehollow.groups.ranks import OrderReply, RankCounts, RankReport, StoredPlan
 from tests.fake_ranks import FakeGroup
 
@@ -225,6 +226,63 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("is_reachable", [True, False])
+def test_late_hold_does_not_split_a_switch_when_a_report_is_missing(is_reachable: bool) -> None:
+    """Guards against passes with two maps after a hold is settled without one rank's report."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        silent_rank = RANKS - 1
+        read_report = group.read_report
+        switch_steps: list[int] = []
+
+        async def read_report_of_others(rank: int) -> RankReport | None:
+            return await read_report(rank) if rank != silent_rank else None
+
+        def apply_hold_late(name: str, rank: int) -> None:
+            armed = group.ranks[silent_rank].armed
+            if name == "release" and armed is not None and not switch_steps:
+                group.ranks[1].held = armed[1]
+                switch_steps.append(armed[1])
+                group.read_report = read_report_of_others  # type: ignore[method-assign]
+                if not is_reachable:
+                    group.choose_delivery = lambda name, rank: (
+                        "lost" if rank == silent_rank else "delivered"
+                    )
+
+        group.on_order = apply_hold_late
+        await _wait_until(lambda: bool(switch_steps) and group.step >= switch_steps[0])
+        assert len({rank.version for rank in group.ranks}) == 1
+        assert planner.current is not None
+        assert sum(0 in held for held in planner.current[0]) > 1
+
+    _run(scenario)
+
+
+def test_map_is_read_again_after_a_switch_was_aborted() -> None:
+    """Guards against plans that start from a map which no rank uses."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        initial = (place_round_robin(RANKS, EXPERTS),)
+        current_at_holds: list[object] = []
+        was_disarmed = False
+
+        def disarm_rank(name: str, rank: int) -> None:
+            nonlocal was_disarmed
+            if name == "release" and group.ranks[0].armed is not None and not was_disarmed:
+                group.ranks[1].held = group.ranks[0].armed[1]
+                group.ranks[0].armed, was_disarmed = None, True
+            elif name == "hold" and was_disarmed:
+                current_at_holds.append(planner.current)
+
+        group.on_order = disarm_rank
+        await _wait_until(lambda: planner.changes >= 2)
+        aborted, *planned = current_at_holds
+        assert aborted != initial
+        assert planned[0] == initial
+
+    _run(scenario)
+
+
 def test_planner_without_duty_sends_no_orders() -> None:
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         duties.held = None
--- a/tests/test_switch_map.py
+++ b/tests/test_switch_map.py
@@ -27,10 +27,13 @@
 
 
 def _run_random_switch(
-    seed: int, *, kill_at: int | None = None, planners: int = 4
+    seed: int, *, kill_at: int | None = None, planners: int = 4, lost_reports: float = 0.0
 ) -> tuple[FakeGroup, str]:
-    """Run a switch with random passes and late orders, followed by further planners."""
-    rng = random.Random(seed)
+    """Run a switch with random passes and late orders, followed by further planners.
+
+    `lost_reports` is the share of reports that the further planners do not get.
+    """
+    rng, report_rng = random.Random(seed), random.Random(seed)
     weights = {"delivered": rng.choice([1, 3, 6]), "lost": 1, "delayed": 1, "reply_lost": 1}
 
     def choose_delivery(name: str, rank: int) -> str:
@@ -67,7 +70,8 @@
         for fence in range(2, 2 + planners):
             for _ in range(rng.randint(0, 3)):
                 group.run_pass()
-            reports = {r: await group.read_report(r) for r in range(RANKS)}
+            known = [r for r in range(RANKS) if report_rng.random() >= lost_reports]
+            reports = {r: await group.read_report(r) for r in known}
             is_clean = await abort_unfinished_switch(group, reports, CURRENT, fence * 1_000_000)  # type: ignore[arg-type]
             if is_clean and not any(r.held for r in group.ranks):
                 break
@@ -93,6 +97,14 @@
             _run_random_switch(seed, kill_at=kill_at)
 
 
+@pytest.mark.parametrize("lost_reports", [0.2, 0.6])
+def test_successor_without_all_reports_never_splits_the_group(lost_reports: float) -> None:
+    """Guards against a hold that is released while a rank without a report is armed."""
+    for kill_at in range(1, 16):
+        for seed in range(RUNS // 15):
+            _run_random_switch(seed, kill_at=kill_at, lost_reports=lost_reports)
+
+
 def _run_paused_planner(seed: int) -> None:
     """Pause a planner at a random order while its successor cleans up, then resume it."""
     rng = random.Random(seed)
