Count upstreams that crash together as one incident

Cause: each run that crashed counted as one crash of what its requests share, also where one event made all of them crash. Nothing had been answered since the restart, so nothing cleared the part that all requests of the route begin with. More upstreams made it worse: twelve at once counted for a refusal of an hour.

Evidence: the record of the case; test_upstreams_that_crash_together_are_one_incident with 3 and with 12.

A crash belongs to an incident if it came within a second of its first crash and its request had been sent before that. After a single incident the refusal lasts 10 s, and one probe decides: if it is answered, the part is cleared everywhere, and if it crashes an upstream, that is the fourth crash, and the refusal is as long as before. What crashes upstreams one after the other is refused as before, since each of these crashes followed from sending it. Processes that never probe let the part through after the 10 s. Gateways tell each other, and the store, how long the requests had been in flight.

--- a/dalehollow/crashes/detector.py
+++ b/dalehollow/crashes/detector.py
@@ -27,14 +27,14 @@
     def record_broken(self, fingerprints: tuple[Fingerprint, ...], sent_at_s: float) -> None:
         """Record a request whose connection broke before its answer was complete."""
         if self._is_port_closed():
-            self._suspects.record_crash(self._name_crash(sent_at_s), fingerprints)
+            self._suspects.record_crash(self._name_crash(sent_at_s), fingerprints, sent_at_s)
 
     def record_complete(
         self, fingerprints: tuple[Fingerprint, ...], sent_at_s: float, *, is_framed: bool
     ) -> None:
         """Record an answer that is complete by its framing; a crash may have ended others."""
         if not is_framed and self._is_port_closed():
-            self._suspects.record_crash(self._name_crash(sent_at_s), fingerprints)
+            self._suspects.record_crash(self._name_crash(sent_at_s), fingerprints, sent_at_s)
         else:
             self._suspects.record_answered(fingerprints)
 
--- a/dalehollow/crashes/shared.py
+++ b/dalehollow/crashes/shared.py
@@ -16,13 +16,14 @@
 class SharedSuspects:
     """Give threads access to suspects one at a time.
 
-    Processes that use it probe no culprits: a suspicion ends after `SUSPICION_RETENTION_S`.
+    Processes that use it probe no culprits: a suspicion ends after `SUSPICION_RETENTION_S`, or with
+    its first refusal if there was a single incident.
     """
 
     def __init__(self) -> None:
         """Initialize without suspects."""
         self._lock = threading.Lock()
-        self._suspects = Suspects(read_clock, is_probe_turn=lambda name, since_s: False)
+        self._suspects = Suspects(read_clock, is_probe_turn=None)
 
     def refused_s(self, fingerprints: Sequence[Fingerprint]) -> float:
         """Return how long a request is refused, 0 if it is not."""
@@ -39,10 +40,14 @@
         with self._lock:
             self._suspects.record_answered(fingerprints)
 
-    def record_crash(self, crash: str, fingerprints: tuple[Fingerprint, ...]) -> None:
+    def record_crash(
+        self, crash: str, fingerprints: tuple[Fingerprint, ...], sent_at_s: float
+    ) -> None:
         """Record that a request was in flight when an upstream crashed."""
+        now_s = read_clock()
+        evidence = CrashEvidence(fingerprints, now_s, in_flight_s=now_s - sent_at_s)
         with self._lock:
-            self._suspects.record_crash(crash, [CrashEvidence(fingerprints, read_clock())])
+            self._suspects.record_crash(crash, [evidence])
 
     def merge_reported(self, reported: Mapping[Fingerprint, Suspicion]) -> None:
         """Merge the suspicions reported by a peer."""
--- a/dalehollow/crashes/stored.py
+++ b/dalehollow/crashes/stored.py
@@ -24,11 +24,13 @@
 class StoredCulprit:
     """Hold the crashes of a culprit by wall-clock time, and its companions in hexadecimal.
 
-    A record without crashes states that requests with the culprit have been answered since.
+    `in_flight_s` is as in `Suspicion`. A record without crashes states that requests with the
+    culprit have been answered since.
     """
 
     crashed_at_ms: Mapping[str, int]
     companions: tuple[str, ...] = ()
+    in_flight_s: tuple[float, ...] = ()
 
 
 @dataclass
@@ -64,7 +66,8 @@
             for crash, at_ms in record.crashed_at_ms.items()
         }
         companions = [bytes.fromhex(companion) for companion in record.companions]
-        self.suspects.merge_reported({fingerprint: Suspicion(ages_s, companions=companions)})
+        suspicion = Suspicion(ages_s, companions=companions, in_flight_s=list(record.in_flight_s))
+        self.suspects.merge_reported({fingerprint: suspicion})
 
     async def run(self) -> None:
         """Write what differs from the store; never returns."""
@@ -92,6 +95,7 @@
             record = StoredCulprit(
                 {c: now_ms - round(s * _MS_PER_S) for c, s in suspicion.crashes.items()},
                 tuple(companion.hex() for companion in suspicion.companions),
+                tuple(suspicion.in_flight_s),
             )
             if not _has_same_crashes(self._stored.get(name), record):
                 wanted[name] = record
--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -9,7 +9,9 @@
 explained by as few culprits as possible, because a sound part may be in flight at several crashes
 that another one caused. Fingerprints that only occurred together cannot be told apart, so requests
 are refused if they contain the culprit and all of its companions. A refusal grows with each further
-crash. After each period one probe is admitted to test whether it still crashes upstreams.
+crash. After each period one probe is admitted to test whether it still crashes upstreams. Upstreams
+that crash together may have a cause of their own, so the first refusal is short if there was a
+single incident.
 """
 
 from __future__ import annotations
@@ -53,11 +55,13 @@
     """Describe an attempt that broke when its upstream crashed.
 
     `begun` is what `Suspects.record_begun` returned, None if the upstream had not begun to answer.
+    `in_flight_s` is the time since the attempt was sent, 0 if unknown.
     """
 
     fingerprints: tuple[Fingerprint, ...]
     at_s: float
     begun: frozenset[Fingerprint] | None = None
+    in_flight_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -91,6 +95,10 @@
     return True
 
 
+def _probe_never(fingerprint: Fingerprint, since_s: float) -> bool:
+    return False
+
+
 class Suspects:
     """Track suspected fingerprints and rule on requests that contain them."""
 
@@ -99,13 +107,13 @@
         clock: Callable[[], float],
         on_change: Callable[[], None] = _do_nothing,
         on_culprit: Callable[[], None] = _do_nothing,
-        is_probe_turn: Callable[[Fingerprint, float], bool] = _probe_at_once,
+        is_probe_turn: Callable[[Fingerprint, float], bool] | None = _probe_at_once,
     ) -> None:
         """Initialize without suspects.
 
         `on_change` is called when what peers should know changes, and `on_culprit` when more
         requests are refused. `is_probe_turn` returns whether this process may probe a culprit,
-        given the time since its refusal ended.
+        given the time since its refusal ended; None for a process that never does.
         """
         self._clock = clock
         # Number of changes that peers should know.
@@ -131,7 +139,7 @@
             unanswered = [f for f in attempt.fingerprints if not self._is_known_good(f)]
             for name in attempt.fingerprints:
                 companions = [f for f in unanswered if f != name][:MAX_COMPANIONS]
-                self._add_crash(name, crash, attempt.at_s, companions)
+                self._add_crash(name, crash, attempt.at_s, companions, attempt.in_flight_s)
             for name in attempt.begun or ():
                 if name in self._suspects:
                     self._suspects[name].withstood -= 1
@@ -184,8 +192,12 @@
         if not culprits:
             return 0.0
         left_s = max(map(self._refusal_left_s, culprits))
+        if left_s > 0:
+            return left_s
+        if self._is_probe_turn is None and not any(map(self._is_repeated, culprits)):
+            return 0.0
         # Once the refusal has ended, requests are only admitted as probes.
-        return left_s if left_s > 0 else PROBE_TIMEOUT_S
+        return PROBE_TIMEOUT_S
 
     def check_request(self, fingerprints: Collection[Fingerprint]) -> Ruling:
         """Rule on a new request, which may be used as a probe."""
@@ -195,7 +207,8 @@
         left_s = max(map(self._refusal_left_s, culprits))
         if left_s > 0:
             return Ruling(left_s)
-        if not all(self._is_probe_turn(name, -self._refusal_left_s(name)) for name in culprits):
+        is_turn = self._is_probe_turn or _probe_never
+        if not all(is_turn(name, -self._refusal_left_s(name)) for name in culprits):
             return Ruling(PROBE_TIMEOUT_S)
         now_s = self._clock()
         for name in culprits:
@@ -249,16 +262,23 @@
             probed_at_s = decode_age(suspicion.probe_age_s, now_s)
             if probed_at_s > suspect.probed_at_s + MAX_REPORT_TRANSIT_S:
                 suspect.probed_at_s = probed_at_s
+            in_flight_s = dict(zip(suspicion.crashes, suspicion.in_flight_s, strict=False))
             for crash, age_s in suspicion.crashes.items():
                 at_s, known = now_s - age_s, suspect.crashes.items()
                 if not any(_is_renamed_crash(crash, at_s, *other) for other in known):
-                    self._add_crash(name, crash, at_s, suspicion.companions)
+                    companions = suspicion.companions
+                    self._add_crash(name, crash, at_s, companions, in_flight_s.get(crash, 0.0))
         if reported:
             self._discard_expired(now_s)
             self._update()
 
     def _add_crash(
-        self, name: Fingerprint, crash: str, at_s: float, companions: Collection[Fingerprint]
+        self,
+        name: Fingerprint,
+        crash: str,
+        at_s: float,
+        companions: Collection[Fingerprint],
+        in_flight_s: float,
     ) -> None:
         """Add a crash to a suspect, unless it is known or an answer excludes it."""
         suspect = self._suspects.setdefault(name, Suspect())
@@ -268,6 +288,7 @@
             self._clear(name, self._clock(), "earlier_answer")
             return
         suspect.intersect_companions(companions)
+        suspect.in_flight_s[crash] = max(in_flight_s, suspect.in_flight_s.get(crash, 0.0))
         if crash in suspect.crashes:
             return
         suspect.crashes[crash] = at_s
@@ -379,6 +400,10 @@
         """Return for how long this process refuses requests with a culprit."""
         return self._culprits[name].refused_until_s() - self._clock()
 
+    def _is_repeated(self, name: Fingerprint) -> bool:
+        """Return whether upstreams crashed in more than one incident."""
+        return self._culprits[name].count_incidents() > 1
+
     def _is_known_good(self, name: Fingerprint) -> bool:
         return self._clock() - self._last_answered_s(name) < KNOWN_GOOD_S
 
--- a/dalehollow/gateway/crashes.py
+++ b/dalehollow/gateway/crashes.py
@@ -35,6 +35,7 @@
     at_s: float
     events: int
     begun: frozenset[Fingerprint] | None
+    in_flight_s: float
     is_reported: bool = False
 
 
@@ -56,17 +57,19 @@
         *,
         events: int = 0,
         begun: frozenset[Fingerprint] | None = None,
+        in_flight_s: float = 0.0,
     ) -> None:
         """Record an attempt that ended without a complete answer, unless the upstream is leaving.
 
-        `events` were received from this upstream; `begun` is described in `CrashEvidence`.
+        `events` were received from this upstream; the rest is described in `CrashEvidence`.
         """
         if upstream.is_leaving():
             return
         now_s = self._clock()
         while self._broken_attempts and now_s - self._broken_attempts[0].at_s > RESTART_S:
             self._broken_attempts.popleft()
-        self._broken_attempts.append(_BrokenAttempt(job, upstream, now_s, events, begun))
+        broken = _BrokenAttempt(job, upstream, now_s, events, begun, in_flight_s)
+        self._broken_attempts.append(broken)
         newest = self._starts.get(upstream.listed.address)
         if (
             newest is not None
@@ -101,7 +104,9 @@
         for attempt in at_crash:
             attempt.is_reported = True
             _log_broken_at_crash(attempt, crash, detected_by)
-        evidence = [CrashEvidence(a.job.fingerprints, a.at_s, a.begun) for a in at_crash]
+        evidence = [
+            CrashEvidence(a.job.fingerprints, a.at_s, a.begun, a.in_flight_s) for a in at_crash
+        ]
         self.suspects.record_crash(crash, evidence)
 
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -213,7 +213,11 @@
     def _record_broken_attempt(self, upstream: Upstream) -> None:
         events = self._progress.splitter.count - self._events_before
         self._state.crashes.record_broken_attempt(
-            self._job, upstream, events=events, begun=self._begun
+            self._job,
+            upstream,
+            events=events,
+            begun=self._begun,
+            in_flight_s=self._clock() - self._sent_at_s,
         )
 
     async def _relay_or_drop(self, upstream: Upstream, answered: Answered, move: Move) -> bool:
--- a/dalehollow/protocol/reports.py
+++ b/dalehollow/protocol/reports.py
@@ -69,12 +69,14 @@
     """Report how long ago requests with a fingerprint crashed upstreams, were answered and probed.
 
     `companions` are other fingerprints without an answer that all of these requests contained.
+    `in_flight_s` is the time for which a request had been in flight, in the order of the crashes.
     """
 
     crashes: dict[str, float]
     cleared_age_s: float | None = None
     probe_age_s: float | None = None
     companions: list[bytes] = []
+    in_flight_s: list[float] = []
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="l"):
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import itertools
 
 from dalehollow.crashes import make_fingerprints
+from dalehollow.crashes.suspect import INCIDENT_REFUSAL_S
+from dalehollow.gateway.process import Gateway
 from standins.server import CrashPoint
 from tests.crash_world import CRASHING, SHARED_BY_ALL, UPSTREAMS, CrashWorld, run_crash_world
 
@@ -52,6 +55,33 @@
     run_crash_world(scenario, crash_point=CrashPoint.AFTER_EVENT_IN_ORDER)
 
 
+def test_upstreams_that_crash_at_once_refuse_their_route_for_seconds_only() -> None:
+    """Guards against refusing all requests of a route for a minute after one incident."""
+
+    async def scenario(world: CrashWorld) -> None:
+        for upstream in world.upstreams:
+            upstream.server.response_delay_s = 60.0
+        requests = asyncio.gather(
+            *(world.send(world.gateways[n % 2], (SHARED_BY_ALL,), "/pay/1") for n in range(6))
+        )
+        servers = [upstream.server for upstream in world.upstreams]
+        await world.bench.wait_until(lambda: all(server.runs for server in servers))
+        for server in servers:
+            server.crash()
+        await requests
+        await world.restart_upstreams()
+        (fingerprint,) = _find_culprits(world.gateways[0])
+        for gateway in world.gateways:
+            await world.bench.wait_until(lambda g=gateway: _find_culprits(g) == {fingerprint})
+            assert 0 < gateway.state.suspects.refused_s([fingerprint]) <= INCIDENT_REFUSAL_S
+
+    run_crash_world(scenario, gateways=2, upstreams=3)
+
+
+def _find_culprits(gateway: Gateway) -> set[bytes]:
+    return set(gateway.state.suspects.export_culprits())
+
+
 def test_the_position_of_a_crashing_part_does_not_matter() -> None:
     """Guards against looking at the first part only, or at the last one."""
     for parts in ((CRASHING,), (CRASHING, SHARED_BY_ALL), (SHARED_BY_ALL, CRASHING)):
--- a/tests/test_stored_culprits.py
+++ b/tests/test_stored_culprits.py
@@ -6,6 +6,7 @@
 
 from dalehollow.crashes import CrashEvidence, CulpritRecords, StoredCulprit, Suspects
 from dalehollow.crashes import stored as stored_module
+from dalehollow.crashes.suspect import INCIDENT_REFUSAL_S
 from tests.manual_clock import ManualClock
 
 CRASHING = b"crashing"
@@ -64,6 +65,19 @@
     assert 0 < started.refused_s() <= gateways[0].refused_s()
 
 
+def test_a_gateway_that_starts_knows_of_a_single_incident() -> None:
+    """Guards against a long refusal after one incident by gateways that read it from the store."""
+    clock, store = ManualClock(), dict[str, StoredCulprit]()
+    first = _Gateway(clock, store)
+    for number in range(3):
+        evidence = CrashEvidence((CRASHING,), clock.now_s, in_flight_s=0.5)
+        first.suspects.record_crash(f"s{number}", [evidence])
+    first.check()
+    started = _Gateway(clock, store)
+    started.read_store()
+    assert started.refused_s() == INCIDENT_REFUSAL_S
+
+
 def test_the_next_gateway_writes_if_the_first_cannot() -> None:
     clock, store = ManualClock(), dict[str, StoredCulprit]()
     first, second = _Gateway(clock, store), _Gateway(clock, store, turn=1)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,6 +4,9 @@
 
 import itertools
 from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
 
 from dalehollow.crashes import CrashEvidence, Suspects
 from dalehollow.crashes import suspect as suspect_module
@@ -26,6 +29,13 @@
         self._numbers = itertools.count()
         self._crashes = itertools.count()
 
+    def crash_together(self, count: int, *requests: tuple[bytes, ...], in_flight_s: float) -> None:
+        """Crash upstreams at one moment, each with requests that were sent some time before."""
+        self.clock.now_s += 2.0
+        for _ in range(count):
+            evidence = [replace(self.make_evidence(r), in_flight_s=in_flight_s) for r in requests]
+            self.suspects.record_crash(f"s{next(self._crashes)}", evidence)
+
     def crash(self, *requests: tuple[bytes, ...], name: str = "") -> None:
         """Crash an upstream while requests with these parts are in flight, none of them alike."""
         self.clock.now_s += 2.0
@@ -81,6 +91,71 @@
     assert bench.is_refused(CRASHING)
 
 
+@pytest.mark.parametrize("count", [3, 12])
+def test_upstreams_that_crash_together_are_one_incident(count: int) -> None:
+    """Guards against refusing a whole route for a minute after one incident."""
+    bench = _Bench()
+    bench.crash_together(count, (SHARED_BY_ALL,), in_flight_s=0.5)
+    assert bench.suspects.refused_s((SHARED_BY_ALL,)) == suspect_module.INCIDENT_REFUSAL_S
+    bench.clock.now_s += suspect_module.INCIDENT_REFUSAL_S + 0.1
+    assert bench.suspects.check_request((SHARED_BY_ALL,)).is_probe
+    bench.suspects.record_answered((SHARED_BY_ALL,))
+    assert not bench.is_refused(SHARED_BY_ALL)
+
+
+def test_a_probe_that_crashes_an_upstream_is_a_second_incident() -> None:
+    """Guards against a second probe soon after one that showed what crashes upstreams."""
+    bench = _Bench()
+    bench.crash_together(12, (CRASHING,), in_flight_s=0.5)
+    bench.clock.now_s += suspect_module.INCIDENT_REFUSAL_S
+    bench.crash_together(1, (CRASHING,), in_flight_s=0.5)
+    expected_s = suspect_module.REFUSAL_S * suspect_module.REFUSAL_FACTOR
+    assert bench.suspects.refused_s((CRASHING,)) == expected_s
+
+
+def test_crashes_after_a_request_was_sent_again_are_incidents_of_their_own() -> None:
+    """Guards against a short refusal of what crashes upstreams within moments of each other."""
+    bench = _Bench()
+    for number in range(3):
+        bench.clock.now_s += 0.2
+        evidence = replace(bench.make_evidence((CRASHING,)), in_flight_s=0.1)
+        bench.suspects.record_crash(f"s{number}", [evidence])
+    refused_s = bench.suspects.refused_s((CRASHING,))
+    assert refused_s == pytest.approx(suspect_module.REFUSAL_S)
+
+
+def test_one_incident_is_recognized_from_reports_of_several_gateways() -> None:
+    """Guards against refusals of different lengths where each gateway saw one of the crashes."""
+    clock = ManualClock()
+    benches = [_Bench(clock) for _ in range(3)]
+    clock.now_s += 2.0
+    for number, bench in enumerate(benches):
+        fingerprints = (b"request-%d" % number, SHARED_BY_ALL)
+        evidence = CrashEvidence(fingerprints, clock.now_s, in_flight_s=0.5)
+        bench.suspects.record_crash(f"s{number}", [evidence])
+    for bench, peer in itertools.permutations(benches, 2):
+        bench.suspects.merge_reported(peer.suspects.export_suspicions())
+    refused_s = {bench.suspects.refused_s((SHARED_BY_ALL,)) for bench in benches}
+    assert refused_s == {suspect_module.INCIDENT_REFUSAL_S}
+
+
+def test_a_process_that_never_probes_refuses_for_one_incident_until_its_upstreams_are_back() -> (
+    None
+):
+    """Guards against entries that refuse a whole route for minutes after one incident."""
+    clock = ManualClock()
+    suspects = Suspects(clock, is_probe_turn=None)
+    for number in range(3):
+        evidence = CrashEvidence((SHARED_BY_ALL,), clock.now_s, in_flight_s=0.5)
+        suspects.record_crash(f"s{number}", [evidence])
+    assert suspects.refused_s((SHARED_BY_ALL,)) > 0
+    clock.now_s += suspect_module.INCIDENT_REFUSAL_S + 0.1
+    assert suspects.refused_s((SHARED_BY_ALL,)) == 0
+    evidence = CrashEvidence((SHARED_BY_ALL,), clock.now_s, in_flight_s=0.5)
+    suspects.record_crash("s3", [evidence])
+    assert suspects.refused_s((SHARED_BY_ALL,)) > suspect_module.REFUSAL_S
+
+
 def test_companions_are_told_apart_by_what_any_gateway_saw() -> None:
     """Guards against refusing one of two parts, or none, where gateways saw different requests."""
     clock = ManualClock()
