Use a slot that is granted as the wait for it times out

What callers saw: under overload, fewer and fewer slots.

Cause: where a slot was granted in the round of the event loop in which the wait timed out, the timeout cancelled the task although its future had a result, and that branch returned a refusal without looking.

The end of a wait is what the queue decided, also where the timeout came beside it; a refusal keeps its reason as well. All other waits with a timeout were read: none drops a result that occupies something.

Two tests failed before.

--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -83,6 +83,11 @@
     tried: Collection[str]
     granted: asyncio.Future[Upstream | AdmissionRefusal]
 
+    def outcome(self) -> Upstream | AdmissionRefusal | None:
+        """Return how the wait was ended by the queue, None if it was not."""
+        is_ended = self.granted.done() and not self.granted.cancelled()
+        return self.granted.result() if is_ended else None
+
 
 @dataclass
 class Admission:
@@ -222,12 +227,11 @@
             async with asyncio.timeout(max_wait_s):
                 return await waiter.granted
         except TimeoutError:
-            return AdmissionRefusal("no_place", self._retry_after_s(request))
+            # A slot may have been granted in the same round of the event loop.
+            return waiter.outcome() or AdmissionRefusal("no_place", self._retry_after_s(request))
         except asyncio.CancelledError:
-            if waiter.granted.done() and not waiter.granted.cancelled():
-                granted = waiter.granted.result()
-                if isinstance(granted, Upstream):
-                    self.release(granted)
+            if isinstance(granted := waiter.outcome(), Upstream):
+                self.release(granted)
             raise
         finally:
             if waiter in self.waiting:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -14,6 +14,7 @@
 from dalehollow.gateway.listed import ListedUpstream
 from dalehollow.gateway.upstream import Upstream
 from dalehollow.gateway.upstreams import UpstreamSet
+from tests.virtual_time import VirtualTimeLoop, run_virtual
 
 SLOTS = 2
 
@@ -143,6 +144,42 @@
     _run(scenario)
 
 
+def test_a_slot_granted_as_the_wait_times_out_is_not_lost() -> None:
+    """Guards against slots that stay occupied for good after a wait has timed out."""
+
+    async def scenario() -> None:
+        bench, loop = _AdmissionBench(), asyncio.get_running_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        all_acquired = [await bench.acquire() for _ in range(SLOTS)]
+        waiting = await bench.wait(objective_s=1.0)
+        acquired = all_acquired[0]
+        assert isinstance(acquired, Upstream)
+        loop.call_at(loop.time() + 0.9, bench.admission.release, acquired)
+        loop.call_at(loop.time() + 0.5, loop.stand_still, 1.0)
+        granted = await waiting
+        assert isinstance(granted, Upstream)
+        bench.admission.release(granted)
+        assert sum(u.in_flight for u in bench.upstreams) == SLOTS - 1
+
+    run_virtual(scenario())
+
+
+def test_a_refusal_of_a_waiting_request_as_its_wait_times_out_keeps_its_reason() -> None:
+    async def scenario() -> None:
+        bench, loop = _AdmissionBench(), asyncio.get_running_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        for _ in range(SLOTS):
+            await bench.acquire()
+        waiting = await bench.wait(objective_s=1.0)
+        loop.call_at(loop.time() + 0.9, bench.admission.refuse_crashing, lambda names: 10.0)
+        loop.call_at(loop.time() + 0.5, loop.stand_still, 1.0)
+        refused = await waiting
+        assert isinstance(refused, AdmissionRefusal)
+        assert refused.reason == admission_module.CRASHES_UPSTREAMS
+
+    run_virtual(scenario())
+
+
 def test_a_request_with_too_long_an_expected_wait_is_refused_immediately() -> None:
     async def scenario(bench: _AdmissionBench) -> None:
         for _ in range(SLOTS):
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -35,6 +35,10 @@
     def time(self) -> float:
         return self._virtual_selector.now_s
 
+    def stand_still(self, duration_s: float) -> None:
+        """Let time pass without running callbacks: all that are due by then run in one round."""
+        self._virtual_selector.now_s += duration_s
+
 
 def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
     """Run a coroutine to completion on virtual time and return its result."""
