End a run once when reports name a start that is not listed here yet

Cause: a gateway that has not read a later start took each report of the end of that start's run for the end of its own newest run, +1 with each report.

A run of a start that is not listed here may be the one detected here, so it ends nothing while there is one, as limits were read already. Once the start is read, the detected run is confirmed with it, and the next report is compared with the right one.

--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -162,8 +162,13 @@
         known = self._known.get(incarnation) or self._unlisted.get(incarnation)
         if known is None or known.run > ended:
             return
+        is_listed_elsewhere = ended.started_at_ms > known.listed.started_at_ms
+        if is_listed_elsewhere and known.unlisted_runs:
+            # It may be the run detected here, whose start is not listed here yet.
+            return
         self._ended_runs[incarnation] = ended, at_s
-        self._begin_run(known, detected_by="peer", unlisted_runs=ended.unlisted_runs + 1)
+        unlisted_runs = 0 if is_listed_elsewhere else ended.unlisted_runs + 1
+        self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs)
 
     def list_ended_runs(self) -> dict[str, tuple[Run, float]]:
         """Return the runs whose end was detected recently, and when, by incarnation."""
