Tell that a run ended for as long as the list does not show the next one

Cause: which runs had ended was remembered for a second beside the runs. Gateways that knew an unlisted run stopped telling of it, and one that started later never heard.

Evidence: test_a_gateway_that_starts_after_a_run_ended_is_told_of_it; with an outage of the store of a minute before the report, the same.

The end is reported from the run that follows it, until that is listed, for a second at least. Where the list is available and shows no later start for 6 s, the port that refused told nothing, and reports end; in an outage that time does not run. At most 64 upstreams are told of in one report.

--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -85,6 +85,9 @@
     unlisted_runs: int = 0
     # Time of the first connection to this run, None if there was none.
     reached_at_s: float | None = None
+    # Run whose end was detected before a later start was listed, and when, if this one followed it.
+    ended_run: Run | None = None
+    ended_at_s: float = _NEVER_S
     # Runs before this one whose end the list has not confirmed, oldest first.
     earlier_runs: list[Upstream] = field(default_factory=list)
     _ejections: int = 0
@@ -182,11 +185,14 @@
         """Return whether too many recent requests failed."""
         return self._samples >= MIN_SAMPLES and self._failure_share > MAX_FAILURE_SHARE
 
-    def begin_run(self, now_s: float, unlisted_runs: int = 0) -> Upstream:
+    def begin_run(
+        self, now_s: float, unlisted_runs: int = 0, ended_at_s: float | None = None
+    ) -> Upstream:
         """Return the next run, which is not listed yet, with this one as an earlier run.
 
         Until the list confirms the end of this run, what it reported remains in force and its
-        requests occupy slots. `unlisted_runs` is the number of the run, by default the next one.
+        requests occupy slots. `unlisted_runs` is the number of the run, by default the next one;
+        `ended_at_s` is the time at which this run ended, by default now.
         """
         earlier = [run for run in self.list_runs() if run._affects_selection(now_s)]
         return Upstream(
@@ -197,6 +203,8 @@
             untracked_at_s=self.untracked_at_s,
             ejected_until_s=self.ejected_until_s,
             unlisted_runs=max(unlisted_runs, self.unlisted_runs + 1),
+            ended_run=self.run,
+            ended_at_s=now_s if ended_at_s is None else ended_at_s,
             earlier_runs=earlier,
             _ejections=self._ejections,
         )
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -25,7 +25,9 @@
 """Number of unlisted upstreams whose state is kept, because an expired list entry may reappear and
 does not reset that state."""
 ENDED_RUN_REPORTED_S = 1.0
-"""The end of a run is reported for this time, a few reports long, since one may be lost."""
+"""The end of a run is reported for this time at least, a few reports long, since one may be lost.
+It is reported for longer while the next run is not listed, to gateways that start meanwhile."""
+MAX_REPORTED_RUNS = 64
 START_LISTED_WITHIN_S = 6.0
 """Longest time from the start of an upstream until it is listed, while the store is available:
 three heartbeats, without which its entry expires, and the delay until all gateways read it."""
@@ -51,8 +53,8 @@
     _slow_ranks: dict[str, frozenset[int]] = field(default_factory=dict)
     # Includes upstreams that are not listed yet, because reports may arrive before the list.
     _others_in_flight: Counter[str] = field(default_factory=Counter)
-    # Runs whose end was detected recently, and when, by incarnation.
-    _ended_runs: dict[str, tuple[Run, float]] = field(default_factory=dict)
+    # Upstreams whose current run was detected before it was listed, the latest last.
+    _detected: dict[str, None] = field(default_factory=dict)
     # Upstreams whose entry has expired or was removed, by incarnation.
     _unlisted: dict[str, Upstream] = field(default_factory=dict)
 
@@ -154,7 +156,6 @@
         if known is None or (known.unlisted_runs and known.reached_at_s is None):
             # Unknown, or the next run has not begun yet.
             return
-        self._ended_runs[incarnation] = known.run, self.clock()
         self._begin_run(known, detected_by="port")
 
     def record_reported_end(self, incarnation: str, ended: Run, at_s: float) -> None:
@@ -166,20 +167,47 @@
         if is_listed_elsewhere and known.unlisted_runs:
             # It may be the run detected here, whose start is not listed here yet.
             return
-        self._ended_runs[incarnation] = ended, at_s
         unlisted_runs = 0 if is_listed_elsewhere else ended.unlisted_runs + 1
-        self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs)
+        self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs, ended_at_s=at_s)
 
     def list_ended_runs(self) -> dict[str, tuple[Run, float]]:
-        """Return the runs whose end was detected recently, and when, by incarnation."""
-        since_s = self.clock() - ENDED_RUN_REPORTED_S
-        self._ended_runs = {n: (r, s) for n, (r, s) in self._ended_runs.items() if s > since_s}
-        return self._ended_runs
+        """Return the runs that ended before the current ones were listed, and when they ended.
 
-    def _begin_run(self, known: Upstream, *, detected_by: str, unlisted_runs: int = 0) -> Upstream:
+        They are by incarnation, and include those of runs that have been listed since.
+        """
+        ended_runs: dict[str, tuple[Run, float]] = {}
+        for incarnation in list(self._detected):
+            run = self._known.get(incarnation) or self._unlisted.get(incarnation)
+            if run is None or run.ended_run is None or not self._is_end_reported(run):
+                del self._detected[incarnation]
+            else:
+                ended_runs[incarnation] = run.ended_run, run.ended_at_s
+        return dict(list(ended_runs.items())[-MAX_REPORTED_RUNS:])
+
+    def _is_end_reported(self, run: Upstream) -> bool:
+        """Return whether other gateways may not know yet that the run before this one ended.
+
+        If the list shows no later start for long enough, the port that refused told nothing.
+        """
+        ended_for_s = self.clock() - run.ended_at_s
+        if ended_for_s < ENDED_RUN_REPORTED_S:
+            return True
+        listed_for_s = min(ended_for_s, self.read_list_age_s())
+        return bool(run.unlisted_runs) and listed_for_s <= START_LISTED_WITHIN_S
+
+    def _begin_run(
+        self,
+        known: Upstream,
+        *,
+        detected_by: str,
+        unlisted_runs: int = 0,
+        ended_at_s: float | None = None,
+    ) -> Upstream:
         """Replace a run by the next one, which is not listed yet."""
-        run = known.begin_run(self.clock(), unlisted_runs)
+        run = known.begin_run(self.clock(), unlisted_runs, ended_at_s)
         incarnation = known.listed.incarnation
+        self._detected.pop(incarnation, None)
+        self._detected[incarnation] = None
         log_event(
             _LOG,
             "upstream_run_ended",
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -374,6 +374,37 @@
     assert [u.run_name for u in gateways.second] == ["s0@1+1"]
 
 
+def test_the_end_of_a_run_is_told_while_the_store_is_away() -> None:
+    """Guards against a gateway that starts late in an outage of the store and hears of no end."""
+    gateways = _Gateways()
+    gateways.first.read_list_age_s = lambda: 0.0
+    gateways.first.record_port_closed("s0")
+    gateways.clock.now_s += 60.0
+    gateways.report(gateways.first, gateways.second)
+    assert [u.run_name for u in gateways.second] == ["s0@1+1"]
+    _list(gateways.first, 2)
+    assert gateways.first.list_ended_runs() == {}
+
+
+def test_the_end_of_a_run_is_told_for_a_moment_after_the_next_start_is_listed() -> None:
+    """Guards against dropping signals where the sender reads the start before its next report."""
+    gateways = _Gateways()
+    gateways.first.record_port_closed("s0")
+    _list(gateways.first, 2)
+    gateways.report(gateways.first, gateways.second)
+    assert [u.run_name for u in gateways.second] == ["s0@1+1"]
+
+
+def test_a_port_that_refused_once_is_not_told_for_good() -> None:
+    """Guards against gateways that keep telling each other of a restart that never was."""
+    gateways = _Gateways()
+    gateways.first.record_port_closed("s0")
+    gateways.report(gateways.first, gateways.second)
+    gateways.clock.now_s += upstreams_module.START_LISTED_WITHIN_S
+    for upstreams in (gateways.first, gateways.second):
+        assert upstreams.list_ended_runs() == {}
+
+
 def test_repeated_reports_of_one_ended_run_end_it_once() -> None:
     """Guards against ending live runs while others report a start that is not listed here yet."""
     gateways = _Gateways()
