Do not register again after the end of a session

What callers saw: nothing by itself. A gateway that had stopped stayed listed for 12 s; others sent it reports and divided the retry budget and probes by one gateway too many (found by the review, by reading).

Cause: Session.run went on after Session.end and took the revoked lease, or the news that its entry was gone, for an expiry; and a registration in progress had no lease yet that the end could revoke.

Evidence: a session with the simulated store registers again after its end in all three cases tested.

The end is recorded, run returns, and the lease is revoked after a registration in progress has completed.

--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -127,6 +127,9 @@
         store, value = Store(self.address, self.era), msgspec.json.encode(self.member)
         self._member = Lease(store, key, value, MEMBER_TIMES, self.clock)
         self._is_listed = False
+        self._is_ended = False
+        # Held during calls for the member entry, which share one connection.
+        self._member_lock = asyncio.Lock()
         self._wake = asyncio.Event()
 
     def fence(self, duty: str) -> int | None:
@@ -139,11 +142,12 @@
         return lease.revision if lease is not None and lease.is_valid() else None
 
     async def run(self) -> None:
-        """Keep the process listed until cancelled, with a new lease after each expiry."""
-        while True:
+        """Keep the process listed until `end`, with a new lease after each expiry."""
+        while not self._is_ended:
             pause_s = MEMBER_TIMES.renew_s
             try:
-                await self._keep_listed()
+                async with self._member_lock:
+                    await self._keep_listed()
             except LeaseGoneError:
                 self._mark_unlisted("member_lapsed")
                 continue
@@ -155,7 +159,7 @@
 
     def record_unlisted(self) -> None:
         """Register again after the entry vanished, possibly with the lease of a previous run."""
-        if self._is_listed:
+        if self._is_listed and not self._is_ended:
             self._mark_unlisted("member_removed")
             self._wake.set()
 
@@ -219,12 +223,20 @@
         return True
 
     async def end(self) -> None:
-        """Revoke all leases at a graceful shutdown so that other processes notice at once."""
+        """Revoke all leases at a graceful shutdown so that other processes notice at once.
+
+        The process does not register again: a registration in progress is completed first.
+        """
+        self._is_ended = True
+        self._wake.set()
         for duty in list(self._duties):
             await self.release_duty(duty, "planned stop")
-        await self._member.end()
+        async with self._member_lock:
+            await self._member.end()
 
     async def _keep_listed(self) -> None:
+        if self._is_ended:
+            return
         if self._is_listed:
             await self._member.renew()
             return
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -308,6 +308,52 @@
     _run(scenario)
 
 
+def test_a_process_that_stops_does_not_register_again() -> None:
+    """Guards against gateways that stay listed after their end, because their entry vanished."""
+
+    async def scenario(store: MetadataStandIn, address: str, recorded: _Recorded) -> None:
+        member = Session(address, "a", MEMBER)
+        task = asyncio.ensure_future(member.run())
+        await _wait_until(lambda: recorded.members == {"a": MEMBER})
+        await member.end()
+        await _wait_until(lambda: not recorded.members)
+        member.record_unlisted()
+        await _wait_until(lambda: task.done() or "dalehollow/members/a" in store.items)
+        assert "dalehollow/members/a" not in store.items
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("path", ["/kv-lease", "/kv-txn"])
+def test_a_process_that_stops_while_it_registers_is_not_listed_after_it(path: str) -> None:
+    """Guards against an entry that stays for the time of its lease after the process has ended."""
+
+    async def scenario(store: MetadataStandIn, address: str, recorded: _Recorded) -> None:
+        held, released = asyncio.Event(), asyncio.Event()
+        answer = store._answer
+
+        async def hold_answer(
+            method: bytes, called: str, query: dict[str, str], body: dict[str, Any]
+        ) -> tuple[int, Any]:
+            if called == path and not held.is_set():
+                held.set()
+                await released.wait()
+            return await answer(method, called, query, body)
+
+        store._answer = hold_answer  # type: ignore[method-assign]
+        member = Session(address, "a", MEMBER)
+        task = asyncio.ensure_future(member.run())
+        await held.wait()
+        ending = asyncio.ensure_future(member.end())
+        await asyncio.sleep(0)
+        released.set()
+        await ending
+        await _wait_until(lambda: task.done() or "dalehollow/members/a" in store.items)
+        assert "dalehollow/members/a" not in store.items
+
+    _run(scenario)
+
+
 def test_a_duty_is_held_despite_slow_responses(monkeypatch: pytest.MonkeyPatch) -> None:
     """If each slow response delays the next renewal, the duty repeatedly expires at its holder."""
     now_s = 100.0
