Keep what a new run said to a gateway before it was told that the last one ended

A gateway that had just started sent requests to an upstream that had told it that it leaves.

Cause: the answer came 0.2 s before the report that the run before had ended. It was filed under the ended run, and a new run began with nothing said, which the list then confirmed.

A report says when the run ended. A gateway that first reached the upstream after that has heard the next run only, so that run keeps its state and requests and is renumbered. Where it was reached before the end, what it said stays with the ended run.

Two of four cases of test_what_a_run_said_before_the_end_of_its_predecessor_is_told_is_kept failed before.

--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -209,6 +209,11 @@
             _ejections=self._ejections,
         )
 
+    def renumber_run(self, unlisted_runs: int, ended_at_s: float) -> None:
+        """Record that this is the run after the one it was taken for, which ended before."""
+        self.ended_run, self.ended_at_s = self.run, ended_at_s
+        self.unlisted_runs = max(unlisted_runs, self.unlisted_runs + 1)
+
     def confirm_run(self, listed: ListedUpstream) -> None:
         """Use the list entry of a run that was detected before it was listed."""
         self.listed = listed
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -168,7 +168,12 @@
             # It may be the run detected here, whose start is not listed here yet.
             return
         unlisted_runs = 0 if is_listed_elsewhere else ended.unlisted_runs + 1
-        self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs, ended_at_s=at_s)
+        if known.reached_at_s is not None and known.reached_at_s > at_s:
+            # This gateway reached the next run only, and took it for the one that ended.
+            self._record_run_end(known, "peer")
+            known.renumber_run(unlisted_runs, at_s)
+        else:
+            self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs, ended_at_s=at_s)
 
     def list_ended_runs(self) -> dict[str, tuple[Run, float]]:
         """Return the runs that ended before the current ones were listed, and when they ended.
@@ -204,7 +209,17 @@
         ended_at_s: float | None = None,
     ) -> Upstream:
         """Replace a run by the next one, which is not listed yet."""
+        self._record_run_end(known, detected_by)
         run = known.begin_run(self.clock(), unlisted_runs, ended_at_s)
+        incarnation = known.listed.incarnation
+        if incarnation in self._known:
+            self._known[incarnation] = run
+            self._index(run)
+        else:
+            self._unlisted[incarnation] = run
+        return run
+
+    def _record_run_end(self, known: Upstream, detected_by: str) -> None:
         incarnation = known.listed.incarnation
         self._detected.pop(incarnation, None)
         self._detected[incarnation] = None
@@ -216,12 +231,6 @@
             detected_by=detected_by,
             in_hand=known.own_in_flight(),
         )
-        if incarnation in self._known:
-            self._known[incarnation] = run
-            self._index(run)
-        else:
-            self._unlisted[incarnation] = run
-        return run
 
     def record_limit(self, upstream: Upstream, limit_per_s: float | None, at_s: float) -> None:
         """Record the rate limit set by an answer, None if the answer sets none."""
--- a/tests/test_restart_listed_late.py
+++ b/tests/test_restart_listed_late.py
@@ -374,6 +374,34 @@
     assert [u.run_name for u in gateways.second] == ["s0@1+1"]
 
 
+@pytest.mark.parametrize("started_at_ms", [1, 2])
+@pytest.mark.parametrize("is_reached_after_end", [True, False])
+def test_what_a_run_said_before_the_end_of_its_predecessor_is_told_is_kept(
+    is_reached_after_end: bool, started_at_ms: int
+) -> None:
+    """Guards against dropping what a new run said to a gateway that was told too late of it."""
+    gateways = _Gateways()
+    (upstream,) = gateways.second
+    move = Move()
+    if not is_reached_after_end:
+        upstream.record_reached(gateways.clock.now_s)
+    _list(gateways.first, started_at_ms)
+    gateways.clock.now_s += 1.0
+    gateways.first.record_port_closed("s0")
+    gateways.clock.now_s += 1.0
+    if is_reached_after_end:
+        upstream.record_reached(gateways.clock.now_s)
+    upstream.reported_state.is_leaving = True
+    upstream.moves.add(move)
+    for listed_ms in range(1, started_at_ms + 2):
+        _list(gateways.second, listed_ms)
+        gateways.report(gateways.first, gateways.second)
+    (restarted,) = gateways.second
+    assert restarted.run_name == f"s0@{started_at_ms + 1}"
+    assert restarted.is_leaving() is is_reached_after_end
+    assert move.is_requested is not is_reached_after_end
+
+
 def test_the_end_of_a_run_is_told_while_the_store_is_away() -> None:
     """Guards against a gateway that starts late in an outage of the store and hears of no end."""
     gateways = _Gateways()
