--- a/dalehollow/crashes/suspects.py
+++ b/dalehollow/crashes/suspects.py
@@ -95,10 +95,6 @@
     return True
 
 
-def _probe_never(fingerprint: Fingerprint, since_s: float) -> bool:
-    return False
-
-
 class Suspects:
     """Track suspected fingerprints and rule on requests that contain them."""
 
@@ -207,8 +203,7 @@
         left_s = max(map(self._refusal_left_s, culprits))
         if left_s > 0:
             return Ruling(left_s)
-        is_turn = self._is_probe_turn or _probe_never
-        if not all(is_turn(name, -self._refusal_left_s(name)) for name in culprits):
+        if not all(map(self._may_probe, culprits)):
             return Ruling(PROBE_TIMEOUT_S)
         now_s = self._clock()
         for name in culprits:
@@ -400,6 +395,10 @@
         """Return for how long this process refuses requests with a culprit."""
         return self._culprits[name].refused_until_s() - self._clock()
 
+    def _may_probe(self, name: Fingerprint) -> bool:
+        since_s = -self._refusal_left_s(name)
+        return self._is_probe_turn is not None and self._is_probe_turn(name, since_s)
+
     def _is_repeated(self, name: Fingerprint) -> bool:
         """Return whether upstreams crashed in more than one incident."""
         return self._culprits[name].count_incidents() > 1
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -270,7 +270,7 @@
         reports = await self._read_reports(ranks)
         if not any(r.held_step for r in reports.values()):
             return True
-        is_own = self._is_switch_pending(reports, fence)
+        is_pending = self._is_switch_pending(reports, fence)
         log_event(
             _LOG,
             "group_held",
@@ -279,9 +279,9 @@
             epoch=self._epoch,
             reports=len(reports),
             ranks=len(ranks),
-            is_switch_pending=is_own,
+            is_switch_pending=is_pending,
         )
-        if is_own:
+        if is_pending:
             assert self._switch is not None
             is_settled = await complete_switch(self.port, reports, self._switch)
         else:
@@ -296,7 +296,7 @@
     def _is_switch_pending(self, reports: Mapping[int, RankReport], fence: int) -> bool:
         """Return whether the last switch is still to take effect, by all reports there are.
 
-        Without the duty, the hold may be a successor's, which aborts the switch.
+        Without the duty it may not: a successor may be aborting it, under a hold of its own.
         """
         switch = self._switch
         return (
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -176,10 +176,7 @@
             self._begin_run(known, detected_by="peer", unlisted_runs=unlisted_runs, ended_at_s=at_s)
 
     def list_ended_runs(self) -> dict[str, tuple[Run, float]]:
-        """Return the runs that ended before the current ones were listed, and when they ended.
-
-        They are by incarnation, and include those of runs that have been listed since.
-        """
+        """Return the ended runs that other gateways may not know of, and when, by incarnation."""
         ended_runs: dict[str, tuple[Run, float]] = {}
         for incarnation in list(self._detected):
             run = self._known.get(incarnation) or self._unlisted.get(incarnation)
@@ -190,7 +187,7 @@
         return dict(list(ended_runs.items())[-MAX_REPORTED_RUNS:])
 
     def _is_end_reported(self, run: Upstream) -> bool:
-        """Return whether other gateways may not know yet that the run before this one ended.
+        """Return whether to report the end of the run before this one.
 
         If the list shows no later start for long enough, the port that refused told nothing.
         """
