Repeat the ends of older runs once a second only

Cause: each report to the hall, up to 20 a second, held every run that had ended and was not listed yet, for as long as an outage of the store lasts. On the users' platform an upstream starts again under another id, so no later start of the same id ends the reports before 6 s. Worked out for 64 ended runs: 2.9 KB more in each report.

An end is in every report for its first second, as before, and then in one report a second, as unchanged suspicions are. Other halls get all of them in their messages, which have a budget of bytes.

test_ends_of_runs_are_repeated_once_a_second_within_a_hall failed before.

--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -27,7 +27,7 @@
 from dalehollow.gateway.members import Members
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.gateway.upstream import REPORTED_LOAD_LIFE_S
-from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.gateway.upstreams import ENDED_RUN_REPORTED_S, UpstreamSet
 from dalehollow.protocol.reports import (
     EndedRun,
     HallReport,
@@ -58,6 +58,8 @@
 MAX_SUSPECTS_TO_HALLS = 16
 SUSPECTS_INTERVAL_S = 1.0
 """Interval at which unchanged suspicions are repeated within a hall."""
+ENDED_RUNS_INTERVAL_S = 1.0
+"""Interval at which ends of runs that are no longer new are repeated within a hall."""
 REPRESENTATIVE_SILENT_S = 1.0
 """A gateway of another hall that is silent for this time is no longer its hall's representative."""
 
@@ -126,6 +128,7 @@
         self._members = members
         self._suspects = suspects
         self._suspects_sent_at_s, self._suspects_changes_sent = float("-inf"), 0
+        self._ended_runs_sent_at_s = float("-inf")
         # Set by the owner if limits of upstreams are shared among gateways.
         self.tokens: LimitTokens | None = None
         # Returns the earliest time at which a message handled now may have been sent, which is long
@@ -357,7 +360,7 @@
             view,
             limits,
             suspects,
-            ended_runs,
+            self._select_ended_runs(ended_runs, now_s),
         )
         self.send_to_hall(report)
         if not self._feed.reports_to_other_halls():
@@ -392,6 +395,15 @@
         self._suspects_sent_at_s, self._suspects_changes_sent = now_s, changes
         return True
 
+    def _select_ended_runs(
+        self, ended_runs: Mapping[str, EndedRun], now_s: float
+    ) -> dict[str, EndedRun]:
+        """Return the ended runs to report now within the hall: the new ones, or all in turn."""
+        if now_s - self._ended_runs_sent_at_s >= ENDED_RUNS_INTERVAL_S:
+            self._ended_runs_sent_at_s = now_s
+            return dict(ended_runs)
+        return {n: run for n, run in ended_runs.items() if run.age_s < ENDED_RUN_REPORTED_S}
+
     def _sum_hall_load(self, in_flight_counts: Mapping[str, int]) -> dict[str, int]:
         """Return the requests in flight of all gateways of the hall, this one included."""
         total = Counter(in_flight_counts)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -17,7 +17,7 @@
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.members import HEARD_LIFE_S, Members
 from dalehollow.gateway.reports import PeerReports
-from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.gateway.upstreams import ENDED_RUN_REPORTED_S, UpstreamSet
 from dalehollow.protocol.reports import (
     HallReport,
     HallSignals,
@@ -265,6 +265,31 @@
     _run(scenario)
 
 
+def test_ends_of_runs_are_repeated_once_a_second_within_a_hall() -> None:
+    """Guards against reports that grow with each upstream that ended in an outage of the store."""
+
+    async def scenario(bench: _Bench) -> None:
+        clock = asyncio.get_running_loop().time
+        now_s = clock()
+        bench.upstreams.clock = lambda: now_s
+        bench.upstreams.put(_make_upstream("s1"))
+        bench.upstreams.record_port_closed("s1")
+        now_s -= 2 * ENDED_RUN_REPORTED_S
+        bench.upstreams.put(_make_upstream("s2"))
+        bench.upstreams.record_port_closed("s2")
+        now_s = clock()
+        for _ in range(3):
+            bench.reports._send_reports()
+        told = [
+            set(message.ended_runs)
+            for message, address in bench.socket.sent
+            if isinstance(message, LoadReport) and address == NEAR
+        ]
+        assert told == [{"s1", "s2"}, {"s1"}, {"s1"}]
+
+    _run(scenario)
+
+
 def test_signals_of_another_hall_are_not_forwarded_to_third_halls() -> None:
     async def scenario(bench: _Bench) -> None:
         bench.upstreams.put(_make_upstream("s1"))
