--- a/dalehollow/gateway/admission.py
+++ b/dalehollow/gateway/admission.py
@@ -227,7 +227,7 @@
             async with asyncio.timeout(max_wait_s):
                 return await waiter.granted
         except TimeoutError:
-            # A slot may have been granted in the same round of the event loop.
+            # A slot may have been granted in the same iteration of the event loop.
             return waiter.outcome() or AdmissionRefusal("no_place", self._retry_after_s(request))
         except asyncio.CancelledError:
             if isinstance(granted := waiter.outcome(), Upstream):
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -296,7 +296,7 @@
     def _is_switch_pending(self, reports: Mapping[int, RankReport], fence: int) -> bool:
         """Return whether the last switch is still to take effect, by all reports there are.
 
-        Without the duty it may not: a successor may be aborting it, under a hold of its own.
+        Without the duty the result is False: a successor may be aborting the switch.
         """
         switch = self._switch
         return (
--- a/dalehollow/gateway/reports.py
+++ b/dalehollow/gateway/reports.py
@@ -59,7 +59,7 @@
 SUSPECTS_INTERVAL_S = 1.0
 """Interval at which unchanged suspicions are repeated within a hall."""
 ENDED_RUNS_INTERVAL_S = 1.0
-"""Interval at which ends of runs that are no longer new are repeated within a hall."""
+"""Interval at which runs that ended longer ago are reported again within a hall."""
 REPRESENTATIVE_SILENT_S = 1.0
 """A gateway of another hall that is silent for this time is no longer its hall's representative."""
 
@@ -398,7 +398,7 @@
     def _select_ended_runs(
         self, ended_runs: Mapping[str, EndedRun], now_s: float
     ) -> dict[str, EndedRun]:
-        """Return the ended runs to report now within the hall: the new ones, or all in turn."""
+        """Return the recently ended runs, and all of them once per `ENDED_RUNS_INTERVAL_S`."""
         if now_s - self._ended_runs_sent_at_s >= ENDED_RUNS_INTERVAL_S:
             self._ended_runs_sent_at_s = now_s
             return dict(ended_runs)
--- a/dalehollow/gateway/upstream.py
+++ b/dalehollow/gateway/upstream.py
@@ -210,7 +210,7 @@
         )
 
     def renumber_run(self, unlisted_runs: int, ended_at_s: float) -> None:
-        """Record that this is the run after the one it was taken for, which ended before."""
+        """Number this run as the successor of the run it was mistaken for, which had ended."""
         self.ended_run, self.ended_at_s = self.run, ended_at_s
         self.unlisted_runs = max(unlisted_runs, self.unlisted_runs + 1)
 
--- a/dalehollow/gateway/upstreams.py
+++ b/dalehollow/gateway/upstreams.py
@@ -165,11 +165,11 @@
             return
         is_listed_elsewhere = ended.started_at_ms > known.listed.started_at_ms
         if is_listed_elsewhere and known.unlisted_runs:
-            # It may be the run detected here, whose start is not listed here yet.
+            # The ended run may be the one detected here, whose start is not listed here yet.
             return
         unlisted_runs = 0 if is_listed_elsewhere else ended.unlisted_runs + 1
         if known.reached_at_s is not None and known.reached_at_s > at_s:
-            # This gateway reached the next run only, and took it for the one that ended.
+            # This gateway reached only the next run, and mistook it for the one that ended.
             self._record_run_end(known, "peer")
             known.renumber_run(unlisted_runs, at_s)
         else:
@@ -189,7 +189,7 @@
     def _is_end_reported(self, run: Upstream) -> bool:
         """Return whether to report the end of the run before this one.
 
-        If the list shows no later start for long enough, the port that refused told nothing.
+        If the list shows no later start for long enough, the upstream has not restarted.
         """
         ended_for_s = self.clock() - run.ended_at_s
         if ended_for_s < ENDED_RUN_REPORTED_S:
--- a/dalehollow/settings_text.py
+++ b/dalehollow/settings_text.py
@@ -51,7 +51,8 @@
 
 def _convert_seconds(raw: Mapping[str, Any], fields: Fields) -> tuple[dict[str, Any], list[str]]:
     """Return the settings with all durations in milliseconds, and error messages."""
-    values, mistakes = dict(raw), list[str]()
+    values = dict(raw)
+    mistakes: list[str] = []
     for name in fields:
         name_in_s = name.removesuffix("_ms") + "_s"
         if not name.endswith("_ms") or name_in_s not in raw:
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -36,7 +36,7 @@
         return self._virtual_selector.now_s
 
     def stand_still(self, duration_s: float) -> None:
-        """Let time pass without running callbacks: all that are due by then run in one round."""
+        """Let time pass without running callbacks; those due by then run in one iteration."""
         self._virtual_selector.now_s += duration_s
 
 
