--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Kill two planners of an idle group one after the other, while few of their orders come late."""
+"""Kill the planners of an idle group one after the other, while few of their orders come late."""
 
 from __future__ import annotations
 
@@ -27,6 +27,8 @@
 GO_AFTER_S = 0.45
 """From the hold until the late `go`: the callers' requests have reached the held pass by then."""
 MAX_KILLS = 5
+CHECK_S = 0.04
+"""A rank checks a map before it answers."""
 PAUSE_S = 6.0
 
 
@@ -63,6 +65,8 @@
 
     async def _order(self, rank: Rank, connection: Connection, order: dict[str, Any]) -> None:
         operation, step = order["operation"], order.get("step", 0)
+        if operation == "prepare":
+            await asyncio.sleep(CHECK_S)
         if rank.number == GO_RANK and operation == "go" and not self.arming.is_set():
             if HAS_TROUBLE and self.planner > 1 and self.planner not in self.late:
                 self.late[self.planner] = step
@@ -117,7 +121,7 @@
             return 2
         await asyncio.sleep(2.0)
         self.record("a first burst of short requests")
-        await asyncio.gather(*(self._request(n, tokens=50) for n in range(48)))
+        await asyncio.gather(*(self._request(n, tokens=35) for n in range(48)))
         self.record("the callers pause")
         await self._wait_until_armed()
         if HAS_TROUBLE:
