Place no hold twice at the same rank and step of a group

Cause: a release names a rank and a step. An idle group's step does not rise and each switch began to hold at the first rank, so a release that was still on its way ended the hold of the next switch while ranks were being armed.

Change: planners reserve steps at a rank in a record in the platform's store before they hold there, under the condition that they have the duty and know the last record. Each step of a reservation is used once. Holds are released at their own step. After an abort the group is read again once reports show its effect.

Why it works: a late release finds no hold, or another step, and is refused. The record outlives its planner, and a planner that was replaced cannot write.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -16,6 +16,7 @@
 from dalehollow.gateway.steps import StepClock
 from dalehollow.gateway.table import ExpertFigures
 from dalehollow.gateway.tasks import wait_set
+from dalehollow.groups.holds import HoldLedger, HoldRecordChange
 from dalehollow.groups.place import ImprovedLayer, improve_layers, layer_loads, place_round_robin
 from dalehollow.groups.ranks import (
     GroupMap,
@@ -53,6 +54,8 @@
 """Length of a demand window: some passes, with several requests at each rank."""
 EPOCH_RETRY_S = 0.1
 """Reports are some hundred ms old: those of a group that has just opened still show it broken."""
+ABORT_SETTLE_S = 0.3
+"""Until reports show the effect of an abort. An earlier read would lead to another one."""
 LONGEST_WINDOW_S = 0.6
 """A longer window may mix old and new demand, and detects a shift too late."""
 
@@ -85,6 +88,9 @@
     async def store_plan(self, duty: str, plan: StoredPlan) -> None:
         """Store the demand and the slow ranks that a plan is based on."""
 
+    async def update_holds(self, duty: str, change: HoldRecordChange) -> bool:
+        """Change the record of a group's holds while the duty is held; return whether it is."""
+
 
 @dataclass
 class GroupPlanner:
@@ -112,6 +118,7 @@
     _window: DemandWindow = field(init=False)
     _sample: list[int] = field(default_factory=list)
     _steps: StepClock = field(init=False)
+    _holds: HoldLedger = field(init=False)
     _stored_demand: list[list[float]] = field(default_factory=list)
     _pressed_until_s: float = float("-inf")
     _is_stopping: bool = False
@@ -130,8 +137,12 @@
         """Create the demand window and the step clock."""
         self._window = DemandWindow(self.policy.memory)
         self._steps = StepClock(self.pass_times)
+        self._holds = self._create_hold_ledger(self._epoch)
         self.pass_times.on_slower = self._record_slower
 
+    def _create_hold_ledger(self, epoch: int) -> HoldLedger:
+        return HoldLedger(epoch, lambda change: self.duties.update_holds(self.duty, change))
+
     def stop(self) -> None:
         """Stop planning; a switch that has begun is completed, then the duty is released."""
         self._is_stopping = True
@@ -150,6 +161,7 @@
                 break
             if fence is None:
                 self._epoch = -1
+                self._holds = self._create_hold_ledger(self._epoch)
                 await self._attempt_to_take_duty()
             elif self.ranks():
                 await self._run_round(fence)
@@ -217,7 +229,6 @@
             return
         is_begun = epoch != self._epoch
         if is_begun and not await self._begin_epoch(epoch, fence):
-            self._next_round_in_s = EPOCH_RETRY_S
             return
         if self._is_slower or self._stored_slow_ranks or self._steps.is_suspect():
             await self._update_paces()
@@ -286,7 +297,7 @@
             is_settled = await complete_switch(self.port, reports, self._switch)
         else:
             is_settled = await abort_unfinished_switch(
-                self.port, reports, self.current, self._next_version(fence)
+                self.port, reports, self.current, self._next_version(fence), self._holds
             )
             self._epoch = -1
         if not is_settled:
@@ -333,6 +344,7 @@
 
     async def _begin_epoch(self, epoch: int, fence: int) -> bool:
         """Read the active map, and settle a switch that another planner left open."""
+        self._next_round_in_s = EPOCH_RETRY_S
         ranks = sorted(self.ranks())
         known = await self._read_reports(ranks)
         if len(known) < len(ranks) or any(
@@ -343,14 +355,18 @@
         if current is None:
             return False
         next_version = self._next_version(fence)
-        if not await abort_unfinished_switch(self.port, known, current, next_version):
+        if self._holds.epoch != epoch:
+            self._holds = self._create_hold_ledger(epoch)
+        if not await abort_unfinished_switch(self.port, known, current, next_version, self._holds):
             await self.duties.release_duty(
                 self.duty, "another planner's switch could not be settled"
             )
             return False
         if any(r.armed_version for r in known.values()):
+            self._next_round_in_s = ABORT_SETTLE_S
             return False
         self.current, self._epoch, self._switch = current, epoch, None
+        self._next_round_in_s = None
         log_event(_LOG, "group_planned", duty=self.duty, epoch=epoch, fence=fence)
         return True
 
@@ -448,18 +464,18 @@
         replies = await asyncio.gather(*(self._prepare(r, version, planned) for r in ranks))
         if any(reply is not OrderReply.ACCEPTED for reply in replies):
             return SwitchOutcome.ABANDONED
-        await asyncio.sleep(copy_s)
+        # Reserved while the ranks copy, so that the switch itself does not wait for the store.
+        reserve = self._holds.reserve(ranks, self._choose_step())
+        await asyncio.gather(asyncio.sleep(copy_s), reserve)
         outcome = SwitchOutcome.ABANDONED
         for _ in range(SWITCH_ATTEMPTS):
             if self.duties.fence(self.duty) != fence:
                 return SwitchOutcome.ABANDONED
-            proposal = Proposal(
-                version,
-                self._steps.choose_step(self._has_unanswered_orders),
-                self._epoch,
-                self.current,
-            )
-            outcome = await switch_map(self.port, ranks, proposal)
+            step = await self._holds.find_step(ranks, self._choose_step())
+            if step is None:
+                return SwitchOutcome.ABANDONED
+            proposal = Proposal(version, step, self._epoch, self.current)
+            outcome = await switch_map(self.port, ranks, proposal, self._holds)
             if outcome is SwitchOutcome.SWITCHED:
                 self._switch = proposal
             if outcome is not SwitchOutcome.TOO_LATE:
@@ -469,6 +485,9 @@
                 self._steps.record(counts.step)
         return outcome
 
+    def _choose_step(self) -> int:
+        return self._steps.choose_step(self._has_unanswered_orders)
+
     async def _prepare(self, rank: int, version: int, planned: GroupMap) -> OrderReply:
         reply = OrderReply.UNANSWERED
         for _ in range(PREPARE_ATTEMPTS):
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -5,7 +5,8 @@
 have replied, so that without faults no pass waits for it. An order without a reply may be executed
 much later, even if a repetition of it was accepted in the meantime. A late arm has no effect once
 its step has started or a newer version is prepared on the rank. Before a hold is released without
-a switch, one of the two is ensured on every rank.
+a switch, one of the two is ensured on every rank. A late release has no effect because no hold is
+ever placed again at the same rank and step (`groups/holds.py`).
 """
 
 from __future__ import annotations
@@ -13,8 +14,9 @@
 import asyncio
 import enum
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
+from dalehollow.groups.holds import HoldLedger
 from dalehollow.groups.ranks import GroupMap, OrderReply, RankPort, RankReport
 
 ORDER_ATTEMPTS = 6
@@ -61,15 +63,17 @@
     return reply
 
 
-async def switch_map(port: RankPort, ranks: Sequence[int], proposal: Proposal) -> SwitchOutcome:
+async def switch_map(
+    port: RankPort, ranks: Sequence[int], proposal: Proposal, holds: HoldLedger
+) -> SwitchOutcome:
     """Switch all ranks to a map that they have been ordered to prepare.
 
     The planner lease is not checked here: a planner that loses it midway does no harm, because its
     successor places a hold of its own on the group (`abort_unfinished_switch`).
     """
-    holders, is_held, has_started = await _hold(port, ranks, proposal)
+    holders, is_held, has_started = await _hold(port, ranks, proposal, holds)
     if not is_held:
-        await _release(port, holders, proposal)
+        await _release(port, holders, proposal.epoch)
         return SwitchOutcome.TOO_LATE if has_started else SwitchOutcome.ABANDONED
     replies = await asyncio.gather(*(_arm(port, rank, proposal) for rank in ranks))
     outcome = SwitchOutcome.SWITCHED
@@ -77,7 +81,7 @@
         if not await _disarm_all(port, ranks, proposal):
             return SwitchOutcome.UNRESOLVED
         outcome = SwitchOutcome.ABANDONED
-    if not await _release(port, holders, proposal):
+    if not await _release(port, holders, proposal.epoch):
         return SwitchOutcome.UNRESOLVED
     return outcome
 
@@ -89,18 +93,15 @@
 
     Ranks without a report are armed as well, since only the planner itself would disarm them.
     """
-    holders = [rank for rank, r in reports.items() if r.held_step]
-    released = await asyncio.gather(
-        *(
-            _release(port, [rank], replace(proposal, step=reports[rank].held_step))
-            for rank in holders
-        )
-    )
-    return all(released)
+    return await _release(port, _find_holds(reports), proposal.epoch)
 
 
 async def abort_unfinished_switch(
-    port: RankPort, reports: dict[int, RankReport], current: GroupMap, next_version: int
+    port: RankPort,
+    reports: Mapping[int, RankReport],
+    current: GroupMap,
+    next_version: int,
+    holds: HoldLedger,
 ) -> bool:
     """Abort another planner's unfinished switch; return whether nothing of it remains.
 
@@ -111,33 +112,46 @@
     """
     ranks = range(len(current[0]))
     armed = [r for r in reports.values() if r.armed_version]
-    holders = [rank for rank, r in reports.items() if r.held_step]
+    holders = _find_holds(reports)
     if not armed and not holders:
         return len(reports) == len(ranks)
     epoch = max(r.epoch for r in reports.values())
-    step = max([r.armed_step for r in armed] + [reports[rank].held_step for rank in holders])
+    step = max([r.armed_step for r in armed] + [hold.step for hold in holders])
     version = max((r.armed_version for r in armed), default=next_version - 1)
     proposal = Proposal(version, step, epoch, current)
+    held_ranks = {hold.rank for hold in holders}
     # The other planner places its hold on the first rank that accepts it, so start from the last.
-    free = [rank for rank in sorted(reports, reverse=True) if rank not in holders]
-    own_holders, is_held, has_started = await _hold(port, free, proposal)
+    free = [rank for rank in sorted(reports, reverse=True) if rank not in held_ranks]
+    own_holders, is_held, has_started = await _hold(port, free, proposal, holds)
     if not is_held and not has_started:
         return False
     if is_held and not await _disarm_all(port, ranks, proposal, next_version):
         return False
-    return await _release(port, [*own_holders, *holders], proposal)
+    return await _release(port, [*own_holders, *holders], epoch)
+
+
+@dataclass(frozen=True)
+class _Hold:
+    """Name a hold that a rank has, or may have."""
+
+    rank: int
+    step: int
+
+
+def _find_holds(reports: Mapping[int, RankReport]) -> list[_Hold]:
+    return [_Hold(rank, r.held_step) for rank, r in reports.items() if r.held_step]
 
 
 async def _hold(
-    port: RankPort, ranks: Sequence[int], proposal: Proposal
-) -> tuple[list[int], bool, bool]:
+    port: RankPort, ranks: Sequence[int], proposal: Proposal, holds: HoldLedger
+) -> tuple[list[_Hold], bool, bool]:
     """Place a hold on one rank.
 
-    Returns the ranks that may hold the group, whether it is held, and whether the step has started.
+    Returns the holds that may exist, whether the group is held, and whether the step has started.
     """
-    holders: list[int] = []
+    holders: list[_Hold] = []
     refusals = 0
-    for rank in ranks:
+    while (rank := await holds.take(ranks, proposal.step)) is not None:
         reply = await port.hold(rank, proposal.step, proposal.epoch)
         if reply is OrderReply.REFUSED:
             # The step has started, unless only this rank refuses because another planner holds it.
@@ -145,7 +159,7 @@
             if refusals == STEP_STARTED_REFUSALS:
                 return holders, False, True
             continue
-        holders.append(rank)
+        holders.append(_Hold(rank, proposal.step))
         if reply is OrderReply.ACCEPTED:
             return holders, True, False
     return holders, False, False
@@ -187,15 +201,15 @@
     return False
 
 
-async def _release(port: RankPort, holders: Sequence[int], proposal: Proposal) -> bool:
-    """Release the holds; a refusal means that there is no such hold or another epoch."""
+async def _release(port: RankPort, holds: Sequence[_Hold], epoch: int) -> bool:
+    """Release holds; a refusal means that there is no such hold or another epoch."""
     replies = await asyncio.gather(
         *(
             _send_order(
-                lambda rank=rank: port.release(rank, proposal.step, proposal.epoch),  # type: ignore[misc]
+                lambda hold=hold: port.release(hold.rank, hold.step, epoch),  # type: ignore[misc]
                 retry_refusals=False,
             )
-            for rank in holders
+            for hold in holds
         )
     )
     return all(reply is not OrderReply.UNANSWERED for reply in replies)
--- a/dalehollow/platform/names.py
+++ b/dalehollow/platform/names.py
@@ -43,4 +43,5 @@
 MEMBER_PREFIX = "dalehollow/members/"
 DUTY_PREFIX = "dalehollow/duties/"
 PLAN_PREFIX = "dalehollow/plans/"
+HOLD_PREFIX = "dalehollow/holds/"
 CULPRIT_PREFIX = "dalehollow/culprits/"
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -19,14 +19,25 @@
 from dalehollow.errors import PlatformError
 from dalehollow.gateway.listed import Member
 from dalehollow.gateway.tasks import wait_set
+from dalehollow.groups.holds import HoldRecord, HoldRecordChange
 from dalehollow.groups.ranks import StoredPlan
-from dalehollow.platform.names import CULPRIT_PREFIX, DUTY_PREFIX, MEMBER_PREFIX, PLAN_PREFIX
+from dalehollow.platform.names import (
+    CULPRIT_PREFIX,
+    DUTY_PREFIX,
+    HOLD_PREFIX,
+    MEMBER_PREFIX,
+    PLAN_PREFIX,
+)
 from dalehollow.platform.store import ConflictError, LeaseGoneError, Store, StoreEra
+from dalehollow.protocol.reports import Change
 from dalehollow.protocol.revisions import format_revision, read_era
 from dalehollow.telemetry.logs import log_event
 
 CALL_TIMEOUT_S = 0.5
 
+HOLD_UPDATE_ATTEMPTS = 3
+"""The first attempt of a new holder meets the record of the one before."""
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -109,6 +120,14 @@
         self._id, self._valid_until_s = 0, 0.0
 
 
+@dataclass(frozen=True)
+class _StoredHolds:
+    """Hold the last known record of a group's holds and its revision, 0 if there is none."""
+
+    record: HoldRecord = field(default_factory=HoldRecord)
+    revision: int = 0
+
+
 @dataclass
 class Session:
     """Manage the member lease of this process and its duty leases by name."""
@@ -120,6 +139,7 @@
     era: StoreEra = field(default_factory=StoreEra)
     _duties: dict[str, Lease] = field(default_factory=dict)
     _renewing: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    _holds: dict[str, _StoredHolds] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the member lease."""
@@ -207,6 +227,40 @@
         finally:
             store.close()
 
+    async def update_holds(self, duty: str, change: HoldRecordChange) -> bool:
+        """Change the record of a group's holds while the duty is held; return whether it is stored.
+
+        The record is written under the condition that neither it nor the duty has changed, so that
+        holders of the duty see each other's changes, and a holder that was replaced writes none.
+        """
+        key, duty_key = HOLD_PREFIX + duty, DUTY_PREFIX + duty
+        store = Store(self.address, self.era)
+        error: object = "too many conflicts"
+        try:
+            for _ in range(HOLD_UPDATE_ATTEMPTS):
+                fence, stored = self.fence(duty), self._holds.get(duty, _StoredHolds())
+                if read_era(stored.revision) != self.era.newest:
+                    # Revisions of an earlier era may have been assigned again.
+                    stored = _StoredHolds()
+                changed = change(stored.record)
+                if changed is None or fence is None or read_era(fence) != self.era.newest:
+                    return False
+                value = msgspec.json.encode(changed)
+                expected = {duty_key: fence, key: stored.revision}
+                try:
+                    revision = await store.replace(key, value, expected, CALL_TIMEOUT_S)
+                except ConflictError as exc:
+                    self._holds[duty] = _find_stored_holds(key, exc.changes)
+                    continue
+                self._holds[duty] = _StoredHolds(changed, revision)
+                return self.fence(duty) == fence
+        except PlatformError as exc:
+            error = exc
+        finally:
+            store.close()
+        log_event(_LOG, "holds_not_reserved", logging.WARNING, duty=duty, error=error)
+        return False
+
     async def store_culprit(self, name: str, record: StoredCulprit) -> bool:
         """Store what crashes upstreams; return whether that is confirmed."""
         store = Store(self.address, self.era)
@@ -274,3 +328,16 @@
         lease.invalidate()
         lease.store.close()
         log_event(_LOG, "duty_lost", duty=duty, fence=format_revision(lease.revision))
+
+
+def _find_stored_holds(key: str, changes: tuple[Change, ...]) -> _StoredHolds:
+    """Return the record of a group's holds; one that cannot be decoded counts as empty."""
+    for stored in changes:
+        if stored.key == key and stored.value is not None:
+            try:
+                record = msgspec.json.decode(stored.value, type=HoldRecord)
+            except (msgspec.MsgspecError, RecursionError) as exc:
+                log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
+                record = HoldRecord()
+            return _StoredHolds(record, stored.revision)
+    return _StoredHolds()
--- a/dalehollow/platform/store.py
+++ b/dalehollow/platform/store.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import logging
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
@@ -34,7 +35,16 @@
 
 
 class ConflictError(Exception):
-    """Signal that a write precondition failed; nothing was written."""
+    """Signal that a write precondition failed; nothing was written.
+
+    `changes` holds the conditional keys that exist, as they are now, if the call reads them.
+    """
+
+    def __init__(self, message: str, body: bytes = b"") -> None:
+        """Create the error for a response with this body."""
+        super().__init__(message)
+        self.body = body
+        self.changes: tuple[Change, ...] = ()
 
 
 class LeaseGoneError(LookupError):
@@ -112,6 +122,10 @@
     revision: int
 
 
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = msgspec.field(default_factory=list)
+
+
 class _Lease(msgspec.Struct):
     lease: int
     ttl_ms: float = msgspec.field(name="ttlMs")
@@ -197,6 +211,25 @@
         answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
         return join_revision(self.era.newest, _decode(answer, _Written).revision)
 
+    async def replace(
+        self, key: str, value: bytes, expected: Mapping[str, int], timeout_s: float
+    ) -> int:
+        """Write a key if the expected keys have these revisions, and return its revision.
+
+        A revision of 0 means that the key does not exist. Raises ConflictError with the expected
+        keys otherwise.
+        """
+        rows = [{"key": k, "revision": read_number(r)} for k, r in expected.items()]
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+        body = {"expectedRevision": rows, "setKeys": [item]}
+        try:
+            answer = await self._call("/kv-txn", timeout_s, method="POST", body=body)
+        except ConflictError as exc:
+            items = _decode(exc.body, _Conflict).items
+            exc.changes = tuple(_convert_item(item, self.era.newest) for item in items)
+            raise
+        return join_revision(self.era.newest, _decode(answer, _Written).revision)
+
     async def delete(self, key: str, revision: int, timeout_s: float) -> None:
         """Delete a key; raise ConflictError if its revision has changed."""
         if read_era(revision) != self.era.newest:
@@ -274,7 +307,7 @@
         if status == _HISTORY_GONE_STATUS:
             raise HistoryGoneError(path)
         if status == _CONFLICT_STATUS:
-            raise ConflictError(path)
+            raise ConflictError(path, body)
         if status == _LEASE_GONE_STATUS:
             raise LeaseGoneError(path)
         # A new connection may reach a store replica that accepts requests from this process.
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -199,10 +199,11 @@
         return 200, {"events": events, "timestamp": self.revision}
 
     def _transact(self, body: dict[str, Any]) -> tuple[int, Any]:
-        for row in body.get("expectedRevision", []):
-            item = self.items.get(row["key"])
-            if (item.revision if item is not None else 0) != row["revision"]:
-                return 412, {"items": []}
+        rows = body.get("expectedRevision", [])
+        found = {row["key"]: self.items.get(row["key"]) for row in rows}
+        if any((i.revision if (i := found[r["key"]]) else 0) != r["revision"] for r in rows):
+            current = [self._encode(k, item) for k, item in found.items() if item is not None]
+            return 412, {"items": current}
         puts = body.get("setKeys", [])
         if any(put["lease"] and put["lease"] not in self._leases for put in puts):
             return 404, {}
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -15,6 +15,7 @@
 from dalehollow.gateway.plan_policy import PlanPolicy, PlanTerms
 from dalehollow.gateway.planner import GroupPlanner
 from dalehollow.gateway.table import ExpertFigures
+from dalehollow.groups.holds import HoldRecord, HoldRecordChange
 from dalehollow.groups.place import place_round_robin
 from dalehollow.groups.ranks import OrderReply, RankCounts, RankReport, StoredPlan
 from tests.fake_ranks import FakeGroup
@@ -29,6 +30,7 @@
 class _Duties:
     held: int | None = 1
     stored: list[StoredPlan] = field(default_factory=list)
+    holds: HoldRecord = field(default_factory=HoldRecord)
 
     def fence(self, duty: str) -> int | None:
         return self.held
@@ -43,6 +45,11 @@
     async def store_plan(self, duty: str, plan: StoredPlan) -> None:
         self.stored.append(plan)
 
+    async def update_holds(self, duty: str, change: HoldRecordChange) -> bool:
+        changed = change(self.holds) if self.held is not None else None
+        self.holds = changed or self.holds
+        return changed is not None
+
 
 class _CountingGroup(FakeGroup):
     """Fake group with expert counters, `hot` counted most; each read of counts runs a pass."""
@@ -63,26 +70,30 @@
         return RankReport(**{**report.__dict__, "pace": self.paces[rank]})
 
 
+def _make_planner(group: FakeGroup, duties: _Duties) -> GroupPlanner:
+    pass_times = PassTimes(asyncio.get_running_loop().time, lambda: 1.0, lambda batch: 10.0)
+    return GroupPlanner(
+        duty="desk",
+        duties=duties,
+        holder=lambda: None,
+        count_predecessors=lambda: 0,
+        port=group,
+        ranks=lambda: {rank: f"rank-{rank}" for rank in range(RANKS)},
+        figures=FIGURES,
+        policy=POLICY,
+        rng=random.Random(3),
+        pass_times=pass_times,
+        load=lambda: 0.9,
+        pause_objective_s=lambda: 0.0,
+    )
+
+
 def _run(
     scenario: Callable[[GroupPlanner, _CountingGroup, _Duties], Awaitable[None]],
 ) -> None:
     async def run() -> None:
         group, duties = _CountingGroup(RANKS), _Duties()
-        pass_times = PassTimes(asyncio.get_running_loop().time, lambda: 1.0, lambda batch: 10.0)
-        planner = GroupPlanner(
-            duty="desk",
-            duties=duties,
-            holder=lambda: None,
-            count_predecessors=lambda: 0,
-            port=group,
-            ranks=lambda: {rank: f"rank-{rank}" for rank in range(RANKS)},
-            figures=FIGURES,
-            policy=POLICY,
-            rng=random.Random(3),
-            pass_times=pass_times,
-            load=lambda: 0.9,
-            pause_objective_s=lambda: 0.0,
-        )
+        planner = _make_planner(group, duties)
         task = asyncio.ensure_future(planner.run())
         try:
             async with asyncio.timeout(20):
@@ -283,6 +294,73 @@
     _run(scenario)
 
 
+class _IdleGroup(_CountingGroup):
+    """Fake group whose callers pause: reads of counts run no pass."""
+
+    def run_pass(self) -> bool:
+        return False
+
+    def run_passes_to(self, step: int) -> None:
+        """Run passes until one is held or the step is reached, as when callers come back."""
+        while self.step < step and super().run_pass():
+            pass
+
+
+@pytest.mark.parametrize("is_same_planner", [False, True])
+def test_late_release_does_not_end_a_later_hold(is_same_planner: bool) -> None:
+    """Guards against passes with two maps after a release of an earlier switch is executed late.
+
+    An idle group makes no passes, so two switches choose the same step. The earlier switch is that
+    of a planner that was killed, or one that this planner abandoned.
+    """
+
+    async def run() -> None:
+        group, duties = _IdleGroup(RANKS), _Duties()
+        late_releases = 0
+
+        def choose_delivery(name: str, rank: int) -> str:
+            nonlocal late_releases
+            if name == "release" and not late_releases:
+                late_releases += 1
+                return "delayed"
+            if is_same_planner and name == "arm" and rank == RANKS - 1 and not late_releases:
+                return "lost"
+            return "delivered"
+
+        group.choose_delivery = choose_delivery
+        planner = _make_planner(group, duties)
+        task = asyncio.ensure_future(planner.run())
+        await _wait_until(lambda: late_releases > 0 and group.ranks[0].held is None)
+        if not is_same_planner:
+            await _wait_until(lambda: bool(duties.stored))
+            task.cancel()
+            duties.held = 2
+            planner = _make_planner(group, duties)
+            planner.set_stored_demand(duties.stored[-1].demand)
+            task = asyncio.ensure_future(planner.run())
+        armed_at: list[int] = []
+
+        def execute_release_late(name: str, rank: int) -> None:
+            armed = group.ranks[0].armed
+            if name == "arm" and rank == RANKS - 1 and armed is not None and not armed_at:
+                armed_at.append(armed[1])
+                group.execute_delayed(random.Random(1))
+                group.run_passes_to(armed[1])
+
+        group.on_order = execute_release_late
+        await _wait_until(lambda: bool(armed_at) and planner.changes > 0)
+        group.run_passes_to(armed_at[0])
+        task.cancel()
+        assert group.step == armed_at[0]
+        assert len({rank.version for rank in group.ranks}) == 1
+
+    async def run_in_time() -> None:
+        async with asyncio.timeout(20):
+            await run()
+
+    asyncio.run(run_in_time())
+
+
 def test_planner_without_duty_sends_no_orders() -> None:
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         duties.held = None
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -19,6 +19,7 @@
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
+from dalehollow.groups.holds import HoldLedger
 from dalehollow.platform import follow, session
 from dalehollow.platform.follow import Follower
 from dalehollow.platform.items import Listener
@@ -265,6 +266,46 @@
     _run(scenario)
 
 
+def _open_holds(holder: Session) -> HoldLedger:
+    return HoldLedger(1, lambda change: holder.update_holds("desk", change))
+
+
+def test_holders_of_a_duty_never_take_the_same_hold() -> None:
+    """Guards against a late release that ends the hold of another planner."""
+
+    async def scenario(store: MetadataStandIn, address: str, recorded: _Recorded) -> None:
+        taken: list[int] = []
+        for name in ("a", "b", "a"):
+            holder = Session(address, name, MEMBER)
+            assert await holder.acquire_duty("desk")
+            rank = await _open_holds(holder).take(range(4), 20)
+            assert rank is not None
+            taken.append(rank)
+            await holder.release_duty("desk", "test")
+        assert len(set(taken)) == 3
+        # An entry that cannot be decoded counts as empty.
+        store.put("dalehollow/holds/desk", b"no json")
+        assert await holder.acquire_duty("desk")
+        assert await _open_holds(holder).take(range(4), 20) is not None
+        await holder.release_duty("desk", "test")
+
+    _run(scenario)
+
+
+def test_replaced_holder_takes_no_hold() -> None:
+    async def scenario(store: MetadataStandIn, address: str, recorded: _Recorded) -> None:
+        first, second = (Session(address, n, MEMBER, clock=lambda: 100.0) for n in ("a", "b"))
+        assert await first.acquire_duty("desk")
+        store.end_all_leases()
+        assert await second.acquire_duty("desk")
+        assert first.fence("desk") is not None
+        assert await _open_holds(first).take(range(4), 20) is None
+        assert await _open_holds(second).take(range(4), 20) == 0
+        await second.release_duty("desk", "test")
+
+    _run(scenario)
+
+
 def test_a_paused_holder_sees_that_its_lease_expired() -> None:
     async def scenario(store: MetadataStandIn, address: str, recorded: _Recorded) -> None:
         now_s = 100.0
--- a/tests/test_switch_map.py
+++ b/tests/test_switch_map.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 import pytest
 
 from dalehollow.groups import switch
+from dalehollow.groups.holds import HoldLedger, HoldRecord, HoldRecordChange
 from dalehollow.groups.ranks import OrderReply
 from dalehollow.groups.switch import Proposal, SwitchOutcome, abort_unfinished_switch, switch_map
 from tests.fake_ranks import FakeGroup, MapsDifferError
@@ -22,6 +24,22 @@
     monkeypatch.setattr(switch, "RETRY_PAUSE_S", 0)
 
 
+class _HoldStore:
+    """Keep the record of holds that successive planners share."""
+
+    def __init__(self) -> None:
+        self.record = HoldRecord()
+
+    async def update(self, change: HoldRecordChange) -> bool:
+        changed = change(self.record)
+        self.record = changed or self.record
+        return changed is not None
+
+    def open(self, epoch: int = 1) -> HoldLedger:
+        """Return the ledger of a further planner."""
+        return HoldLedger(epoch, self.update)
+
+
 class _Killed(BaseException):
     """Kill a planner at one of its orders."""
 
@@ -39,7 +57,7 @@
     def choose_delivery(name: str, rank: int) -> str:
         return rng.choices(list(weights), list(weights.values()))[0]
 
-    group = FakeGroup(RANKS, choose_delivery)
+    group, store = FakeGroup(RANKS, choose_delivery), _HoldStore()
     count = 0
 
     def on_order(name: str, rank: int) -> None:
@@ -63,7 +81,7 @@
         outcome = "killed"
         try:
             proposal = Proposal(version, group.step + rng.randint(1, 6), 1, CURRENT)
-            outcome = await switch_map(group, range(RANKS), proposal)
+            outcome = await switch_map(group, range(RANKS), proposal, store.open())
         except _Killed:
             pass
         group.on_order = None
@@ -72,7 +90,9 @@
                 group.run_pass()
             known = [r for r in range(RANKS) if report_rng.random() >= lost_reports]
             reports = {r: await group.read_report(r) for r in known}
-            is_clean = await abort_unfinished_switch(group, reports, CURRENT, fence * 1_000_000)  # type: ignore[arg-type]
+            is_clean = await abort_unfinished_switch(
+                group, reports, CURRENT, fence * 1_000_000, store.open()
+            )
             if is_clean and not any(r.held for r in group.ranks):
                 break
         while group.delayed:
@@ -113,7 +133,7 @@
         RANKS, lambda name, rank: rng.choices(list(weights), list(weights.values()))[0]
     )
     pause_at, resume_after = rng.randint(1, 14), rng.randint(1, 30)
-    resumed = asyncio.Event()
+    resumed, store = asyncio.Event(), _HoldStore()
     order_counts = {"first": 0, "second": 0}
 
     class First:
@@ -154,11 +174,11 @@
                 if await group.prepare(rank, version, CURRENT, 1) is OrderReply.ACCEPTED:
                     break
         proposal = Proposal(version, group.step + rng.randint(1, 5), 1, CURRENT)
-        first = asyncio.ensure_future(switch_map(First(), range(RANKS), proposal))  # type: ignore[arg-type]
+        first = asyncio.ensure_future(switch_map(First(), range(RANKS), proposal, store.open()))  # type: ignore[arg-type]
         while order_counts["first"] < pause_at and not first.done():
             await asyncio.sleep(0)
         reports = {r: await group.read_report(r) for r in range(RANKS)}
-        await abort_unfinished_switch(Second(), reports, CURRENT, 2_000_000)  # type: ignore[arg-type]
+        await abort_unfinished_switch(Second(), reports, CURRENT, 2_000_000, store.open())  # type: ignore[arg-type]
         resumed.set()
         await first
         while group.delayed:
@@ -180,10 +200,10 @@
 ) -> None:
     original_hold = switch._hold
 
-    async def skip(port, ranks, proposal):  # type: ignore[no-untyped-def]
+    async def skip(port, ranks, proposal, holds):  # type: ignore[no-untyped-def]
         if type(port).__name__ == "Second":
             return [], True, False
-        return await original_hold(port, ranks, proposal)
+        return await original_hold(port, ranks, proposal, holds)
 
     monkeypatch.setattr(switch, "_hold", skip)
     with pytest.raises(MapsDifferError):
@@ -194,7 +214,7 @@
 def test_switch_without_a_hold_splits_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
     """Show that the test detects a missing hold: only some ranks execute their arms in time."""
 
-    async def skip(port, ranks, proposal):  # type: ignore[no-untyped-def]
+    async def skip(port, ranks, proposal, holds):  # type: ignore[no-untyped-def]
         return [], True, False
 
     monkeypatch.setattr(switch, "_hold", skip)
@@ -219,7 +239,8 @@
     async def run() -> SwitchOutcome:
         for rank in range(RANKS):
             await group.prepare(rank, 5, CURRENT, 1)
-        return await switch_map(group, range(RANKS), Proposal(5, group.step + 3, 1, CURRENT))
+        proposal = Proposal(5, group.step + 3, 1, CURRENT)
+        return await switch_map(group, range(RANKS), proposal, _HoldStore().open())
 
     assert asyncio.run(run()) is SwitchOutcome.SWITCHED
     assert all(group.run_pass() for _ in range(5))
@@ -233,7 +254,69 @@
         for rank in range(RANKS):
             await group.prepare(rank, 5, CURRENT, 1)
         group.epoch = 2
-        return await switch_map(group, range(RANKS), Proposal(5, group.step + 3, 1, CURRENT))
+        proposal = Proposal(5, group.step + 3, 1, CURRENT)
+        return await switch_map(group, range(RANKS), proposal, _HoldStore().open())
 
     assert asyncio.run(run()) is SwitchOutcome.TOO_LATE
     assert {rank.version for rank in group.ranks} == {0}
+
+
+def _run_planners_in_turn(seed: int) -> int:
+    """Run planners in turn on a group that is mostly idle; return how many maps it switched to.
+
+    Each settles what it finds, switches, and may be killed at one of its orders.
+    """
+    rng = random.Random(seed)
+    weights = {"delivered": rng.choice([2, 6]), "lost": 0.5, "delayed": 2, "reply_lost": 0.5}
+    group, store = FakeGroup(RANKS), _HoldStore()
+    kill_at = 0
+
+    def on_order(name: str, rank: int) -> None:
+        nonlocal kill_at
+        kill_at -= 1
+        if kill_at == 0:
+            raise _Killed
+        while rng.random() < 0.4:
+            group.execute_delayed(rng) if rng.random() < 0.7 else group.run_pass()
+
+    async def plan(fence: int) -> None:
+        holds, version = store.open(), fence * 1_000_000
+        reports = {rank: await group.read_report(rank) for rank in range(RANKS)}
+        if not await abort_unfinished_switch(group, reports, CURRENT, version, holds):  # type: ignore[arg-type]
+            return
+        replies = [await group.prepare(r, version + 1, CURRENT, 1) for r in range(RANKS)]
+        if any(reply is not OrderReply.ACCEPTED for reply in replies):
+            return
+        step = await holds.find_step(range(RANKS), group.step + rng.randint(1, 3))
+        if step is not None:
+            proposal = Proposal(version + 1, step, 1, CURRENT)
+            await switch_map(group, range(RANKS), proposal, holds)
+
+    async def run() -> None:
+        nonlocal kill_at
+        group.on_order = on_order
+        group.choose_delivery = lambda name, rank: rng.choices(list(weights), weights.values())[0]
+        for fence in range(1, 9):
+            kill_at = rng.choice([0, rng.randint(1, 30)])
+            with contextlib.suppress(_Killed):
+                await plan(fence)
+        while group.delayed:
+            group.run_pass()
+            group.execute_delayed(rng)
+
+    asyncio.run(run())
+    for _ in range(20):
+        group.run_pass()
+    return group.ranks[0].version
+
+
+def test_late_orders_of_earlier_planners_never_split_the_group() -> None:
+    """Guards against a hold that a release of an earlier planner ends."""
+    assert sum(_run_planners_in_turn(seed) > 0 for seed in range(RUNS)) > RUNS / 10
+
+
+def test_holds_placed_twice_split_the_group(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_HoldStore, "open", lambda self: HoldLedger(1, _HoldStore().update))
+    with pytest.raises(MapsDifferError):
+        for seed in range(RUNS * 4):
+            _run_planners_in_turn(seed)
