Give the version of an abandoned switch to no other map

A planner that abandons a switch prepares the active map at all ranks under the next version, and gave the same version to its next map. Ranks refuse it, or report that they have it already, with another map.

Evidence: test_version_of_an_abandoned_switch_names_one_map fails before the change: version 1000003 names two maps.

Change: the proposal carries the version that replaces it, and the planner counts it as given.

Why it works: a prepare order that is executed late names one map only, and the next map's version is above all that ranks have had.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -459,7 +459,7 @@
         """Have all ranks copy the experts of a map, which takes `copy_s`, and switch to it."""
         assert self.current is not None
         ranks = sorted(self.ranks())
-        version = self._next_version(fence)
+        version, newer_version = self._next_version(fence), self._next_version(fence)
         self._has_unanswered_orders = False
         replies = await asyncio.gather(*(self._prepare(r, version, planned) for r in ranks))
         if any(reply is not OrderReply.ACCEPTED for reply in replies):
@@ -474,7 +474,7 @@
             step = await self._holds.find_step(ranks, self._choose_step())
             if step is None:
                 return SwitchOutcome.ABANDONED
-            proposal = Proposal(version, step, self._epoch, self.current)
+            proposal = Proposal(version, newer_version, step, self._epoch, self.current)
             outcome = await switch_map(self.port, ranks, proposal, self._holds)
             if outcome is SwitchOutcome.SWITCHED:
                 self._switch = proposal
--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -37,9 +37,14 @@
 
 @dataclass(frozen=True)
 class Proposal:
-    """Propose to switch to a map version at the start of `step`; `current` is the active map."""
+    """Propose to switch to a map version at the start of `step`.
+
+    `current` is the active map. It is prepared again as `newer_version`, which no other map gets,
+    if the switch is abandoned.
+    """
 
     version: int
+    newer_version: int
     step: int
     epoch: int
     current: GroupMap
@@ -118,14 +123,14 @@
     epoch = max(r.epoch for r in reports.values())
     step = max([r.armed_step for r in armed] + [hold.step for hold in holders])
     version = max((r.armed_version for r in armed), default=next_version - 1)
-    proposal = Proposal(version, step, epoch, current)
+    proposal = Proposal(version, next_version, step, epoch, current)
     held_ranks = {hold.rank for hold in holders}
     # The other planner places its hold on the first rank that accepts it, so start from the last.
     free = [rank for rank in sorted(reports, reverse=True) if rank not in held_ranks]
     own_holders, is_held, has_started = await _hold(port, free, proposal, holds)
     if not is_held and not has_started:
         return False
-    if is_held and not await _disarm_all(port, ranks, proposal, next_version):
+    if is_held and not await _disarm_all(port, ranks, proposal):
         return False
     return await _release(port, [*own_holders, *holders], epoch)
 
@@ -172,18 +177,13 @@
     )
 
 
-async def _disarm_all(
-    port: RankPort, ranks: Sequence[int], proposal: Proposal, next_version: int = 0
-) -> bool:
+async def _disarm_all(port: RankPort, ranks: Sequence[int], proposal: Proposal) -> bool:
     """Disarm all ranks and invalidate late arms; return whether all ranks confirmed it."""
-    newer_version = max(next_version, proposal.version + 1)
-    confirmed = await asyncio.gather(
-        *(_disarm_rank(port, rank, proposal, newer_version) for rank in ranks)
-    )
+    confirmed = await asyncio.gather(*(_disarm_rank(port, rank, proposal) for rank in ranks))
     return all(confirmed)
 
 
-async def _disarm_rank(port: RankPort, rank: int, proposal: Proposal, newer_version: int) -> bool:
+async def _disarm_rank(port: RankPort, rank: int, proposal: Proposal) -> bool:
     """Disarm a rank until it has prepared a newer version, which rules out late arms.
 
     The two orders are repeated together, because a repeated arm may be executed between them.
@@ -193,7 +193,7 @@
             lambda: port.disarm(rank, proposal.version, proposal.epoch), retry_refusals=False
         )
         reply = await _send_order(
-            lambda: port.prepare(rank, newer_version, proposal.current, proposal.epoch),
+            lambda: port.prepare(rank, proposal.newer_version, proposal.current, proposal.epoch),
             retry_refusals=False,
         )
         if reply is OrderReply.ACCEPTED:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -18,6 +18,7 @@
 from dalehollow.groups.holds import HoldRecord, HoldRecordChange
 from dalehollow.groups.place import place_round_robin
 from dalehollow.groups.ranks import OrderReply, RankCounts, RankReport, StoredPlan
+from dalehollow.groups.switch import ORDER_ATTEMPTS
 from tests.fake_ranks import FakeGroup
 
 RANKS, EXPERTS = 4, 16
@@ -361,6 +362,29 @@
     asyncio.run(run_in_time())
 
 
+def test_version_of_an_abandoned_switch_names_one_map() -> None:
+    """Guards against a version that names two maps, of which a rank may take the older one."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        maps: dict[int, set[object]] = {}
+        prepare = group.prepare
+
+        async def record_and_prepare(rank: int, version: int, *args: Any) -> OrderReply:
+            maps.setdefault(version, set()).add(args[0])
+            return await prepare(rank, version, *args)
+
+        group.prepare = record_and_prepare  # type: ignore[method-assign]
+        lost = ["arm"] * ORDER_ATTEMPTS
+        group.choose_delivery = lambda name, rank: (
+            "lost" if rank == 0 and name == "arm" and lost and lost.pop() else "delivered"
+        )
+        await _wait_until(lambda: planner.changes >= 1)
+        assert not lost
+        assert [len(found) for found in maps.values()] == [1] * len(maps)
+
+    _run(scenario)
+
+
 def test_planner_without_duty_sends_no_orders() -> None:
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         duties.held = None
--- a/tests/test_switch_map.py
+++ b/tests/test_switch_map.py
@@ -80,7 +80,7 @@
         group.on_order = on_order
         outcome = "killed"
         try:
-            proposal = Proposal(version, group.step + rng.randint(1, 6), 1, CURRENT)
+            proposal = Proposal(version, version + 1, group.step + rng.randint(1, 6), 1, CURRENT)
             outcome = await switch_map(group, range(RANKS), proposal, store.open())
         except _Killed:
             pass
@@ -173,7 +173,7 @@
             for _ in range(30):
                 if await group.prepare(rank, version, CURRENT, 1) is OrderReply.ACCEPTED:
                     break
-        proposal = Proposal(version, group.step + rng.randint(1, 5), 1, CURRENT)
+        proposal = Proposal(version, version + 1, group.step + rng.randint(1, 5), 1, CURRENT)
         first = asyncio.ensure_future(switch_map(First(), range(RANKS), proposal, store.open()))  # type: ignore[arg-type]
         while order_counts["first"] < pause_at and not first.done():
             await asyncio.sleep(0)
@@ -239,7 +239,7 @@
     async def run() -> SwitchOutcome:
         for rank in range(RANKS):
             await group.prepare(rank, 5, CURRENT, 1)
-        proposal = Proposal(5, group.step + 3, 1, CURRENT)
+        proposal = Proposal(5, 6, group.step + 3, 1, CURRENT)
         return await switch_map(group, range(RANKS), proposal, _HoldStore().open())
 
     assert asyncio.run(run()) is SwitchOutcome.SWITCHED
@@ -254,7 +254,7 @@
         for rank in range(RANKS):
             await group.prepare(rank, 5, CURRENT, 1)
         group.epoch = 2
-        proposal = Proposal(5, group.step + 3, 1, CURRENT)
+        proposal = Proposal(5, 6, group.step + 3, 1, CURRENT)
         return await switch_map(group, range(RANKS), proposal, _HoldStore().open())
 
     assert asyncio.run(run()) is SwitchOutcome.TOO_LATE
@@ -289,7 +289,7 @@
             return
         step = await holds.find_step(range(RANKS), group.step + rng.randint(1, 3))
         if step is not None:
-            proposal = Proposal(version + 1, step, 1, CURRENT)
+            proposal = Proposal(version + 1, version + 2, step, 1, CURRENT)
             await switch_map(group, range(RANKS), proposal, holds)
 
     async def run() -> None:
