Ask a rank that refuses a hold whether the step has started

What callers saw: nothing in the cases; found by reading for the cause of late releases. Two refused holds were taken for a step that had started. A rank also refuses while it has another hold, and an abort then released the group without disarming it, so that the step could start with some ranks armed.

Evidence: test_ranks_with_other_holds_do_not_show_that_the_step_has_started fails before the change.

Change: after a refusal the rank's counts are read, which show its step and epoch as they are now; otherwise the next rank is tried, six at most.

Why it works: the group is released without disarming only if the step has started or the epoch is another one, and late arms are refused in both.

--- a/dalehollow/groups/switch.py
+++ b/dalehollow/groups/switch.py
@@ -23,7 +23,8 @@
 """Attempts per order: if a third of the replies is lost, about 1 in 700 orders gets none."""
 RETRY_PAUSE_S = 0.05
 """Pause after a refusal, which a rank also gives while it is still copying weights."""
-STEP_STARTED_REFUSALS = 2
+HOLD_ATTEMPTS = 6
+"""Ranks tried for a hold."""
 
 
 class SwitchOutcome(enum.StrEnum):
@@ -155,13 +156,13 @@
     Returns the holds that may exist, whether the group is held, and whether the step has started.
     """
     holders: list[_Hold] = []
-    refusals = 0
-    while (rank := await holds.take(ranks, proposal.step)) is not None:
+    for _ in range(HOLD_ATTEMPTS):
+        rank = await holds.take(ranks, proposal.step)
+        if rank is None:
+            break
         reply = await port.hold(rank, proposal.step, proposal.epoch)
         if reply is OrderReply.REFUSED:
-            # The step has started, unless only this rank refuses because another planner holds it.
-            refusals += 1
-            if refusals == STEP_STARTED_REFUSALS:
+            if await _has_started(port, rank, proposal):
                 return holders, False, True
             continue
         holders.append(_Hold(rank, proposal.step))
@@ -170,6 +171,15 @@
     return holders, False, False
 
 
+async def _has_started(port: RankPort, rank: int, proposal: Proposal) -> bool:
+    """Return whether a rank that refused a hold has started the step, or is in another epoch.
+
+    It also refuses if it has another hold. Counts are read because reports are too old.
+    """
+    counts = await port.read_counts(rank)
+    return counts is not None and (counts.epoch != proposal.epoch or counts.step >= proposal.step)
+
+
 async def _arm(port: RankPort, rank: int, proposal: Proposal) -> OrderReply:
     return await _send_order(
         lambda: port.arm(rank, proposal.version, proposal.step, proposal.epoch),
--- a/tests/fake_ranks.py
+++ b/tests/fake_ranks.py
@@ -144,7 +144,7 @@
         )
 
     async def read_counts(self, rank: int) -> RankCounts | None:
-        return None
+        return RankCounts(self.epoch, self.step, ())
 
     async def read_layers(self, rank: int) -> tuple[tuple[int, ...], ...] | None:
         return None
--- a/tests/test_switch_map.py
+++ b/tests/test_switch_map.py
@@ -233,6 +233,29 @@
             _run_random_switch(seed)
 
 
+def test_ranks_with_other_holds_do_not_show_that_the_step_has_started() -> None:
+    """Guards against an abort that releases a partly armed group without disarming it."""
+    group, holds = FakeGroup(RANKS), _HoldStore().open()
+
+    async def run() -> bool:
+        step = group.step + 1
+        for rank in range(RANKS):
+            await group.prepare(rank, 5, CURRENT, 1)
+        await group.hold(0, step, 1)
+        for rank in range(2):
+            await group.arm(rank, 5, step, 1)
+        reports = {rank: await group.read_report(rank) for rank in range(RANKS)}
+        # Executed late, after the reports were read.
+        for rank in range(1, RANKS):
+            await group.hold(rank, step + 5, 1)
+        return await abort_unfinished_switch(group, reports, CURRENT, 1_000_000, holds)  # type: ignore[arg-type]
+
+    is_clean = asyncio.run(run())
+    assert not is_clean
+    while group.run_pass():
+        pass
+
+
 def test_switch_without_faults_blocks_no_pass() -> None:
     group = FakeGroup(RANKS)
 
