--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.known_red import (
+    CROWD_TESTS,
     MAX_KNOWN_FAILURES,
     KnownFailure,
     find_uncollected,
@@ -36,6 +37,14 @@
         parse_known_failures(LINE * (MAX_KNOWN_FAILURES + 1))
 
 
+def test_crowd_tests_do_not_count_towards_the_cap() -> None:
+    crowd = f"{CROWD_TESTS}::test_c[bodies]; pytest; 200 MB; issue 1\n"
+    others = LINE * MAX_KNOWN_FAILURES
+    assert len(parse_known_failures(others + crowd * 4)) == MAX_KNOWN_FAILURES + 4
+    with pytest.raises(ValueError, match="at most 3"):
+        parse_known_failures(others + LINE + crowd)
+
+
 def test_line_that_names_no_test_is_detected() -> None:
     failures = parse_known_failures(LINE)
     assert find_uncollected(failures, ["tests/test_a.py::test_b"]) == []
