Limit what one caller's connection holds

What callers saw: a gateway that ran out of memory and ended, by trailers without end behind a chunked body, or by bodies in very small chunks.

Cause: trailers reach on_header after the size of the head was checked, were kept, and counted nowhere; a field without end is kept by the parser. A list of pieces and a pair of objects a field cost many times what they hold. All requests of one read were parsed, however many waited.

Change: data is parsed in parts of 16 KB, and limits are checked between them. Trailers count like a head and are discarded: they are not headers, and X-Key in a trailer was taken for one. Data that the parser takes without reporting a part of the request is limited. A rejected request is dropped at once. A body is one bytearray. Data behind a waiting request is left unparsed.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -22,6 +22,12 @@
 _CHUNKED = (b"transfer-encoding", b"chunked")
 _HTTP_1_0 = "1.0"
 _LAST_CHUNK = b"0\r\n\r\n"
+_FIELD_SYNTAX_BYTES = 3
+"""Colon and line end of a header field; the blank between them is optional."""
+_PARSED_BYTES = 16 * 1024
+"""Data is parsed in parts of this size, so that limits are checked between them."""
+_MAX_WAITING_REQUESTS = 1
+"""Complete requests that may wait behind the one being served before reading pauses."""
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -89,10 +95,15 @@
         self._writable.set()
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        # Size of the head, or of the trailers after a chunked body.
         self._head_bytes = 0
+        # Data that the parser has taken without reporting a part of the request.
+        self._unreported_bytes = 0
+        # Received data that waits until fewer requests do.
+        self._unparsed = b""
         self._is_reading_head = False
+        self._is_receiving = False
         self._began_at_s = 0.0
         self._error_status = 0
         self._head_sent = False
@@ -118,15 +129,9 @@
         """Feed the parser; ignore data after a rejected request, as the connection will close."""
         if self._error_status:
             return
-        if not self._is_reading_head and not self._body_bytes and not self._headers:
+        if not self._is_receiving:
             self._began_at_s = asyncio.get_running_loop().time()
-        self._count_head(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._reject(self._error_status or HTTPStatus.BAD_REQUEST)
+        self._parse(self._unparsed + data if self._unparsed else data)
 
     def eof_received(self) -> bool:
         """Close the transport: a half-closed connection counts as a caller that disconnected."""
@@ -152,27 +157,26 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        self._target, self._headers, self._body = b"", [], []
-        self._body_bytes = 0
-        self._is_reading_head = True
+        self._clear_request()
+        self._is_reading_head = self._is_receiving = True
         self._arrived.set()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target, undecoded."""
-        self._target += url
+        if self._count_head(len(url)):
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value))
+        """Append a header; trailers are discarded, but their size is limited like a head's."""
+        size_bytes = len(name) + len(value) + _FIELD_SYNTAX_BYTES
+        if self._count_head(size_bytes) and self._is_reading_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Check the size of the head and answer `Expect: 100-continue`."""
+        """Answer `Expect: 100-continue`."""
         self._is_reading_head = False
-        limits = self._read_limits()
-        head_bytes = len(self._target) + sum(len(k) + len(v) + 4 for k, v in self._headers)
-        self._head_bytes = 0
-        if head_bytes > limits.max_header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._head_bytes = self._unreported_bytes = 0
+        if self._error_status:
             return
         names = dict(self._headers)
         if names.get(b"expect", b"").lower() == b"100-continue" and self._transport:
@@ -180,11 +184,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its size."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._read_limits().max_body_bytes:
+        self._unreported_bytes = 0
+        if self._error_status:
+            return
+        if len(self._body) + len(body) > self._read_limits().max_body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the serving task."""
@@ -194,15 +200,16 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
             began_at_s=self._began_at_s,
             http_version=self._parser.get_http_version(),
         )
-        self._headers, self._body, self._body_bytes = [], [], 0
+        self._is_receiving = False
+        self._clear_request()
         self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
         self._requests.append(request)
         self._arrived.set()
-        if len(self._requests) > 1 and self._transport is not None:
+        if self._must_wait() and self._transport is not None:
             self._transport.pause_reading()
 
     # Interface for handlers
@@ -263,7 +270,7 @@
 
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in flight, queued or being received."""
-        if self.is_busy or self._requests or self._is_reading_head or self._headers:
+        if self.is_busy or self._requests or self._is_receiving:
             return False
         if self._transport is not None:
             self._transport.close()
@@ -300,21 +307,27 @@
             if self._error_status:
                 self._send_error()
                 return None
-            is_idle = not self._is_reading_head and not self._headers
+            is_idle = not self._is_receiving
             timeout_s = limits.idle_timeout_s if is_idle else limits.header_timeout_s
             self._arrived.clear()
             try:
                 async with asyncio.timeout(timeout_s):
                     await self._arrived.wait()
             except TimeoutError:
-                if is_idle and not self._is_reading_head:
+                if is_idle and not self._is_receiving:
                     return None
                 self._error_status = HTTPStatus.REQUEST_TIMEOUT
         request = self._requests.popleft()
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        if self._unparsed:
+            self._parse(self._unparsed)
+        transport = self._transport
+        if transport is not None and not transport.is_closing() and not self._must_wait():
+            transport.resume_reading()
         return request
 
+    def _must_wait(self) -> bool:
+        return len(self._requests) > _MAX_WAITING_REQUESTS
+
     def _send_head(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
         if self._transport is None:
             return
@@ -329,16 +342,41 @@
         if self._transport is not None and not self._transport.is_closing():
             set_reset_on_close(self._transport.get_extra_info("socket"), is_on=is_on)
 
-    def _count_head(self, received_bytes: int) -> None:
-        """Limit a head that never ends; the exact size is checked once the head is complete."""
-        if not self._is_reading_head:
-            return
-        self._head_bytes += received_bytes
-        if self._head_bytes > 2 * self._read_limits().max_header_bytes:
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser until requests must wait or a limit is exceeded."""
+        position = 0
+        while position < len(data) and not self._must_wait() and not self._error_status:
+            part = data[position : position + _PARSED_BYTES]
+            position += len(part)
+            self._unreported_bytes += len(part)
+            try:
+                self._parser.feed_data(part)
+            except httptools.HttpParserUpgrade:
+                self._reject(HTTPStatus.BAD_REQUEST)
+            except httptools.HttpParserError:
+                self._reject(self._error_status or HTTPStatus.BAD_REQUEST)
+            # A field, a chunk size or empty lines that never end. The margin is for what comes
+            # before the field in the same part; its exact size is checked once it is complete.
+            if self._unreported_bytes > self._read_limits().max_header_bytes + _PARSED_BYTES:
+                self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._unparsed = b"" if self._error_status else data[position:]
+
+    def _count_head(self, size_bytes: int) -> bool:
+        """Count a part of the head or of the trailers; return False if the request is rejected."""
+        self._unreported_bytes = 0
+        self._head_bytes += size_bytes
+        if self._head_bytes > self._read_limits().max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        return not self._error_status
+
+    def _clear_request(self) -> None:
+        self._target, self._headers, self._body = b"", [], bytearray()
+        self._head_bytes = self._unreported_bytes = 0
 
     def _reject(self, status: int) -> None:
-        self._error_status = int(status)
+        """Refuse the request that is being received; its data is dropped at once."""
+        self._error_status = self._error_status or int(status)
+        self._clear_request()
         self._arrived.set()
 
     def _send_error(self) -> None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -12,7 +12,15 @@
 
 import pytest
 
-from dalehollow.aio import ClientConnection, Connections, ResponseError, connect
+from dalehollow.aio import (
+    CallerConnection,
+    CallerRequest,
+    ClientConnection,
+    Connections,
+    Limits,
+    ResponseError,
+    connect,
+)
 from dalehollow.gateway.descriptors import count_caller_connections
 from standins.metadata import MetadataStandIn
 from standins.platform import (
@@ -166,3 +174,95 @@
         assert (await bench.send_request("/pay/1", connection=connection)).status == 200
 
     run_bench(scenario)
+
+
+def _connect_caller(requests: list[CallerRequest]) -> CallerConnection:
+    """Return a connection whose requests are recorded and answered with 200."""
+
+    async def answer(connection: CallerConnection, request: CallerRequest) -> None:
+        requests.append(request)
+        connection.send_response(200, [], b"")
+
+    limits = Limits(max_header_bytes=200, max_body_bytes=200, header_timeout_s=5, idle_timeout_s=5)
+    caller = CallerConnection(answer, lambda: limits, Connections[CallerConnection]())
+    caller.connection_made(_Transport())
+    return caller
+
+
+class _Transport(asyncio.Transport):
+    """Keep what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent, self.is_paused = b"", False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.sent += data
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return default
+
+    def is_closing(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        pass
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+
+_POST = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (_POST + b"3\r\nabc\r\n0\r\nX-Key: a\r\n\r\n", 200),
+        (_POST + b"3\r\nabc\r\n0\r\n" + b"a:\r\n" * 60, 431),
+        (b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 60, 431),
+        # A head of 200 bytes with its request line.
+        (b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 45 + b"\r\n", 200),
+        (b"GET /" + b"a" * 200, 431),
+        (_POST + b"c9\r\n" + b"a" * 201, 413),
+        (_POST + b"c8\r\n" + b"a" * 200 + b"\r\n0\r\n\r\n", 200),
+        (b"\r\n" * 20_000, 431),
+        (_POST + b"1;" + b"a" * 40_000, 431),
+    ],
+)
+@pytest.mark.parametrize("part_bytes", [7, 100_000])
+def test_parts_of_a_request_are_limited(data: bytes, status: int, part_bytes: int) -> None:
+    """Guards against trailers, chunk sizes and empty lines without end."""
+
+    async def run() -> None:
+        requests: list[CallerRequest] = []
+        caller = _connect_caller(requests)
+        for start in range(0, len(data), part_bytes):
+            caller.data_received(data[start : start + part_bytes])
+        while not (sent := caller._transport.sent):  # type: ignore[union-attr]
+            await asyncio.sleep(0)
+        assert sent.startswith(b"HTTP/1.1 %d " % status)
+        assert len(requests) == (status == 200)
+        # Trailers are no headers: they were not there when the request was checked.
+        assert all(request.get(b"x-key") is None for request in requests)
+        caller.connection_lost(None)
+
+    asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+
+
+def test_requests_in_line_are_parsed_only_when_they_are_next() -> None:
+    """Guards against thousands of small requests of one read that wait as objects."""
+
+    async def run() -> None:
+        requests: list[CallerRequest] = []
+        caller = _connect_caller(requests)
+        caller.data_received(b"GET / HTTP/1.1\r\n\r\n" * 14_000)
+        assert len(caller._requests) < 1_000
+        while len(requests) < 14_000:
+            await asyncio.sleep(0)
+        caller.connection_lost(None)
+
+    asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
