Limit what one answer of an upstream holds

What callers saw: a gateway that ran out of memory and ended, by one server whose head, trailers or body had no end; one that stood still while it searched an event without end.

Cause: only body bytes not yet read were limited. Fields of a head and of trailers were kept without limit, each piece of a body cost an object beside its bytes, whole bodies and the rest of an event grew without limit, and each piece of an event was searched from the event's start.

Change: a head or its trailers may have 64 KB with 32 bytes for each field, as HTTP/2 counts them; trailers are discarded. Pieces count with their objects. A body that is read as a whole may have 16 MB, a rank's report 1 MB. An answer over a limit is broken off: never complete, retried where it may be.

--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -22,6 +22,16 @@
 """Errors of this process or VM: no descriptor, memory or local port is left."""
 MAX_BUFFERED_BYTES = 256 * 1024
 """Reading pauses above this size, so that a slow caller's data stays in the upstream."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of the head of a response, and of its trailers, with `FIELD_OVERHEAD_BYTES`."""
+FIELD_OVERHEAD_BYTES = 32
+"""Added for each field, as for the header list size of HTTP/2 (RFC 9113, section 6.5.2)."""
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Maximum size of a body that is read as a whole."""
+_PIECE_OVERHEAD_BYTES = 64
+"""Memory of a buffered piece beside its data."""
+_PARSED_BYTES = 16 * 1024
+"""Data is parsed in parts of this size, so that limits are checked between them."""
 PIECE_TIMEOUT_S = 0.5
 """Maximum wait for the next piece of a response, twice the time after which a lost packet is
 retransmitted. Each piece extends the time-out, so that data already received is not discarded only
@@ -82,6 +92,11 @@
         self._waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        # Size of the head, or of the trailers after a chunked body.
+        self._head_bytes = 0
+        # Data that the parser has taken without reporting a part of the response.
+        self._unreported_bytes = 0
+        self._is_reading_body = False
         self._ends_with_connection = False
         self._is_interim = False
         self._error: Exception | None = None
@@ -97,13 +112,20 @@
         tune_socket(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; abort the connection on invalid HTTP."""
+        """Feed the parser; abort the connection on invalid HTTP or a head without end."""
         self.received_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            self._fail(ResponseError(f"invalid HTTP response: {exc}"))
-            self.abort()
+        for start in range(0, len(data), _PARSED_BYTES):
+            part = data[start : start + _PARSED_BYTES]
+            self._unreported_bytes += len(part)
+            try:
+                self._parser.feed_data(part)
+            except httptools.HttpParserError as exc:
+                self._fail(ResponseError(f"invalid HTTP response: {exc}"))
+            if self._unreported_bytes > MAX_HEAD_BYTES + _PARSED_BYTES:
+                self._fail_oversize_head()
+            if self._error is not None:
+                self.abort()
+                return
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection; any other one is truncated."""
@@ -120,11 +142,18 @@
     # httptools parser callbacks
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value))
+        """Append a header; trailers are discarded, but their size is limited like a head's."""
+        self._unreported_bytes = 0
+        self._head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail_oversize_head()
+        elif not self._is_reading_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Queue the response head; discard interim (1xx) responses."""
+        self._head_bytes = self._unreported_bytes = 0
+        self._is_reading_body = True
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         self._is_interim = status < _FIRST_FINAL_STATUS
@@ -136,7 +165,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a piece of the body; pause reading while too much is buffered."""
-        self._buffered_bytes += len(body)
+        self._unreported_bytes = 0
+        self._buffered_bytes += len(body) + _PIECE_OVERHEAD_BYTES
         if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
@@ -144,6 +174,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of the response, unless it is an interim one."""
+        self._head_bytes = self._unreported_bytes = 0
+        self._is_reading_body = False
         if not self._is_interim:
             self._finish()
 
@@ -169,24 +201,26 @@
             raise ResponseError("a new response began before the end of this one")
         return item
 
-    async def read_body(self) -> bytes:
-        """Return the rest of the body."""
-        pieces = []
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the body; raise ResponseError if it exceeds `max_bytes`."""
+        body = bytearray()
         while (piece := await self.read_piece()) is not None:
-            pieces.append(piece)
-        return b"".join(pieces)
+            body += piece
+            _check_body_size(body, max_bytes)
+        return bytes(body)
 
     async def read_body_with_timeout(self, limit: asyncio.Timeout) -> bytes:
         """Return the body; each piece extends `limit` until ANSWER_TIMEOUT_S have passed."""
         clock = asyncio.get_running_loop().time
         deadline_s = clock() + ANSWER_TIMEOUT_S
-        pieces: list[bytes] = []
+        body = bytearray()
         while True:
             limit.reschedule(min(clock() + PIECE_TIMEOUT_S, deadline_s))
             piece = await self.read_piece()
             if piece is None:
-                return b"".join(pieces)
-            pieces.append(piece)
+                return bytes(body)
+            body += piece
+            _check_body_size(body, MAX_BODY_BYTES)
 
     def abort(self) -> None:
         """Abort the connection, which cancels the request at the server."""
@@ -204,7 +238,7 @@
                 self._waiter = None
         item = self._items.popleft()
         if isinstance(item, bytes):
-            self._buffered_bytes -= len(item)
+            self._buffered_bytes -= len(item) + _PIECE_OVERHEAD_BYTES
             if self._is_paused and self._buffered_bytes <= MAX_BUFFERED_BYTES // 2:
                 self._is_paused = False
                 assert self._transport is not None
@@ -215,6 +249,10 @@
         self._items.append(item)
         self._wake()
 
+    def _fail_oversize_head(self) -> None:
+        self._headers = []
+        self._fail(ResponseError(f"head or trailers exceed {MAX_HEAD_BYTES} bytes"))
+
     def _finish(self) -> None:
         self._ends_with_connection = False
         self._put(None)
@@ -229,6 +267,11 @@
             self._waiter.set_result(None)
 
 
+def _check_body_size(body: bytearray, max_bytes: int) -> None:
+    if len(body) > max_bytes:
+        raise ResponseError(f"body exceeds {max_bytes} bytes")
+
+
 async def connect(address: str, timeout_s: float) -> ClientConnection:
     """Open a connection to host:port; raise ConnectError if it fails or times out."""
     host, _, port = address.rpartition(":")
--- a/dalehollow/gateway/bodies.py
+++ b/dalehollow/gateway/bodies.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from dalehollow.aio import ResponseError, ResponseHead
-from dalehollow.events import EVENT_STREAM, EventSplitter, is_event_stream
+from dalehollow.events import EVENT_STREAM, EventSizeError, EventSplitter, is_event_stream
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway.table import RequestKind, Route
 
@@ -17,11 +17,19 @@
     return _has_events(head, head.get(b"content-type") or EVENT_STREAM)
 
 
+def split_events(splitter: EventSplitter, piece: bytes) -> bytes:
+    """Return the events that a piece of a stream completes; raise ResponseError if one is large."""
+    try:
+        return splitter.feed(piece)
+    except EventSizeError as exc:
+        raise ResponseError(str(exc)) from exc
+
+
 def check_buffered(head: ResponseHead, body: bytes) -> None:
     """Raise ResponseError if a buffered body is a truncated event stream."""
     if _has_events(head, head.get(b"content-type") or b""):
         splitter = EventSplitter()
-        splitter.feed(body)
+        split_events(splitter, body)
         check_stream_end(head, splitter)
 
 
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -336,7 +336,7 @@
         pass_times = self._state.pass_times_of(upstream.listed)
         last: tuple[float, float] | None = None
         while (piece := await connection.read_piece()) is not None:
-            events = splitter.feed(piece)
+            events = bodies.split_events(splitter, piece)
             if events:
                 if self._begun is None:
                     self._state.unanswered.pop(move, None)
--- a/dalehollow/platform/ranks.py
+++ b/dalehollow/platform/ranks.py
@@ -19,6 +19,8 @@
 TRANSFER_TIME_FACTOR = 2.0
 """Sending a map may take twice as long as on an idle link, which it shares with streams."""
 READ_TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 1024 * 1024
+"""Maximum size of a rank's report, its counts or its experts."""
 _TAKEN_STATUSES = frozenset({200, 202})
 _OK_STATUS = 200
 GROUP_OPEN = "open"
@@ -183,7 +185,7 @@
                     head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
                 connection.send([head.encode(), b"\r\n", body])
                 answer = await connection.read_head()
-                return answer.status, await connection.read_body()
+                return answer.status, await connection.read_body(MAX_REPORT_BYTES)
         except (ConnectError, ResponseError, TimeoutError):
             return None
         finally:
--- a/dalehollow/web/client.py
+++ b/dalehollow/web/client.py
@@ -14,7 +14,7 @@
     ReadTimeoutError,
 )
 
-from dalehollow.events import EventSplitter, is_event_stream
+from dalehollow.events import EventSizeError, EventSplitter, is_event_stream
 from dalehollow.framing import BodyFraming, find_framing
 
 READ_CHUNK_BYTES = 64 * 1024
@@ -75,7 +75,7 @@
             if self._splitter is not None:
                 self._splitter.feed(data)
                 self._check_stream_end(self._splitter)
-        except (HTTPError, OSError) as exc:
+        except (HTTPError, OSError, EventSizeError) as exc:
             self.close()
             raise TruncatedResponseError(str(exc)) from exc
         self._release()
@@ -95,7 +95,7 @@
                 self._check_stream_end(splitter)
                 yield splitter.flush()
             is_complete = True
-        except (HTTPError, OSError) as exc:
+        except (HTTPError, OSError, EventSizeError) as exc:
             raise TruncatedResponseError(str(exc)) from exc
         finally:
             if is_complete:
