Limit what the requests and answers of all connections hold

What callers saw: a gateway that ran out of memory and ended, by many clients whose bodies stop short of their end and stay open, each inside its limits, or by servers whose bodies have no end.

Cause: every limit was one connection's. The sum was not counted, and the memory of the VM was not read from the platform's settings.

Change: one budget of a quarter of the VM's memory counts what each connection holds. Over it the largest holders drop what is being received (503 with a time to come back: nothing ran) or an answer that is read as a whole (broken off). A large request is not begun beside others that fill three quarters; one alone always is, and requests up to 16 KB are.

Why it works: the sum is counted where data arrives, and what holds most goes first, so a small request is refused only when nothing larger is left. A request that was sent to an upstream is never dropped.

A body of 8 MB is served in calm within 96 MB.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -11,6 +11,7 @@
     connect,
 )
 from dalehollow.aio.connections import Connections
+from dalehollow.aio.memory import MemoryBudget
 
 __all__ = [
     "CallerConnection",
@@ -20,6 +21,7 @@
     "Connections",
     "Handler",
     "Limits",
+    "MemoryBudget",
     "ResponseError",
     "ResponseHead",
     "connect",
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -14,6 +14,7 @@
 
 from dalehollow.aio.connections import Connections
 from dalehollow.aio.headers import Headers, find_header, list_values
+from dalehollow.aio.memory import MemoryBudget
 from dalehollow.framing import BodyFraming, find_framing
 from dalehollow.sockets import set_reset_on_close, tune_socket
 
@@ -26,6 +27,14 @@
 """Colon and line end of a header field; the blank between them is optional."""
 _PARSED_BYTES = 16 * 1024
 """Data is parsed in parts of this size, so that limits are checked between them."""
+_FIELD_MEMORY_BYTES = 160
+"""Memory of a header field's objects beside its text."""
+_REQUEST_MEMORY_BYTES = 1024
+"""Memory of a request's objects beside its fields and its body."""
+_BODY_COPIES = 2
+"""A body is copied when it is complete, and when it is sent to an upstream that reads slowly."""
+_FULL_RETRY_AFTER = (b"retry-after", b"1")
+"""Seconds, within which bodies that were being received are complete or have timed out."""
 _MAX_WAITING_REQUESTS = 1
 """Complete requests that may wait behind the one being served before reading pauses."""
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -48,7 +57,8 @@
 class CallerRequest:
     """Hold one complete request; header names are in lower case.
 
-    `began_at_s` is the time of the first byte on the clock of the event loop.
+    `began_at_s` is the time of the first byte on the clock of the event loop, `memory_bytes` an
+    estimate of the memory that the request takes.
     """
 
     method: bytes
@@ -57,6 +67,7 @@
     body: bytes
     began_at_s: float
     http_version: str = "1.1"
+    memory_bytes: int = 0
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -78,14 +89,19 @@
         handler: Handler,
         read_limits: Callable[[], Limits],
         connections: Connections[CallerConnection],
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Create an unconnected protocol; it adds itself to `connections` while it is open.
 
-        If there is no room for it, it is closed before anything is read.
+        If there is no room for it, it is closed before anything is read. What it holds counts
+        towards `memory`, if given.
         """
         self._handler = handler
         self._read_limits = read_limits
         self._connections = connections
+        self._memory = memory or MemoryBudget()
+        # Estimated memory of the request that is being served, and of those that wait for it.
+        self._served_bytes = self._waiting_bytes = 0
         self._parser: Any = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -96,8 +112,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
-        # Size of the head, or of the trailers after a chunked body.
-        self._head_bytes = 0
+        self._head_bytes = self._trailer_bytes = 0
         # Data that the parser has taken without reporting a part of the request.
         self._unreported_bytes = 0
         # Received data that waits until fewer requests do.
@@ -141,6 +156,7 @@
         """Cancel the task that serves this connection."""
         self.is_disconnected = True
         self._connections.discard(self)
+        self._memory.update(self, 0, 0)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
@@ -175,7 +191,7 @@
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue`."""
         self._is_reading_head = False
-        self._head_bytes = self._unreported_bytes = 0
+        self._unreported_bytes = 0
         if self._error_status:
             return
         names = dict(self._headers)
@@ -203,7 +219,9 @@
             body=bytes(self._body),
             began_at_s=self._began_at_s,
             http_version=self._parser.get_http_version(),
+            memory_bytes=_REQUEST_MEMORY_BYTES + self._received_bytes(),
         )
+        self._waiting_bytes += request.memory_bytes
         self._is_receiving = False
         self._clear_request()
         self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
@@ -283,7 +301,13 @@
             request = await self._next_request()
             if request is None:
                 break
+            if not self._memory.may_serve(request.memory_bytes):
+                self.send_response(HTTPStatus.SERVICE_UNAVAILABLE, [_FULL_RETRY_AFTER], b"")
+                del request
+                continue
             self.is_busy, self._head_sent = True, False
+            self._served_bytes = request.memory_bytes
+            self._count_memory()
             self._connections.record_busy(self)
             self._is_http_1_0 = request.http_version == _HTTP_1_0
             try:
@@ -293,8 +317,10 @@
                 _LOG.error("event=handler_failed", exc_info=exc)
                 self.abort()
             finally:
-                self.is_busy = False
+                self.is_busy, self._served_bytes = False, 0
                 self._connections.record_idle(self)
+            del request
+            self._count_memory()
             if not self.keep_alive:
                 break
         if self._transport is not None:
@@ -318,6 +344,7 @@
                     return None
                 self._error_status = HTTPStatus.REQUEST_TIMEOUT
         request = self._requests.popleft()
+        self._waiting_bytes -= request.memory_bytes
         if self._unparsed:
             self._parse(self._unparsed)
         transport = self._transport
@@ -360,18 +387,40 @@
             if self._unreported_bytes > self._read_limits().max_header_bytes + _PARSED_BYTES:
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self._unparsed = b"" if self._error_status else data[position:]
+        self._count_memory()
+
+    def _received_bytes(self) -> int:
+        """Estimate the memory of the request that is being received."""
+        head_bytes = self._head_bytes + len(self._headers) * _FIELD_MEMORY_BYTES
+        return head_bytes + len(self._body) * _BODY_COPIES + self._unreported_bytes
+
+    def _count_memory(self) -> None:
+        if self.is_disconnected:
+            return
+        droppable_bytes = self._received_bytes() + len(self._unparsed) + self._waiting_bytes
+        self._memory.update(self, self._served_bytes, droppable_bytes)
+
+    def drop(self) -> None:
+        """Refuse what is being received or waits."""
+        self._requests.clear()
+        self._waiting_bytes = 0
+        self._unparsed = b""
+        self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _count_head(self, size_bytes: int) -> bool:
         """Count a part of the head or of the trailers; return False if the request is rejected."""
         self._unreported_bytes = 0
-        self._head_bytes += size_bytes
-        if self._head_bytes > self._read_limits().max_header_bytes:
+        if self._is_reading_head:
+            self._head_bytes += size_bytes
+        else:
+            self._trailer_bytes += size_bytes
+        if max(self._head_bytes, self._trailer_bytes) > self._read_limits().max_header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         return not self._error_status
 
     def _clear_request(self) -> None:
         self._target, self._headers, self._body = b"", [], bytearray()
-        self._head_bytes = self._unreported_bytes = 0
+        self._head_bytes = self._trailer_bytes = self._unreported_bytes = 0
 
     def _reject(self, status: int) -> None:
         """Refuse the request that is being received; its data is dropped at once."""
@@ -381,4 +430,5 @@
 
     def _send_error(self) -> None:
         self.keep_alive = False
-        self.send_response(self._error_status, [], b"")
+        is_full = self._error_status == HTTPStatus.SERVICE_UNAVAILABLE
+        self.send_response(self._error_status, [_FULL_RETRY_AFTER] if is_full else [], b"")
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -222,6 +222,13 @@
             body += piece
             _check_body_size(body, MAX_BODY_BYTES)
 
+    def fail(self, error: ResponseError) -> None:
+        """Abort the connection; data that was not read is dropped, and reads raise the error."""
+        self._items.clear()
+        self._error = error
+        self._wake()
+        self.abort()
+
     def abort(self) -> None:
         """Abort the connection, which cancels the request at the server."""
         if self._transport is not None:
--- /dev/null
+++ b/dalehollow/aio/memory.py
@@ -0,0 +1,94 @@
+"""Keep the memory of the requests and answers that a process holds within a limit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+RELIEF_SHARE = 7 / 8
+"""Share of the limit down to which data is dropped, so that not each further byte drops more."""
+SERVED_SHARE = 3 / 4
+"""Share of the limit for requests that are being served. The rest is for small requests, and for
+those that are being received."""
+SMALL_BYTES = 16 * 1024
+"""A request that takes no more than this is served regardless of the share: it has a few kilobytes
+of header fields and a small body."""
+
+
+class Holder(Protocol):
+    """Hold data of a request or an answer."""
+
+    def drop(self) -> None:
+        """Drop the data that may be dropped, and give up what it belongs to."""
+
+
+@dataclass(frozen=True)
+class _Holding:
+    """Count the bytes of one holder; those of a request that is being served are kept."""
+
+    kept_bytes: int = 0
+    droppable_bytes: int = 0
+
+
+_NOTHING = _Holding()
+
+
+class MemoryBudget:
+    """Count what all connections hold; over the limit the largest holders drop their data.
+
+    Small requests are dropped last, so ordinary callers are served beside connections that hold
+    much and complete nothing.
+    """
+
+    def __init__(
+        self, limit_bytes: int | None = None, on_drop: Callable[[], None] = lambda: None
+    ) -> None:
+        """Create an empty budget; None is no limit. `on_drop` is called before data is dropped."""
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+        self.kept_bytes = 0
+        # Requests and answers that were refused or broken off.
+        self.dropped = 0
+        self._on_drop = on_drop
+        self._holdings: dict[Holder, _Holding] = {}
+        self._is_dropping = False
+
+    def update(self, holder: Holder, kept_bytes: int, droppable_bytes: int) -> None:
+        """Set what a holder holds, and make room if that is too much."""
+        before = self._holdings.get(holder, _NOTHING)
+        self.kept_bytes += kept_bytes - before.kept_bytes
+        self.used_bytes += kept_bytes + droppable_bytes
+        self.used_bytes -= before.kept_bytes + before.droppable_bytes
+        if kept_bytes or droppable_bytes:
+            self._holdings[holder] = _Holding(kept_bytes, droppable_bytes)
+        else:
+            self._holdings.pop(holder, None)
+        if self.limit_bytes is not None and self.used_bytes > self.limit_bytes:
+            self._make_room(self.limit_bytes * RELIEF_SHARE)
+
+    def may_serve(self, request_bytes: int) -> bool:
+        """Return whether a request may be served beside those that are; one alone always may."""
+        if self.limit_bytes is None or request_bytes <= SMALL_BYTES or not self.kept_bytes:
+            return True
+        if self.kept_bytes + request_bytes <= self.limit_bytes * SERVED_SHARE:
+            return True
+        self.dropped += 1
+        self._on_drop()
+        return False
+
+    def _make_room(self, target_bytes: float) -> None:
+        if self._is_dropping:
+            return
+        self._is_dropping = True
+        self._on_drop()
+        holders = sorted(
+            self._holdings, key=lambda h: self._holdings[h].droppable_bytes, reverse=True
+        )
+        for holder in holders:
+            if self.used_bytes <= target_bytes or not self._holdings[holder].droppable_bytes:
+                break
+            self.dropped += 1
+            self.update(holder, self._holdings[holder].kept_bytes, 0)
+            holder.drop()
+        self._is_dropping = False
--- a/dalehollow/gateway/bodies.py
+++ b/dalehollow/gateway/bodies.py
@@ -4,11 +4,15 @@
 
 from http import HTTPStatus
 
-from dalehollow.aio import ResponseError, ResponseHead
+from dalehollow.aio import ClientConnection, MemoryBudget, ResponseError, ResponseHead
+from dalehollow.aio.client import MAX_BODY_BYTES
 from dalehollow.events import EVENT_STREAM, EventSizeError, EventSplitter, is_event_stream
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway.table import RequestKind, Route
 
+_BODY_COPIES = 2
+"""A body is copied when it is complete."""
+
 
 def is_relayed_as_stream(route: Route, head: ResponseHead) -> bool:
     """Return whether an answer is relayed event by event; others are buffered."""
@@ -25,6 +29,34 @@
         raise ResponseError(str(exc)) from exc
 
 
+class _BodyReader:
+    """Read a body; it is broken off if the memory for it is needed."""
+
+    def __init__(self, connection: ClientConnection, memory: MemoryBudget) -> None:
+        self._connection = connection
+        self._memory = memory
+
+    async def read(self) -> bytes:
+        body = bytearray()
+        try:
+            while (piece := await self._connection.read_piece()) is not None:
+                body += piece
+                if len(body) > MAX_BODY_BYTES:
+                    raise ResponseError(f"body exceeds {MAX_BODY_BYTES} bytes")
+                self._memory.update(self, 0, len(body) * _BODY_COPIES)
+            return bytes(body)
+        finally:
+            self._memory.update(self, 0, 0)
+
+    def drop(self) -> None:
+        self._connection.fail(ResponseError("body dropped: the memory of the VM is used up"))
+
+
+async def read_buffered(connection: ClientConnection, memory: MemoryBudget) -> bytes:
+    """Return a body that is relayed as a whole; raise ResponseError if it cannot be held."""
+    return await _BodyReader(connection, memory).read()
+
+
 def check_buffered(head: ResponseHead, body: bytes) -> None:
     """Raise ResponseError if a buffered body is a truncated event stream."""
     if _has_events(head, head.get(b"content-type") or b""):
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -297,7 +297,7 @@
             await self._relay_stream(upstream, answered, move)
             upstream.record_answer(failed=False)
         else:
-            body = await connection.read_body()
+            body = await bodies.read_buffered(connection, self._state.memory)
             bodies.check_buffered(head, body)
             self._record_answer_end(is_complete=True)
             self._record_answer_latency()
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -9,7 +9,14 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, Connections, Handler, Limits
+from dalehollow.aio import (
+    CallerConnection,
+    CallerRequest,
+    Connections,
+    Handler,
+    Limits,
+    MemoryBudget,
+)
 from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.crashes import PROBE_TIMEOUT_S, CulpritRecords, Fingerprint, Suspects
 from dalehollow.gateway.admit import Refusal
@@ -45,6 +52,11 @@
 """A gateway that shuts down accepts requests for this time, in which the balancer checks readiness
 twice, once per second. Later requests are refused: they may not end within the grace period."""
 FULL_LOG_INTERVAL_S = 1.0
+DEFAULT_MEMORY_MB = 256
+"""Memory of a VM whose platform does not tell it."""
+REQUEST_MEMORY_SHARE = 1 / 4
+"""Share of the memory for requests and answers. The rest is for the program, its state, connections
+without a request, and data in the buffers of the event loop."""
 MAX_PROBE_TURNS = 30
 """More gateways than these share turns, so that each has one within five minutes."""
 PROBE_TURN_MARGIN_S = 1.0
@@ -80,6 +92,7 @@
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
             crashes=CrashWatch(read_clock, suspects),
+            memory=MemoryBudget(_limit_request_memory(settings.memory_mb), self._log_memory),
             started_at_s=read_clock(),
         )
         # Bound addresses, valid once `listening` is set; port 0 in the settings picks a free port.
@@ -94,7 +107,7 @@
             count_caller_connections(descriptor_limit), self._log_full
         )
         self._auxiliary_connections = Connections[CallerConnection]()
-        self._full_logged_at_s = float("-inf")
+        self._full_logged_at_s = self._memory_logged_at_s = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._members = Members(read_clock, self._record_member)
         outage_s = settings.heartbeat_ms / _MS_PER_S * EXPIRY_HEARTBEATS
@@ -311,7 +324,7 @@
     ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         return await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(handler, self._read_limits, connections),
+            lambda: CallerConnection(handler, self._read_limits, connections, self.state.memory),
             host,
             int(port),
             backlog=_BACKLOG,
@@ -334,6 +347,23 @@
             turned_away=self._callers.turned_away,
         )
 
+    def _log_memory(self) -> None:
+        """Log that requests or answers hold too much memory, at most once per second."""
+        now_s = read_clock()
+        if now_s - self._memory_logged_at_s < FULL_LOG_INTERVAL_S:
+            return
+        self._memory_logged_at_s = now_s
+        memory = self.state.memory
+        log_event(
+            _LOG,
+            "memory_at_limit",
+            logging.WARNING,
+            held_bytes=memory.used_bytes,
+            served_bytes=memory.kept_bytes,
+            limit_bytes=memory.limit_bytes,
+            dropped=memory.dropped,
+        )
+
     def _read_limits(self) -> Limits:
         limits = self.state.table.limits if self.state.table is not None else CallerLimits()
         return Limits(
@@ -387,3 +417,8 @@
 def _read_address(server: asyncio.Server) -> str:
     host, port = server.sockets[0].getsockname()[:2]
     return f"{host}:{port}"
+
+
+def _limit_request_memory(memory_mb: float) -> int:
+    """Return how many bytes requests and answers may hold on a VM with so much memory."""
+    return round((memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024 * REQUEST_MEMORY_SHARE)
--- a/dalehollow/gateway/settings.py
+++ b/dalehollow/gateway/settings.py
@@ -48,6 +48,8 @@
     heartbeat_ms: float = 1_200
     # File descriptors that the process may use, 0 to rely on its resource limit.
     max_descriptors: int = 0
+    # Memory that the process may use, 0 if it is not known.
+    memory_mb: float = 0.0
     # Bandwidth of this VM's link, and the byte rate of it for reports to other halls.
     link_mbps: float = 1000.0
     report_bytes_per_s: int = 16_000
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from dalehollow.aio import ConnectError, connect
+from dalehollow.aio import ConnectError, MemoryBudget, connect
 from dalehollow.crashes import Fingerprint, Suspects
 from dalehollow.gateway.admission import Admission
 from dalehollow.gateway.crashes import CrashWatch
@@ -76,6 +76,7 @@
     standstills: StandstillWatch = field(default_factory=lambda: StandstillWatch(_read_loop_time))
     health: GroupHealth = field(default_factory=GroupHealth)
     metrics: Metrics = field(default_factory=Metrics)
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
     table: RoutingTable | None = None
     table_applied_at_s: float = 0.0
     admissions: dict[str, Admission] = field(default_factory=dict)
--- a/dalehollow/gateway/status.py
+++ b/dalehollow/gateway/status.py
@@ -59,6 +59,8 @@
     metrics.watch_gauge("caller_connections", lambda: len(sources.callers))
     metrics.watch_gauge("caller_connections_closed_idle", lambda: sources.callers.closed_idle)
     metrics.watch_gauge("caller_connections_turned_away", lambda: sources.callers.turned_away)
+    metrics.watch_gauge("request_memory_bytes", lambda: sources.state.memory.used_bytes)
+    metrics.watch_gauge("request_memory_dropped", lambda: sources.state.memory.dropped)
     metrics.watch_gauge("map_changes", lambda: sum(p.changes for p in sources.planners.values()))
     metrics.watch_gauge("expert_copies", lambda: sum(p.copies for p in sources.planners.values()))
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import os
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 import msgspec
 import pytest
 
+from dalehollow.aio import connect
 from standins.metadata import MetadataStandIn
 from standins.platform import (
     HOST,
@@ -132,13 +134,15 @@
 
 async def _wait_until_listed(gateway: GatewayProcess, count: int) -> None:
     """Wait until a gateway knows so many upstreams."""
-    while True:
-        _, body = await send_request(gateway.metrics, "/dump", "r", "GET")
-        if len(msgspec.json.decode(body)["upstreams"]) >= count:
-            return
+    while len(await _read_state(gateway, "upstreams")) < count:
         await asyncio.sleep(0.01)
 
 
+async def _read_state(gateway: GatewayProcess, section: str) -> Any:
+    _, body = await send_request(gateway.metrics, "/dump", "r", "GET")
+    return msgspec.json.decode(body)[section]
+
+
 async def _await_answer(gateway: GatewayProcess) -> None:
     """Send an ordinary request, again after each failure as callers do, until it is answered."""
     statuses: list[object] = []
@@ -195,6 +199,45 @@
     _run(tmp_path, scenario)
 
 
+def test_largest_request_is_served_in_calm(tmp_path: Path) -> None:
+    """Guards against a memory limit that refuses a request within the limits of its own."""
+
+    received: list[int] = []
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head)
+        assert length is not None
+        received.append(len(await reader.readexactly(int(length[1]))))
+        writer.write(_ANSWER_HEAD + b"Content-Length: 0\r\n\r\n")
+        await writer.drain()
+        writer.close()
+
+    async def scenario(gateway: GatewayProcess, store: MetadataStandIn) -> None:
+        config = msgspec.json.decode(_make_configuration(), type=dict[str, Any])
+        config["version"], config["limits"]["maxBodyBytes"] = 2, 8 * MAX_BODY_BYTES
+        store.put("op/config", msgspec.json.encode(config))
+        store.put("servers/s1", await _start_server(answer, 4))
+        await _wait_until_listed(gateway, 1)
+        while await _read_state(gateway, "config_version") != 2:
+            await asyncio.sleep(0.01)
+        assert await _post(gateway, 8 * MAX_BODY_BYTES) == 200
+        assert received == [8 * MAX_BODY_BYTES]
+        _check_process(gateway)
+
+    _run(tmp_path, scenario)
+
+
+async def _post(gateway: GatewayProcess, body_bytes: int) -> int:
+    """Send a request with a body and return the status of the response."""
+    connection = await connect(gateway.http, SEND_TIMEOUT_S)
+    try:
+        connection.send([_make_request(body_bytes)])
+        return (await connection.read_head()).status
+    finally:
+        connection.abort()
+
+
 _ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
 _STREAM_HEAD = _ANSWER_HEAD + b"Content-Type: text/event-stream\r\n"
 _CHUNKED_ANSWER = _ANSWER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
