Let a request wait until its caller has read the responses before it

What callers saw: a gateway that ran out of memory, by clients that send requests in line and do not read the responses.

Cause: the next request was served as soon as the response before it was written, also if it was still in the write buffer.

Change: the connection's task waits until the write buffer is below its high mark. What is in it counts towards the memory budget, and a caller that does not read is cut when the memory is needed, or if it reads nothing for the idle time-out.

Why it works: a connection holds one response at most, and the sum is counted.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -102,6 +102,8 @@
         self._memory = memory or MemoryBudget()
         # Estimated memory of the request that is being served, and of those that wait for it.
         self._served_bytes = self._waiting_bytes = 0
+        # Responses that the caller has not read, if they fill the write buffer.
+        self._unsent_bytes = 0
         self._parser: Any = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -162,12 +164,17 @@
             self._task.cancel()
 
     def pause_writing(self) -> None:
-        """Make send_piece wait until the write buffer drains."""
+        """Make send_piece and the next request wait until the write buffer drains."""
         self._writable.clear()
+        if self._transport is not None:
+            self._unsent_bytes = self._transport.get_write_buffer_size()
+            self._count_memory()
 
     def resume_writing(self) -> None:
-        """Let send_piece continue."""
+        """Let send_piece and the next request continue."""
         self._writable.set()
+        self._unsent_bytes = 0
+        self._count_memory()
 
     # httptools parser callbacks
 
@@ -323,9 +330,22 @@
             self._count_memory()
             if not self.keep_alive:
                 break
+            await self._flush()
         if self._transport is not None:
             self._transport.close()
 
+    async def _flush(self) -> None:
+        """Wait until the caller reads its responses; abort if it reads nothing for a time."""
+        while not self._writable.is_set() and self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(self._read_limits().idle_timeout_s):
+                    await self._writable.wait()
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() == unsent_bytes:
+                    self.abort()
+                    return
+
     async def _next_request(self) -> CallerRequest | None:
         """Wait for a complete request; return None after a time-out, with a 408 unless idle."""
         limits = self._read_limits()
@@ -398,10 +418,14 @@
         if self.is_disconnected:
             return
         droppable_bytes = self._received_bytes() + len(self._unparsed) + self._waiting_bytes
-        self._memory.update(self, self._served_bytes, droppable_bytes)
+        self._memory.update(self, self._served_bytes, droppable_bytes + self._unsent_bytes)
 
     def drop(self) -> None:
-        """Refuse what is being received or waits."""
+        """Refuse what is being received or waits, or abort if the caller does not read."""
+        if self._unsent_bytes > self._waiting_bytes + self._received_bytes():
+            self._unsent_bytes = 0
+            self.abort()
+            return
         self._requests.clear()
         self._waiting_bytes = 0
         self._unparsed = b""
