End what a stopping gateway serves within its grace period

What callers saw: in a planned stop, requests that came late in the grace period were passed on and cut with no answer at its end, also those that must not be sent again.

Cause: requests were taken for 3 s, however short the grace period was, and nothing but the end of the process ended those in flight.

Both new tests failed before: two requests in flight when the process ends, and 200 for a request whose deadline is after the end.

Change: the end of the grace period is the latest deadline of each request, in flight or new. A request that must not be sent again is refused if its own deadline is later. Others are taken for half of the grace period, 3 s at most.

Why it works: a request ends with an answer before the process does, and what may be lost for good is not begun.

Result: the tests pass; with 8 s requests are taken as long as before.

--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -40,6 +40,11 @@
     if isinstance(admitted, Refusal):
         outcome.refuse(state, caller, request, admitted)
         return
+    if admitted.deadline_s > state.ends_at_s and not admitted.route.is_repeatable:
+        # It might still run when the process ends, and must not be sent again.
+        refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", ELSEWHERE_RETRY_AFTER_S)
+        outcome.refuse(state, caller, request, refusal)
+        return
     ruling = state.suspects.check_request(admitted.fingerprints)
     if ruling.refused_s:
         refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, CRASHES_UPSTREAMS, ruling.refused_s)
@@ -48,8 +53,12 @@
     arrived_at_s = state.standstills.estimate_arrival_s(admitted.caller_time_left_s)
     progress = Progress(arrived_at_s, is_probe=ruling.is_probe)
     try:
-        async with asyncio.timeout_at(admitted.deadline_s):
-            await _Exchange(state, caller, admitted, progress).run()
+        async with asyncio.timeout_at(min(admitted.deadline_s, state.ends_at_s)) as limit:
+            state.running.add(limit)
+            try:
+                await _Exchange(state, caller, admitted, progress).run()
+            finally:
+                state.running.discard(limit)
     except TimeoutError:
         outcome.end_timed_out(state, caller, admitted, progress)
     except asyncio.CancelledError:
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -49,8 +49,11 @@
 _MS_PER_S = 1000
 _BACKLOG = 512
 MIN_STOP_S = 3.0
-"""A gateway that shuts down accepts requests for this time, in which the balancer checks readiness
-twice, once per second. Later requests are refused: they may not end within the grace period."""
+"""A gateway that shuts down listens for this time, in which the balancer checks readiness twice,
+once per second."""
+ACCEPTING_SHARE = 1 / 2
+"""Share of a short grace period for which a gateway that shuts down accepts requests. Later ones
+are refused: they may not end within the grace period."""
 FULL_LOG_INTERVAL_S = 1.0
 DEFAULT_MEMORY_MB = 256
 """Memory of a VM whose platform does not tell it."""
@@ -392,11 +395,16 @@
         began_s = loop.time()
         self._is_stopping = True
         self._planners.stop()
-        last_s = began_s + self._settings.stop_grace_ms / _MS_PER_S - STOP_MARGIN_S
+        serving_s = max(0.0, self._settings.stop_grace_ms / _MS_PER_S - STOP_MARGIN_S)
+        listening_s = min(MIN_STOP_S, serving_s)
+        accepting_s = min(listening_s, serving_s * ACCEPTING_SHARE)
+        last_s = began_s + serving_s
         log_event(_LOG, "stopping", in_hand=self._count_in_flight())
+        self.state.end_requests_at(last_s)
         self._close_idle()
-        await asyncio.sleep(MIN_STOP_S)
+        await asyncio.sleep(accepting_s)
         self.refuses_new = True
+        await asyncio.sleep(listening_s - accepting_s)
         while self._count_in_flight() and loop.time() < last_s:
             await asyncio.sleep(0.02)
         server.close()
--- a/dalehollow/gateway/state.py
+++ b/dalehollow/gateway/state.py
@@ -87,6 +87,10 @@
     _retries: dict[str, RetryWindow] = field(default_factory=dict)
     # Attempts that may be repeated and that no upstream has begun to answer.
     unanswered: dict[Move, tuple[Fingerprint, ...]] = field(default_factory=dict)
+    # Time by which all requests must end, infinite unless the process shuts down.
+    ends_at_s: float = float("inf")
+    # Time-outs of the requests in flight.
+    running: set[asyncio.Timeout] = field(default_factory=set)
     _max_gateways: int = 1
     _crash_checks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -95,6 +99,14 @@
         """Return what is suspected of crashing upstreams."""
         return self.crashes.suspects
 
+    def end_requests_at(self, ends_at_s: float) -> None:
+        """Limit the time of all requests, those in flight included, because the process ends."""
+        self.ends_at_s = ends_at_s
+        for limit in self.running:
+            when_s = limit.when()
+            if when_s is not None and when_s > ends_at_s and not limit.expired():
+                limit.reschedule(ends_at_s)
+
     def apply_table(self, table: RoutingTable) -> None:
         """Apply a configuration unless its version is already applied or older."""
         before = self.table.version if self.table is not None else 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from dalehollow.aio import ClientConnection, ResponseHead
 from dalehollow.gateway import process
 from dalehollow.groups.ranks import StoredPlan
 from standins.server import EVENT_COUNT, ResponseMode, make_event, make_stream_body
 from tests.gateway_bench import (
     HOST,
+    KEY,
     TIMEOUT_S,
     GatewayBench,
     make_config,
@@ -268,6 +270,60 @@
         run_bench(scenario)
 
 
+def test_requests_in_flight_at_the_end_of_the_grace_period_are_answered() -> None:
+    """Guards against a stop that closes connections of requests that an upstream has."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_server(bench, ResponseMode.HANG, ResponseMode.HANG)
+        connections = [await bench.connect(), await bench.connect()]
+        tasks = [
+            asyncio.ensure_future(bench.send_request(path, connection=c, deadline_ms=4000))
+            for path, c in zip(("/pay/1", "/read/1"), connections, strict=True)
+        ]
+        await bench.wait_until(lambda: len(bench.servers["s1"].received) == 2)
+        bench.stopping.set()
+        await bench.running
+        # The process ends now.
+        assert [task.done() and task.result().status for task in tasks] == [504, 504]
+
+    run_bench(scenario, stop_grace_ms=1000)
+
+
+def test_requests_that_outlast_the_grace_period_are_refused() -> None:
+    """Guards against a stop that takes requests which must not be sent again and cuts them."""
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_server(bench)
+        long, short, late = [await bench.connect() for _ in range(3)]
+        # Keeps the gateway running, and the connections from being closed as idle ones.
+        bench.servers["s1"].next_modes = [ResponseMode.HANG]
+        held = asyncio.ensure_future(bench.send_request("/pay/0", deadline_ms=3000))
+        await bench.wait_until(lambda: len(bench.servers["s1"].received) == 1)
+        for connection in (long, short, late):
+            connection.send([b"POST "])
+        await bench.wait_until(lambda: sum(c._is_receiving for c in bench.gateway._callers) == 3)
+        bench.stopping.set()
+        while await bench.is_ready():
+            await asyncio.sleep(0)
+        refused = await _finish_request(long, 4900)
+        assert (refused.status, refused.get(b"retry-after") is None) == (503, False)
+        assert (await _finish_request(short, 1000)).status == 200
+        await bench.wait_until(lambda: bench.gateway.refuses_new)
+        assert (await _finish_request(late, 1000)).status == 503
+        assert (await held).status == 504
+        assert len(bench.servers["s1"].received) == 2
+        await bench.running
+
+    run_bench(scenario, stop_grace_ms=5000)
+
+
+async def _finish_request(connection: ClientConnection, deadline_ms: int) -> ResponseHead:
+    """Send the rest of a request to an unsafe route and return the head of the response."""
+    fields = f"X-Request-Id: l-{deadline_ms}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+    connection.send([f"/pay/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n{fields}\r\n".encode()])
+    return await connection.read_head()
+
+
 def test_malformed_requests_are_refused_and_later_ones_served() -> None:
     async def scenario(bench: GatewayBench) -> None:
         await _start_server(bench)
