Fill the memory of the VM where tests fill the settings template

The template has had a section for it since the memory of requests is limited; four tests did not know the field and failed. A figure with a fraction and an absent one are covered.

--- a/tests/platform_fields.py
+++ b/tests/platform_fields.py
@@ -19,7 +19,7 @@
     "internalPorts": [7000, 7015],
     "heartbeatMs": 1200,
     "listen": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2"},
-    "limits": {"maxFds": 4200, "linkMbps": 20.5},
+    "limits": {"maxFds": 4200, "linkMbps": 20.5, "memoryMb": 300},
     "platform": {"address": "10.0.0.9:3"},
     "bounds": {"graceS": 8, "budgetWindowS": 10, "retryBudgetRatio": 0.2, "budgetExtra": 90},
 }
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -85,6 +85,7 @@
         "{{platform.address|json}}": '"10.0.0.9:3"',
         "{{limits.linkMbps|json}}": "20.5",
         "{{limits.maxFds|json}}": "4200",
+        "{{limits.memoryMb|json}}": "300",
         "{{heartbeatMs|json}}": "1200",
         "{{bounds.graceS|json}}": "8",
         "{{bounds.budgetWindowS|json}}": "10",
@@ -97,6 +98,7 @@
     assert settings.peer == "10.0.0.1:7000"
     assert settings.stop_grace_ms == 8_000
     assert settings.max_descriptors == 4_200
+    assert settings.memory_mb == 300
     assert list_unknown(text) == []
 
 
@@ -112,6 +114,7 @@
         ("heartbeatMs", 1200.5, "heartbeat_ms", 1200.5),
         ("limits.maxFds", 4200.0, "max_descriptors", 4_200),
         ("limits.linkMbps", 1000, "link_mbps", 1_000),
+        ("limits.memoryMb", 160.5, "memory_mb", 160.5),
     ],
 )
 def test_gateway_starts_with_whole_and_fractional_figures_of_the_platform(
@@ -135,6 +138,11 @@
     assert settings.retry_extra == GatewaySettings.retry_extra
 
 
+def test_gateway_starts_without_the_memory_of_its_vm() -> None:
+    settings = parse_gateway_settings(fill_template({"limits.memoryMb": None}))
+    assert settings.memory_mb == GatewaySettings.memory_mb
+
+
 @pytest.mark.parametrize(
     ("path", "name"),
     [
