Decode entries of all writers with the same checks

What callers saw: gateways that followed the store no more, or sent no reports to each other, after another writer left one odd entry.

Cause: only the entries of servers were checked for what a value of the right type may still be: nested too deeply, a number that no float holds, a port out of range. A datagram to such a port closed the socket for all of them.

Change: platform/entries.py decodes them all. Nesting, numbers of 2^53 and above and addresses that are none are errors. Stored demand of another shape is ignored.

Why it works: an entry with an error is logged and describes nothing; what passes can be computed with.

--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -149,7 +149,17 @@
         self._wake.set()
 
     def set_stored_demand(self, demand: Demand) -> None:
-        """Set the demand of the last stored plan, used until this planner has its own window."""
+        """Set the demand of the last stored plan, used until this planner has its own window.
+
+        Demand for other layers or experts, or without tokens, is ignored.
+        """
+        is_usable = len(demand) == self.figures.layers and all(
+            len(layer) == self.figures.experts and min(layer) >= 0 and sum(layer) > 0
+            for layer in demand
+        )
+        if not is_usable:
+            log_event(_LOG, "stored_demand_unusable", logging.WARNING, duty=self.duty)
+            return
         self._stored_demand = [list(map(float, layer)) for layer in demand]
 
     async def run(self) -> None:
--- a/dalehollow/platform/items.py
+++ b/dalehollow/platform/items.py
@@ -7,14 +7,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from dalehollow.crashes import StoredCulprit
 from dalehollow.gateway.contact import EXPIRY_GRACE_S
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.listed import ListedUpstream, Member
 from dalehollow.gateway.table import RoutingTable
 from dalehollow.groups.ranks import StoredPlan
+from dalehollow.platform.entries import decode_entry, is_address
 from dalehollow.platform.names import (
     CONFIG_KEY,
     CULPRIT_PREFIX,
@@ -127,7 +126,7 @@
             if key.startswith(UPSTREAM_PREFIX):
                 self._apply_upstream(change, value)
             elif key.startswith(PLAN_PREFIX):
-                plan = msgspec.json.decode(value, type=StoredPlan)
+                plan = decode_entry(value, StoredPlan)
                 self._listener.on_plan(key.removeprefix(PLAN_PREFIX), plan)
             elif self._report_gateway_key(key, value):
                 self._known.add(key)
@@ -181,13 +180,13 @@
     def _report_gateway_key(self, key: str, value: bytes | None) -> bool:
         """Report a key written by gateways; return whether it is such a key."""
         if key.startswith(MEMBER_PREFIX):
-            member = msgspec.json.decode(value, type=Member) if value is not None else None
+            member = _decode_member(value) if value is not None else None
             self._listener.on_member(key.removeprefix(MEMBER_PREFIX), member)
         elif key.startswith(DUTY_PREFIX):
             holder = value.decode() if value is not None else None
             self._listener.on_duty(key.removeprefix(DUTY_PREFIX), holder)
         elif key.startswith(CULPRIT_PREFIX):
-            record = msgspec.json.decode(value, type=StoredCulprit) if value is not None else None
+            record = decode_entry(value, StoredCulprit) if value is not None else None
             self._listener.on_culprit(key.removeprefix(CULPRIT_PREFIX), record)
         else:
             return False
@@ -227,5 +226,12 @@
         self._listener.on_upstream_gone(read_incarnation(key))
 
 
+def _decode_member(value: bytes) -> Member:
+    member = decode_entry(value, Member)
+    if not is_address(member.address):
+        raise ValueError(f"address {member.address!r} is not an IPv4 address and port")
+    return member
+
+
 def _log_unusable(key: str, exc: ValueError) -> None:
     log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
--- a/dalehollow/platform/servers.py
+++ b/dalehollow/platform/servers.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import ipaddress
-import math
 import re
 
 import msgspec
 
 from dalehollow.gateway.listed import ListedUpstream
+from dalehollow.platform.entries import MAX_NUMBER, decode_nested, is_address
 from dalehollow.platform.names import UPSTREAM_PREFIX
 
 _READY, _LEAVING = "ready", "draining"
 _STATES = (_READY, _LEAVING)
 _GROUP_OPEN, _GROUP_BROKEN = "open", "broken"
 _GROUP_STATES = (_GROUP_OPEN, _GROUP_BROKEN)
-_LAST_PORT = 65_535
 _ID = re.compile(r"[!-.0-~]+")
 """Characters allowed in a header value, except the slash."""
 
@@ -50,10 +48,7 @@
 
     Other programs may write entries too, so incomplete entries and unknown values are rejected.
     """
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except RecursionError as exc:
-        raise ValueError("entry is nested too deeply") from exc
+    entry = decode_nested(value, _Entry)
     mistakes = _find_mistakes(read_incarnation(key), entry)
     if mistakes:
         raise ValueError("; ".join(mistakes))
@@ -80,29 +75,21 @@
         (not _ID.fullmatch(incarnation), f"invalid id {incarnation!r}"),
         (not entry.service, "service name is empty"),
         (
-            not _is_address(entry.address),
+            not is_address(entry.address),
             f"address {entry.address!r} is not an IPv4 address and port",
         ),
-        (entry.slots < 1, f"slots is {entry.slots}, must be at least 1"),
-        (entry.born < 0, f"start time is {entry.born} ms, must not be negative"),
+        (not 1 <= entry.slots < MAX_NUMBER, "slots is not a number from 1 to 2^53"),
+        (not 0 <= entry.born < MAX_NUMBER, "start time is not a number of ms from 0 to 2^53"),
         (entry.state not in _STATES, f"state {entry.state!r} is not one of {_STATES}"),
     ]
     if group is not None:
-        is_rank = 0 <= group.rank < (entry.size or math.inf)
+        is_rank = 0 <= group.rank < (entry.size or MAX_NUMBER) <= MAX_NUMBER
         mistakes += [
-            (not is_rank, f"rank {group.rank} is out of range for group size {entry.size}"),
+            (not is_rank, "rank is out of range for the size of the group"),
+            (not 0 <= group.epoch < MAX_NUMBER, "epoch is not a number from 0 to 2^53"),
             (
                 group.state not in _GROUP_STATES,
                 f"group state {group.state!r} is not one of {_GROUP_STATES}",
             ),
         ]
     return [text for is_wrong, text in mistakes if is_wrong]
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= _LAST_PORT
--- a/dalehollow/platform/session.py
+++ b/dalehollow/platform/session.py
@@ -21,6 +21,7 @@
 from dalehollow.gateway.tasks import wait_set
 from dalehollow.groups.holds import HoldRecord, HoldRecordChange
 from dalehollow.groups.ranks import StoredPlan
+from dalehollow.platform.entries import decode_entry
 from dalehollow.platform.names import (
     CULPRIT_PREFIX,
     DUTY_PREFIX,
@@ -335,8 +336,8 @@
     for stored in changes:
         if stored.key == key and stored.value is not None:
             try:
-                record = msgspec.json.decode(stored.value, type=HoldRecord)
-            except (msgspec.MsgspecError, RecursionError) as exc:
+                record = decode_entry(stored.value, HoldRecord)
+            except ValueError as exc:
                 log_event(_LOG, "store_item_unusable", logging.ERROR, key=key, error=exc)
                 record = HoldRecord()
             return _StoredHolds(record, stored.revision)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -385,6 +385,17 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("demand", [(), ((),), ((1,) * (EXPERTS - 1),), ((0,) * EXPERTS,)])
+def test_stored_demand_of_another_shape_is_ignored(demand: tuple[tuple[int, ...], ...]) -> None:
+    """Guards against a planner that fails in each round by a plan it has read."""
+
+    async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
+        planner.set_stored_demand(demand)
+        await _wait_until(lambda: planner.changes >= 1)
+
+    _run(scenario)
+
+
 def test_planner_without_duty_sends_no_orders() -> None:
     async def scenario(planner: GroupPlanner, group: _CountingGroup, duties: _Duties) -> None:
         duties.held = None
