--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -20,6 +20,7 @@
 import pytest
 
 from dalehollow.aio import connect
+from standins.hall import ACCOUNT_KEYS, start_hall
 from standins.metadata import MetadataStandIn
 from standins.platform import (
     HOST,
@@ -32,6 +33,7 @@
     start_servers,
     wait_until_ready,
 )
+from standins.processes import Launcher, RunningProcess
 from standins.server import ResponseMode
 
 MEMORY_MB = 96
@@ -121,14 +123,14 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _read_peak_kib(gateway: GatewayProcess) -> int:
-    status = Path(f"/proc/{gateway.process.pid}/status").read_text()
+def _read_peak_kib(pid: int) -> int:
+    status = Path(f"/proc/{pid}/status").read_text()
     return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
 
 
 def _check_process(gateway: GatewayProcess) -> None:
     assert gateway.process.returncode is None
-    assert _read_peak_kib(gateway) <= MEMORY_MB * _KIB
+    assert _read_peak_kib(gateway.process.pid) <= MEMORY_MB * _KIB
     assert len(os.listdir(f"/proc/{gateway.process.pid}/fd")) <= MAX_DESCRIPTORS
 
 
@@ -335,3 +337,66 @@
         "state": "ready",
     }
     return msgspec.json.encode(entry)
+
+
+_ENTRY_HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+_ENTRY_CHUNKED_HEAD = _ENTRY_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENTRY_MEMORY_MB = 256
+"""An entry that is not told its VM's memory."""
+
+ENTRY_CROWDS = {
+    "bodies_in_large_chunks": Crowd(60, _ENTRY_CHUNKED_HEAD, _make_chunk(64 * _KIB - 64), 127),
+    "bodies_with_a_length": Crowd(
+        60, _ENTRY_HEAD + b"Content-Length: 8388608\r\n\r\n", b"x" * 65_472, 127
+    ),
+    "chunk_sizes_without_end": Crowd(60, _ENTRY_CHUNKED_HEAD + b"1;", _LONG_VALUE, 512),
+    "trailers_without_end": Crowd(60, _ENTRY_CHUNKED_HEAD + _LAST_CHUNK + b"a:", _LONG_VALUE, 512),
+}
+
+
+@pytest.mark.parametrize("name", ENTRY_CROWDS)
+def test_crowd_of_clients_at_an_entry_stays_within_memory(name: str) -> None:
+    """Guards against an entry that runs out of memory by clients that it does not control."""
+
+    async def run() -> None:
+        with Launcher() as launcher:
+            hall = await asyncio.to_thread(start_hall, launcher, engines=1, entries=1, plain=())
+            entry = hall.entries[0]
+            async with _send_crowd(entry.http, ENTRY_CROWDS[name]):
+                _check_entry(entry)
+                await _await_completion(entry)
+            _check_entry(entry)
+
+    asyncio.run(asyncio.wait_for(run(), 180))
+
+
+def _check_entry(entry: RunningProcess) -> None:
+    assert entry.popen.poll() is None
+    assert _read_peak_kib(entry.popen.pid) <= ENTRY_MEMORY_MB * _KIB
+    assert len(os.listdir(f"/proc/{entry.popen.pid}/fd")) <= MAX_DESCRIPTORS
+
+
+async def _await_completion(entry: RunningProcess) -> None:
+    """Send an ordinary request, again after each failure, until it is answered."""
+    body = msgspec.json.encode(
+        {
+            "model": "kelani-assist",
+            "max_tokens": 8,
+            "messages": [{"role": "user", "content": "hello"}],
+        }
+    )
+    head = _ENTRY_HEAD + f"Authorization: Bearer {ACCOUNT_KEYS['colombo-city']}\r\n".encode()
+    last: object = None
+    for _ in range(ANSWER_TRIES):
+        connection = await connect(entry.http, SEND_TIMEOUT_S)
+        try:
+            connection.send([head, b"Content-Length: %d\r\n\r\n" % len(body), body])
+            last = (await connection.read_head()).status
+        except ConnectionError as exc:
+            last = exc
+        finally:
+            connection.abort()
+        if last == 200:
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"no answer in {ANSWER_TRIES} tries, last: {last}")
