Limit what the request bodies of entries and sidecars hold

What callers saw: an entry that ran out of memory by 60 clients with large bodies, or with the size of a chunk that has no end.

Cause: each of 1,024 threads read a body of up to 8 MB, and the library read the line before a chunk whole. Trailers were left for the next request.

Evidence: 1029, 647 and 370 MB where 256 MB are allowed (tests/test_crowds.py).

Change: bodies are read in parts of 16 KB under the memory budget that gateways have. Over it the largest body's read is ended and its request refused with 503 (memory_full, NOT_RUN). The line before a chunk may have 1 KB, trailers 32 KB; they are read and discarded.

Why it works: a thread holds no more than it has counted, and the sum is in one place, under one lock.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -11,7 +11,7 @@
     connect,
 )
 from dalehollow.aio.connections import Connections
-from dalehollow.aio.memory import MemoryBudget
+from dalehollow.memory import MemoryBudget
 
 __all__ = [
     "CallerConnection",
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -14,8 +14,8 @@
 
 from dalehollow.aio.connections import Connections
 from dalehollow.aio.headers import Headers, find_header, list_values
-from dalehollow.aio.memory import MemoryBudget
 from dalehollow.framing import BodyFraming, find_framing
+from dalehollow.memory import MemoryBudget
 from dalehollow.sockets import set_reset_on_close, tune_socket
 
 _LOG = logging.getLogger(__name__)
--- a/dalehollow/entry/process.py
+++ b/dalehollow/entry/process.py
@@ -92,7 +92,9 @@
             self.suspects,
         )
         host, port = split_address(settings.http)
-        self.server = HttpServer(host, port, self.handle, name="dalehollow")
+        self.server = HttpServer(
+            host, port, self.handle, name="dalehollow", memory_mb=settings.memory_mb
+        )
         host, port = split_address(settings.control)
         self.control = ControlServer(host, port, self.handle_control)
         self.peers = PeerHeartbeats(
--- a/dalehollow/errors.py
+++ b/dalehollow/errors.py
@@ -20,6 +20,7 @@
     UNKNOWN_ROUTE = "unknown_route"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
+    MEMORY_FULL = "memory_full"
     ACCOUNT_LIMIT = "account_limit"
     NO_CONFIGURATION = "no_configuration"
     NO_UPSTREAM = "no_upstream"
@@ -47,6 +48,7 @@
     Reason.UNKNOWN_ROUTE: 404,
     Reason.METHOD_NOT_ALLOWED: 405,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.MEMORY_FULL: 503,
     Reason.ACCOUNT_LIMIT: 429,
     Reason.NO_CONFIGURATION: 503,
     Reason.NO_UPSTREAM: 503,
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -38,6 +38,7 @@
 from dalehollow.gateway.table import CallerLimits, RoutingTable
 from dalehollow.gateway.tasks import keep_running
 from dalehollow.gateway.upstreams import UpstreamSet
+from dalehollow.memory import limit_request_memory
 from dalehollow.platform.follow import Follower
 from dalehollow.platform.items import Listener
 from dalehollow.platform.names import ALL_KEYS_PREFIX, HEADERS
@@ -55,11 +56,6 @@
 """Share of a short grace period for which a gateway that shuts down accepts requests. Later ones
 are refused: they may not end within the grace period."""
 FULL_LOG_INTERVAL_S = 1.0
-DEFAULT_MEMORY_MB = 256
-"""Memory of a VM whose platform does not tell it."""
-REQUEST_MEMORY_SHARE = 1 / 4
-"""Share of the memory for requests and answers. The rest is for the program, its state, connections
-without a request, and data in the buffers of the event loop."""
 MAX_PROBE_TURNS = 30
 """More gateways than these share turns, so that each has one within five minutes."""
 PROBE_TURN_MARGIN_S = 1.0
@@ -95,7 +91,7 @@
             ),
             connect_timeout_s=settings.connect_timeout_ms / _MS_PER_S,
             crashes=CrashWatch(read_clock, suspects),
-            memory=MemoryBudget(_limit_request_memory(settings.memory_mb), self._log_memory),
+            memory=MemoryBudget(limit_request_memory(settings.memory_mb), self._log_memory),
             started_at_s=read_clock(),
         )
         # Bound addresses, valid once `listening` is set; port 0 in the settings picks a free port.
@@ -425,8 +421,3 @@
 def _read_address(server: asyncio.Server) -> str:
     host, port = server.sockets[0].getsockname()[:2]
     return f"{host}:{port}"
-
-
-def _limit_request_memory(memory_mb: float) -> int:
-    """Return how many bytes requests and answers may hold on a VM with so much memory."""
-    return round((memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024 * REQUEST_MEMORY_SHARE)
--- a/dalehollow/aio/memory.py
+++ b/dalehollow/memory.py
@@ -6,6 +6,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+DEFAULT_MEMORY_MB = 256
+"""Memory of a VM whose platform does not tell it."""
+REQUEST_MEMORY_SHARE = 1 / 4
+"""Share of the memory for requests and answers. The rest is for the program, its state, connections
+without a request, and data in the buffers of the event loop."""
 RELIEF_SHARE = 7 / 8
 """Share of the limit down to which data is dropped, so that not each further byte drops more."""
 SERVED_SHARE = 3 / 4
@@ -16,6 +21,14 @@
 of header fields and a small body."""
 
 
+def limit_request_memory(memory_mb: float) -> int:
+    """Return how many bytes requests and answers may hold on a VM with so much memory.
+
+    A `memory_mb` of 0 means that it is not known.
+    """
+    return round((memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024 * REQUEST_MEMORY_SHARE)
+
+
 class Holder(Protocol):
     """Hold data of a request or an answer."""
 
--- a/dalehollow/settings.py
+++ b/dalehollow/settings.py
@@ -50,6 +50,8 @@
     drain_timeout_ms: int = 60_000
     answer_timeout_ms: int = 120_000
     connect_timeout_ms: int = 500
+    # Memory that the process may use, 0 if it is not known.
+    memory_mb: int = 0
 
 
 def read_settings(path: str) -> Settings:
--- a/dalehollow/sidecar/process.py
+++ b/dalehollow/sidecar/process.py
@@ -66,7 +66,9 @@
         # One request at a time until a configuration gives the upstream's capacity.
         self.gate = Gate(GateLimits(slots=1, urgent_extra=0, queue_limit=0), read_clock)
         host, port = split_address(settings.http)
-        self.server = HttpServer(host, port, self.handle, name="dalehollow")
+        self.server = HttpServer(
+            host, port, self.handle, name="dalehollow", memory_mb=settings.memory_mb
+        )
         member = f"{self.upstream}@{settings.advertise_http or self.server.address}"
         self.ownership = Ownership(member, self.holder, self.incarnation_ms)
         self.suspects = SharedSuspects()
--- a/dalehollow/web/server.py
+++ b/dalehollow/web/server.py
@@ -9,16 +9,23 @@
 from http import HTTPStatus
 from typing import Any
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPServer
 
+from dalehollow.errors import Reason
+from dalehollow.memory import limit_request_memory
 from dalehollow.sockets import set_reset_on_close
+from dalehollow.web.bodies import (
+    MAX_BODY_BYTES,
+    BodyMemory,
+    BodySizeError,
+    MemoryFullError,
+    RequestBody,
+)
 from dalehollow.web.messages import Handler, HttpRequest
 from dalehollow.web.strict import StrictConnection
 from dalehollow.web.threads import MAX_THREADS, ThreadPerRequest
 
 MAX_HEADER_BYTES = 32 * 1024
-MAX_BODY_BYTES = 8 * 1024 * 1024
 IDLE_CONNECTION_TIMEOUT_S = 60
 _ACCEPT_BACKLOG = 1024
 _EXPIRY_INTERVAL_S = 0.25
@@ -58,22 +65,29 @@
             return self._count
 
 
-def _make_gateway(handler: Handler, tracker: _RequestTracker) -> type:
+def _make_gateway(handler: Handler, tracker: _RequestTracker, memory: BodyMemory) -> type:
     class _HandlerGateway(Gateway):
         def respond(self) -> None:
             tracker.enter()
             try:
-                _respond(self.req, handler, tracker)
+                _respond(self.req, handler, tracker, memory)
             finally:
                 tracker.leave()
 
     return _HandlerGateway
 
 
-def _respond(req: Any, handler: Handler, tracker: _RequestTracker) -> None:
-    body = _read_body(req)
-    if body is None:
-        return
+def _respond(req: Any, handler: Handler, tracker: _RequestTracker, memory: BodyMemory) -> None:
+    request_body = RequestBody(req, memory)
+    try:
+        body = _read_body(req, request_body)
+        if body is not None:
+            _answer(req, body, handler, tracker)
+    finally:
+        request_body.release()
+
+
+def _answer(req: Any, body: bytes, handler: Handler, tracker: _RequestTracker) -> None:
     req.is_dispatched = True
     response = handler(_convert_request(req, body))
     req.status = f"{response.status} {_reason_phrase(response.status)}".encode()
@@ -97,31 +111,19 @@
         return "Unknown"
 
 
-def _read_body(req: Any) -> bytes | None:
-    """Read the whole body of a request; if it is invalid, send an error and return None."""
+def _read_body(req: Any, request_body: RequestBody) -> bytes | None:
+    """Read the whole body of a request; if that fails, send an error and return None."""
     try:
-        body: bytes = req.rfile.read()
-    except OSError as exc:
-        if not _is_too_large(exc):
-            raise
+        return request_body.read()
+    except BodySizeError:
         message = f"request body exceeds {MAX_BODY_BYTES} bytes"
         req.simple_response("413 Request Entity Too Large", message)
-        return None
     except ValueError as exc:
         req.simple_response("400 Bad Request", str(exc))
-        return None
-    missing = getattr(req.rfile, "remaining", 0)
-    if missing:
-        req.simple_response(
-            "400 Bad Request", f"request body truncated: {missing} bytes are missing"
-        )
-        return None
-    return body
-
-
-def _is_too_large(exc: OSError) -> bool:
-    """Return whether cheroot rejected a body for its size; it raises two kinds of error."""
-    return isinstance(exc, MaxSizeExceeded) or exc.args[:1] == ("Request Entity Too Large",)
+    except MemoryFullError:
+        message = "the request bodies that this process holds use up its memory"
+        req.simple_response("503 Service Unavailable", message, Reason.MEMORY_FULL)
+    return None
 
 
 def _write_chunk(req: Any, chunk: bytes) -> None:
@@ -183,10 +185,16 @@
 class HttpServer:
     """Run a cheroot server in its own thread; port 0 selects a free port."""
 
-    def __init__(self, host: str, port: int, handler: Handler, *, name: str) -> None:
-        """Bind the socket, so that the address is known before the first request."""
+    def __init__(
+        self, host: str, port: int, handler: Handler, *, name: str, memory_mb: int = 0
+    ) -> None:
+        """Bind the socket, so that the address is known before the first request.
+
+        `memory_mb` is the memory of the VM, 0 if it is not known.
+        """
         self._tracker = _RequestTracker()
-        self._server = HTTPServer((host, port), _make_gateway(handler, self._tracker))
+        memory = BodyMemory(limit_request_memory(memory_mb))
+        self._server = HTTPServer((host, port), _make_gateway(handler, self._tracker, memory))
         self._server.ConnectionClass = StrictConnection
         self._server.requests = ThreadPerRequest(self._server)
         self._server.request_queue_size = _ACCEPT_BACKLOG
--- a/dalehollow/web/strict.py
+++ b/dalehollow/web/strict.py
@@ -7,6 +7,7 @@
 
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
+from dalehollow.errors import Reason
 from dalehollow.verdict import Verdict
 
 
@@ -41,18 +42,22 @@
     header_reader = _StrictHeaderReader()
     is_dispatched = False
 
-    def simple_response(self, status: object, msg: str = "") -> None:
+    def simple_response(
+        self, status: object, msg: str = "", reason: Reason = Reason.BAD_REQUEST
+    ) -> None:
         """Send an error response that does not come from the handler, and close."""
         text = str(status)
         if text.startswith("100"):
             super().simple_response(text, msg)
             return
         verdict = Verdict.MAY_HAVE_RUN if self.is_dispatched else Verdict.NOT_RUN
-        reason = "internal_error" if self.is_dispatched else "bad_request"
-        body = refusal_body(reason, verdict, msg or text)
+        body = refusal_body(
+            "internal_error" if self.is_dispatched else reason, verdict, msg or text
+        )
+        retry_after = "Retry-After: 1\r\n" if reason is Reason.MEMORY_FULL else ""
         head = (
             f"HTTP/1.1 {text}\r\nContent-Type: application/json\r\n"
-            f"Dalehollow-Verdict: {verdict}\r\nContent-Length: {len(body)}\r\n"
+            f"Dalehollow-Verdict: {verdict}\r\n{retry_after}Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
         self.close_connection = True
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from dalehollow.aio import ClientConnection, MemoryBudget, ResponseError
-from dalehollow.aio.memory import SMALL_BYTES
 from dalehollow.gateway.bodies import read_buffered
+from dalehollow.memory import SMALL_BYTES
 
 LIMIT_BYTES = 100 * SMALL_BYTES
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -69,6 +69,7 @@
 
 
 REQUEST_HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+CHUNKED_HEAD = REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 MALFORMED_REQUESTS = [
     (
         "repeated header",
@@ -97,6 +98,11 @@
     ("bare line feed", b"POST /a HTTP/1.1\nHost: x\n\n", b"CRLF"),
     ("long header", REQUEST_HEAD + b"X-A: " + b"a" * 40_000 + b"\r\n\r\n", b"413"),
     ("long body", REQUEST_HEAD + b"Content-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1), b"413"),
+    ("chunk size with a prefix", CHUNKED_HEAD + b"0x1\r\na\r\n0\r\n\r\n", b"hexadecimal"),
+    ("chunk size without end", CHUNKED_HEAD + b"1;" + b"a" * 40_000, b"hexadecimal"),
+    ("long chunk", CHUNKED_HEAD + b"%x\r\n" % (MAX_BODY_BYTES + 1), b"413"),
+    ("chunk without line end", CHUNKED_HEAD + b"1\r\nabc\r\n0\r\n\r\n", b"CRLF"),
+    ("long trailers", CHUNKED_HEAD + b"0\r\n" + b"a:\r\n" * 40_000, b"trailers"),
     ("not HTTP", b"\x16\x03\x01\x02\x00\r\n\r\n", b"400"),
 ]
 
@@ -117,6 +123,13 @@
     assert answer.unwrap().read() == b"ok"
 
 
+def test_trailers_are_no_part_of_the_next_request(echo: tuple[EchoHandler, str]) -> None:
+    """Guards against trailers that are read as the request after theirs."""
+    request = CHUNKED_HEAD + b"2\r\nok\r\n0\r\nX-A: a\r\n\r\n"
+    received = send_raw(echo[1], request + REQUEST_HEAD + b"Connection: close\r\n\r\n")
+    assert received.count(b"HTTP/1.1 200") == 2
+
+
 @pytest.mark.parametrize(
     ("path", "is_whole"), [("/stream", True), ("/cut", False), ("/cut-at-once", False)]
 )
