Blame no upstream for an answer that is dropped for lack of memory

An answer that is broken off because this process lacks memory was recorded as a failure of its upstream, which could be ejected for it.

Evidence: test_answer_that_is_dropped_for_lack_of_memory_blames_no_upstream fails without the change of exchange.py.

Change: such an answer has an error of its own, and a log event (answer_dropped); it counts neither as a failure nor as a crash. A request that is refused for memory on a connection that asks to be closed ends it.

--- a/dalehollow/aio/__init__.py
+++ b/dalehollow/aio/__init__.py
@@ -6,6 +6,7 @@
 from dalehollow.aio.client import (
     ClientConnection,
     ConnectError,
+    ResponseDroppedError,
     ResponseError,
     ResponseHead,
     connect,
@@ -22,6 +23,7 @@
     "Handler",
     "Limits",
     "MemoryBudget",
+    "ResponseDroppedError",
     "ResponseError",
     "ResponseHead",
     "connect",
--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -308,24 +308,8 @@
             request = await self._next_request()
             if request is None:
                 break
-            if not self._memory.may_serve(request.memory_bytes):
-                self.send_response(HTTPStatus.SERVICE_UNAVAILABLE, [_FULL_RETRY_AFTER], b"")
-                del request
-                continue
-            self.is_busy, self._head_sent = True, False
-            self._served_bytes = request.memory_bytes
-            self._count_memory()
-            self._connections.record_busy(self)
-            self._is_http_1_0 = request.http_version == _HTTP_1_0
-            try:
-                await self._handler(self, request)
-            except Exception as exc:
-                # Abort, so that the caller sees an error instead of no response or a partial one.
-                _LOG.error("event=handler_failed", exc_info=exc)
-                self.abort()
-            finally:
-                self.is_busy, self._served_bytes = False, 0
-                self._connections.record_idle(self)
+            await self._serve_request(request)
+            # Not held while the connection waits.
             del request
             self._count_memory()
             if not self.keep_alive:
@@ -334,6 +318,25 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def _serve_request(self, request: CallerRequest) -> None:
+        self._head_sent = False
+        if not self._memory.may_serve(request.memory_bytes):
+            self.send_response(HTTPStatus.SERVICE_UNAVAILABLE, [_FULL_RETRY_AFTER], b"")
+            return
+        self.is_busy, self._served_bytes = True, request.memory_bytes
+        self._count_memory()
+        self._connections.record_busy(self)
+        self._is_http_1_0 = request.http_version == _HTTP_1_0
+        try:
+            await self._handler(self, request)
+        except Exception as exc:
+            # Abort, so that the caller sees an error instead of no response or a partial one.
+            _LOG.error("event=handler_failed", exc_info=exc)
+            self.abort()
+        finally:
+            self.is_busy, self._served_bytes = False, 0
+            self._connections.record_idle(self)
+
     async def _flush(self) -> None:
         """Wait until the caller reads its responses; abort if it reads nothing for a time."""
         while not self._writable.is_set() and self._transport is not None:
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -60,6 +60,10 @@
     """Report a response that is incomplete or cannot be used."""
 
 
+class ResponseDroppedError(ResponseError):
+    """Report a response that this process dropped for lack of memory; the server is sound."""
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """Hold the status and headers of a response; header names are in lower case."""
@@ -206,7 +210,7 @@
         body = bytearray()
         while (piece := await self.read_piece()) is not None:
             body += piece
-            _check_body_size(body, max_bytes)
+            check_body_size(body, max_bytes)
         return bytes(body)
 
     async def read_body_with_timeout(self, limit: asyncio.Timeout) -> bytes:
@@ -220,7 +224,7 @@
             if piece is None:
                 return bytes(body)
             body += piece
-            _check_body_size(body, MAX_BODY_BYTES)
+            check_body_size(body)
 
     def fail(self, error: ResponseError) -> None:
         """Abort the connection; data that was not read is dropped, and reads raise the error."""
@@ -274,7 +278,8 @@
             self._waiter.set_result(None)
 
 
-def _check_body_size(body: bytearray, max_bytes: int) -> None:
+def check_body_size(body: bytearray, max_bytes: int = MAX_BODY_BYTES) -> None:
+    """Raise ResponseError if what was read of a body exceeds a limit."""
     if len(body) > max_bytes:
         raise ResponseError(f"body exceeds {max_bytes} bytes")
 
--- a/dalehollow/gateway/bodies.py
+++ b/dalehollow/gateway/bodies.py
@@ -4,8 +4,14 @@
 
 from http import HTTPStatus
 
-from dalehollow.aio import ClientConnection, MemoryBudget, ResponseError, ResponseHead
-from dalehollow.aio.client import MAX_BODY_BYTES
+from dalehollow.aio import (
+    ClientConnection,
+    MemoryBudget,
+    ResponseDroppedError,
+    ResponseError,
+    ResponseHead,
+)
+from dalehollow.aio.client import check_body_size
 from dalehollow.events import EVENT_STREAM, EventSizeError, EventSplitter, is_event_stream
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway.table import RequestKind, Route
@@ -41,15 +47,14 @@
         try:
             while (piece := await self._connection.read_piece()) is not None:
                 body += piece
-                if len(body) > MAX_BODY_BYTES:
-                    raise ResponseError(f"body exceeds {MAX_BODY_BYTES} bytes")
+                check_body_size(body)
                 self._memory.update(self, 0, len(body) * _BODY_COPIES)
             return bytes(body)
         finally:
             self._memory.update(self, 0, 0)
 
     def drop(self) -> None:
-        self._connection.fail(ResponseError("body dropped: the memory of the VM is used up"))
+        self._connection.fail(ResponseDroppedError("body dropped: the memory is used up"))
 
 
 async def read_buffered(connection: ClientConnection, memory: MemoryBudget) -> bytes:
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -6,7 +6,13 @@
 import logging
 from http import HTTPStatus
 
-from dalehollow.aio import CallerConnection, CallerRequest, ResponseError, ResponseHead
+from dalehollow.aio import (
+    CallerConnection,
+    CallerRequest,
+    ResponseDroppedError,
+    ResponseError,
+    ResponseHead,
+)
 from dalehollow.crashes import Fingerprint
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway import bodies, outcome
@@ -233,6 +239,11 @@
         """Relay an answer; return False if it broke off and another attempt may continue it."""
         try:
             return await self._relay(upstream, answered, move)
+        except ResponseDroppedError as exc:
+            # This process lacks memory: the upstream is not blamed for it.
+            self._record_answer_end(is_complete=False)
+            self._record_attempt(upstream, "answer_dropped", str(exc))
+            return False
         except ResponseError as exc:
             await self._handle_broken_connection(upstream, move)
             body = outcome.describe_body(self._progress)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dalehollow.aio import ClientConnection, ResponseHead
+from dalehollow.aio import ClientConnection, MemoryBudget, ResponseHead
 from dalehollow.gateway import process
 from dalehollow.groups.ranks import StoredPlan
 from standins.server import EVENT_COUNT, ResponseMode, make_event, make_stream_body
@@ -324,6 +324,31 @@
     return await connection.read_head()
 
 
+def test_answer_that_is_dropped_for_lack_of_memory_blames_no_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against upstreams that are ejected because a gateway lacks memory."""
+    failed: list[object] = []
+
+    async def scenario(bench: GatewayBench) -> None:
+        await _start_server(bench)
+        connection = await bench.connect()
+        assert (await bench.send_request("/read/1", connection=connection)).status == 200
+        monkeypatch.setattr(
+            bench.gateway.state.upstreams,
+            "record_failure",
+            lambda *args, **kwargs: failed.append(args),
+        )
+        # Applies to answers; the connection has its own count already.
+        bench.gateway.state.memory = MemoryBudget(1)
+        assert (await bench.send_request("/read/2", connection=connection)).status == 502
+        bench.gateway.state.memory = MemoryBudget()
+        assert (await bench.send_request("/read/3", connection=connection)).status == 200
+        assert not failed
+
+    run_bench(scenario)
+
+
 def test_malformed_requests_are_refused_and_later_ones_served() -> None:
     async def scenario(bench: GatewayBench) -> None:
         await _start_server(bench)
