--- a/dalehollow/memory.py
+++ b/dalehollow/memory.py
@@ -29,26 +29,26 @@
     return round((memory_mb or DEFAULT_MEMORY_MB) * 1024 * 1024 * REQUEST_MEMORY_SHARE)
 
 
-class Holder(Protocol):
-    """Hold data of a request or an answer."""
+class MemoryConsumer(Protocol):
+    """Hold data of requests or of an answer."""
 
     def drop(self) -> None:
         """Drop the data that may be dropped, and give up what it belongs to."""
 
 
 @dataclass(frozen=True)
-class _Holding:
-    """Count the bytes of one holder; those of a request that is being served are kept."""
+class _Usage:
+    """Count the bytes of one consumer; those of a request that is being served are kept."""
 
     kept_bytes: int = 0
     droppable_bytes: int = 0
 
 
-_NOTHING = _Holding()
+_NOTHING = _Usage()
 
 
 class MemoryBudget:
-    """Count what all connections hold; over the limit the largest holders drop their data.
+    """Count what all connections hold; over the limit the largest consumers drop their data.
 
     Small requests are dropped last, so ordinary callers are served beside connections that hold
     much and complete nothing.
@@ -64,19 +64,19 @@
         # Requests and answers that were refused or broken off.
         self.dropped = 0
         self._on_drop = on_drop
-        self._holdings: dict[Holder, _Holding] = {}
+        self._usages: dict[MemoryConsumer, _Usage] = {}
         self._is_dropping = False
 
-    def update(self, holder: Holder, kept_bytes: int, droppable_bytes: int) -> None:
-        """Set what a holder holds, and make room if that is too much."""
-        before = self._holdings.get(holder, _NOTHING)
+    def update(self, consumer: MemoryConsumer, kept_bytes: int, droppable_bytes: int) -> None:
+        """Set what a consumer holds, and make room if that is too much."""
+        before = self._usages.get(consumer, _NOTHING)
         self.kept_bytes += kept_bytes - before.kept_bytes
         self.used_bytes += kept_bytes + droppable_bytes
         self.used_bytes -= before.kept_bytes + before.droppable_bytes
         if kept_bytes or droppable_bytes:
-            self._holdings[holder] = _Holding(kept_bytes, droppable_bytes)
+            self._usages[consumer] = _Usage(kept_bytes, droppable_bytes)
         else:
-            self._holdings.pop(holder, None)
+            self._usages.pop(consumer, None)
         if self.limit_bytes is not None and self.used_bytes > self.limit_bytes:
             self._make_room(self.limit_bytes * RELIEF_SHARE)
 
@@ -94,14 +94,17 @@
         if self._is_dropping:
             return
         self._is_dropping = True
-        self._on_drop()
-        holders = sorted(
-            self._holdings, key=lambda h: self._holdings[h].droppable_bytes, reverse=True
-        )
-        for holder in holders:
-            if self.used_bytes <= target_bytes or not self._holdings[holder].droppable_bytes:
+        try:
+            self._on_drop()
+            self._drop_largest(target_bytes)
+        finally:
+            self._is_dropping = False
+
+    def _drop_largest(self, target_bytes: float) -> None:
+        by_size = sorted(self._usages.items(), key=lambda u: u[1].droppable_bytes, reverse=True)
+        for consumer, usage in by_size:
+            if self.used_bytes <= target_bytes or not usage.droppable_bytes:
                 break
             self.dropped += 1
-            self.update(holder, self._holdings[holder].kept_bytes, 0)
-            holder.drop()
-        self._is_dropping = False
+            self.update(consumer, usage.kept_bytes, 0)
+            consumer.drop()
--- a/dalehollow/web/bodies.py
+++ b/dalehollow/web/bodies.py
@@ -8,7 +8,7 @@
 import threading
 from typing import Any
 
-from dalehollow.memory import Holder, MemoryBudget
+from dalehollow.memory import MemoryBudget, MemoryConsumer
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_TRAILER_BYTES = 32 * 1024
@@ -36,10 +36,10 @@
         self._lock = threading.Lock()
         self._budget = MemoryBudget(limit_bytes)
 
-    def update(self, holder: Holder, kept_bytes: int, droppable_bytes: int) -> None:
-        """Set what a holder holds, and make room if that is too much."""
+    def update(self, consumer: MemoryConsumer, kept_bytes: int, droppable_bytes: int) -> None:
+        """Set what a consumer holds, and make room if that is too much."""
         with self._lock:
-            self._budget.update(holder, kept_bytes, droppable_bytes)
+            self._budget.update(consumer, kept_bytes, droppable_bytes)
 
     def may_serve(self, request_bytes: int) -> bool:
         """Return whether a request may be served beside those that are."""
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -11,7 +11,7 @@
 LIMIT_BYTES = 100 * SMALL_BYTES
 
 
-class _Holder:
+class _Consumer:
     """Record whether its data was dropped."""
 
     def __init__(self) -> None:
@@ -21,10 +21,10 @@
         self.is_dropped = True
 
 
-def test_largest_holders_are_dropped() -> None:
+def test_largest_consumers_are_dropped() -> None:
     calls = []
     budget = MemoryBudget(LIMIT_BYTES, lambda: calls.append(1))
-    small, large, larger = _Holder(), _Holder(), _Holder()
+    small, large, larger = _Consumer(), _Consumer(), _Consumer()
     budget.update(large, 0, LIMIT_BYTES // 3)
     budget.update(larger, 0, LIMIT_BYTES // 2)
     assert not calls
@@ -36,7 +36,7 @@
 
 def test_requests_being_served_are_kept() -> None:
     budget = MemoryBudget(LIMIT_BYTES)
-    served, receiving = _Holder(), _Holder()
+    served, receiving = _Consumer(), _Consumer()
     budget.update(served, LIMIT_BYTES, 0)
     budget.update(receiving, 0, LIMIT_BYTES // 2)
     assert [h.is_dropped for h in (served, receiving)] == [False, True]
@@ -48,10 +48,10 @@
     budget = MemoryBudget(LIMIT_BYTES)
     # One request alone is served, however large.
     assert budget.may_serve(LIMIT_BYTES)
-    budget.update(_Holder(), LIMIT_BYTES // 2, 0)
+    budget.update(_Consumer(), LIMIT_BYTES // 2, 0)
     assert budget.may_serve(LIMIT_BYTES // 4)
     assert not budget.may_serve(LIMIT_BYTES // 2)
-    budget.update(_Holder(), LIMIT_BYTES // 4, 0)
+    budget.update(_Consumer(), LIMIT_BYTES // 4, 0)
     assert not budget.may_serve(SMALL_BYTES + 1)
     assert budget.may_serve(SMALL_BYTES)
 
