List the gateways of simulated halls by IPv4 address

Members whose address is no IPv4 address and port are ignored since all entries are decoded with the same checks: a host name would be looked up in the event loop, and one that cannot be encoded closes the socket for datagrams. Gateways register the IPv4 address they are bound to.

Each gateway has an address of its own there now, and the check that it is reached by it is as strict as before.

--- a/tests/hall_world.py
+++ b/tests/hall_world.py
@@ -257,7 +257,9 @@
         reports._transport = _Socket(self, name)  # type: ignore[assignment]
         port = self._ports.setdefault(name, _FIRST_PORT + len(self._ports))
         era = StoreEra()
-        session = Session(name, name, Member(f"{name}:{port}", hall), clock=loop.time, era=era)
+        session = Session(
+            name, name, Member(f"{_host_at(port)}:{port}", hall), clock=loop.time, era=era
+        )
         gateway = SimulatedGateway(
             name,
             hall,
@@ -373,7 +375,7 @@
         if self.rng.random() < max(source.loss, target.loss):
             return
         loop = asyncio.get_running_loop()
-        from_address = (sender, source.port)
+        from_address = (_host_at(source.port), source.port)
         delay_s = DELAY_S + source.send_delay_s
         loop.call_later(delay_s, target.reports.datagram_received, data, from_address)
 
@@ -399,7 +401,7 @@
             or target.name in self.gateways[name].unreachable
         ):
             await asyncio.Event().wait()
-        assert target is not None and host == target.name
+        assert target is not None and host == _host_at(target.port)
         return _Connection(self.gateways[name], target.copies.answer, is_to_store=False)
 
     def lag_s(self, name: str) -> float:
@@ -467,6 +469,11 @@
         )
 
 
+def _host_at(port: int) -> str:
+    """Return the address of a gateway's VM: members are listed by IPv4 address."""
+    return f"10.0.{port // 256}.{port % 256}"
+
+
 def connect_through(world: HallWorld, monkeypatch: pytest.MonkeyPatch) -> None:
     """Make store clients connect through a world; their addresses are the names of gateways."""
     monkeypatch.setattr(store_module, "connect", world.connect)
