Say shared things once, and in the terms of the field

From a last reading of the change, without a change of behaviour: the copies that a body counts for, the size of parsed parts and the refusal of a process that stops stand in one place each. decode_nested is decode_json, malformed entries are called so, and four comments that needed explaining are reworded.

--- a/dalehollow/aio/caller.py
+++ b/dalehollow/aio/caller.py
@@ -12,10 +12,11 @@
 
 import httptools
 
+from dalehollow.aio.client import PARSED_BYTES
 from dalehollow.aio.connections import Connections
 from dalehollow.aio.headers import Headers, find_header, list_values
 from dalehollow.framing import BodyFraming, find_framing
-from dalehollow.memory import MemoryBudget
+from dalehollow.memory import BODY_COPIES, MemoryBudget
 from dalehollow.sockets import set_reset_on_close, tune_socket
 
 _LOG = logging.getLogger(__name__)
@@ -25,16 +26,12 @@
 _LAST_CHUNK = b"0\r\n\r\n"
 _FIELD_SYNTAX_BYTES = 3
 """Colon and line end of a header field; the blank between them is optional."""
-_PARSED_BYTES = 16 * 1024
-"""Data is parsed in parts of this size, so that limits are checked between them."""
 _FIELD_MEMORY_BYTES = 160
 """Memory of a header field's objects beside its text."""
 _REQUEST_MEMORY_BYTES = 1024
 """Memory of a request's objects beside its fields and its body."""
-_BODY_COPIES = 2
-"""A body is copied when it is complete, and when it is sent to an upstream that reads slowly."""
 _FULL_RETRY_AFTER = (b"retry-after", b"1")
-"""Seconds, within which bodies that were being received are complete or have timed out."""
+"""Seconds after which a caller may repeat a request that was refused for lack of memory."""
 _MAX_WAITING_REQUESTS = 1
 """Complete requests that may wait behind the one being served before reading pauses."""
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -396,7 +393,7 @@
         """Feed the parser until requests must wait or a limit is exceeded."""
         position = 0
         while position < len(data) and not self._must_wait() and not self._error_status:
-            part = data[position : position + _PARSED_BYTES]
+            part = data[position : position + PARSED_BYTES]
             position += len(part)
             self._unreported_bytes += len(part)
             try:
@@ -407,7 +404,7 @@
                 self._reject(self._error_status or HTTPStatus.BAD_REQUEST)
             # A field, a chunk size or empty lines that never end. The margin is for what comes
             # before the field in the same part; its exact size is checked once it is complete.
-            if self._unreported_bytes > self._read_limits().max_header_bytes + _PARSED_BYTES:
+            if self._unreported_bytes > self._read_limits().max_header_bytes + PARSED_BYTES:
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self._unparsed = b"" if self._error_status else data[position:]
         self._count_memory()
@@ -415,7 +412,7 @@
     def _received_bytes(self) -> int:
         """Estimate the memory of the request that is being received."""
         head_bytes = self._head_bytes + len(self._headers) * _FIELD_MEMORY_BYTES
-        return head_bytes + len(self._body) * _BODY_COPIES + self._unreported_bytes
+        return head_bytes + len(self._body) * BODY_COPIES + self._unreported_bytes
 
     def _count_memory(self) -> None:
         if self.is_disconnected:
--- a/dalehollow/aio/client.py
+++ b/dalehollow/aio/client.py
@@ -30,7 +30,7 @@
 """Maximum size of a body that is read as a whole."""
 _PIECE_OVERHEAD_BYTES = 64
 """Memory of a buffered piece beside its data."""
-_PARSED_BYTES = 16 * 1024
+PARSED_BYTES = 16 * 1024
 """Data is parsed in parts of this size, so that limits are checked between them."""
 PIECE_TIMEOUT_S = 0.5
 """Maximum wait for the next piece of a response, twice the time after which a lost packet is
@@ -118,14 +118,14 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser; abort the connection on invalid HTTP or a head without end."""
         self.received_bytes += len(data)
-        for start in range(0, len(data), _PARSED_BYTES):
-            part = data[start : start + _PARSED_BYTES]
+        for start in range(0, len(data), PARSED_BYTES):
+            part = data[start : start + PARSED_BYTES]
             self._unreported_bytes += len(part)
             try:
                 self._parser.feed_data(part)
             except httptools.HttpParserError as exc:
                 self._fail(ResponseError(f"invalid HTTP response: {exc}"))
-            if self._unreported_bytes > MAX_HEAD_BYTES + _PARSED_BYTES:
+            if self._unreported_bytes > MAX_HEAD_BYTES + PARSED_BYTES:
                 self._fail_oversize_head()
             if self._error is not None:
                 self.abort()
--- a/dalehollow/gateway/bodies.py
+++ b/dalehollow/gateway/bodies.py
@@ -15,9 +15,7 @@
 from dalehollow.events import EVENT_STREAM, EventSizeError, EventSplitter, is_event_stream
 from dalehollow.framing import BodyFraming
 from dalehollow.gateway.table import RequestKind, Route
-
-_BODY_COPIES = 2
-"""A body is copied when it is complete."""
+from dalehollow.memory import BODY_COPIES
 
 
 def is_relayed_as_stream(route: Route, head: ResponseHead) -> bool:
@@ -48,7 +46,7 @@
             while (piece := await self._connection.read_piece()) is not None:
                 body += piece
                 check_body_size(body)
-                self._memory.update(self, 0, len(body) * _BODY_COPIES)
+                self._memory.update(self, 0, len(body) * BODY_COPIES)
             return bytes(body)
         finally:
             self._memory.update(self, 0, 0)
--- a/dalehollow/gateway/exchange.py
+++ b/dalehollow/gateway/exchange.py
@@ -38,6 +38,10 @@
 _LOG = logging.getLogger(__name__)
 
 
+STOPPING = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", ELSEWHERE_RETRY_AFTER_S)
+"""Refusal of requests that may not end before this process does."""
+
+
 async def serve_request(
     state: GatewayState, caller: CallerConnection, request: CallerRequest
 ) -> None:
@@ -48,8 +52,7 @@
         return
     if admitted.deadline_s > state.ends_at_s and not admitted.route.is_repeatable:
         # It might still run when the process ends, and must not be sent again.
-        refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", ELSEWHERE_RETRY_AFTER_S)
-        outcome.refuse(state, caller, request, refusal)
+        outcome.refuse(state, caller, request, STOPPING)
         return
     ruling = state.suspects.check_request(admitted.fingerprints)
     if ruling.refused_s:
--- a/dalehollow/gateway/planner.py
+++ b/dalehollow/gateway/planner.py
@@ -55,7 +55,8 @@
 EPOCH_RETRY_S = 0.1
 """Reports are some hundred ms old: those of a group that has just opened still show it broken."""
 ABORT_SETTLE_S = 0.3
-"""Until reports show the effect of an abort. An earlier read would lead to another one."""
+"""Time until reports show that a switch was aborted; a planner that reads them earlier aborts it
+again."""
 LONGEST_WINDOW_S = 0.6
 """A longer window may mix old and new demand, and detects a shift too late."""
 
@@ -89,7 +90,7 @@
         """Store the demand and the slow ranks that a plan is based on."""
 
     async def update_holds(self, duty: str, change: HoldRecordChange) -> bool:
-        """Change the record of a group's holds while the duty is held; return whether it is."""
+        """Change the record of a group's holds; return whether that is confirmed."""
 
 
 @dataclass
--- a/dalehollow/gateway/process.py
+++ b/dalehollow/gateway/process.py
@@ -19,12 +19,11 @@
 )
 from dalehollow.clock import read_clock, read_wall_clock_ms
 from dalehollow.crashes import PROBE_TIMEOUT_S, CulpritRecords, Fingerprint, Suspects
-from dalehollow.gateway.admit import Refusal
 from dalehollow.gateway.contact import EXPIRY_HEARTBEATS, StoreContact
 from dalehollow.gateway.copies import StoreCopies
 from dalehollow.gateway.crashes import CrashWatch
 from dalehollow.gateway.descriptors import count_caller_connections, read_descriptor_limit
-from dalehollow.gateway.exchange import ELSEWHERE_RETRY_AFTER_S, serve_request
+from dalehollow.gateway.exchange import STOPPING, serve_request
 from dalehollow.gateway.feed import HallFeed
 from dalehollow.gateway.limit_tokens import LimitTokens
 from dalehollow.gateway.listed import ListedUpstream, Member
@@ -376,8 +375,7 @@
         if self._is_stopping:
             caller.keep_alive = False
         if self.refuses_new:
-            refusal = Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", ELSEWHERE_RETRY_AFTER_S)
-            refuse(self.state, caller, request, refusal)
+            refuse(self.state, caller, request, STOPPING)
             return
         await serve_request(self.state, caller, request)
 
--- a/dalehollow/memory.py
+++ b/dalehollow/memory.py
@@ -16,6 +16,9 @@
 SERVED_SHARE = 3 / 4
 """Share of the limit for requests that are being served. The rest is for small requests, and for
 those that are being received."""
+BODY_COPIES = 2
+"""A body counts twice: it is copied when it is complete, and a request's again when it is sent to
+an upstream that reads slowly."""
 SMALL_BYTES = 16 * 1024
 """A request that takes no more than this is served regardless of the share: it has a few kilobytes
 of header fields and a small body."""
@@ -81,7 +84,7 @@
             self._make_room(self.limit_bytes * RELIEF_SHARE)
 
     def may_serve(self, request_bytes: int) -> bool:
-        """Return whether a request may be served beside those that are; one alone always may."""
+        """Return whether there is memory to serve a request; one that is alone is always served."""
         if self.limit_bytes is None or request_bytes <= SMALL_BYTES or not self.kept_bytes:
             return True
         if self.kept_bytes + request_bytes <= self.limit_bytes * SERVED_SHARE:
--- a/dalehollow/platform/entries.py
+++ b/dalehollow/platform/entries.py
@@ -19,12 +19,12 @@
 
     Numbers of fields that `kind` does not have are not checked.
     """
-    entry = decode_nested(value, kind)
+    entry = decode_json(value, kind)
     _check_numbers(msgspec.to_builtins(entry))
     return entry
 
 
-def decode_nested(value: bytes, kind: type[_T]) -> _T:
+def decode_json(value: bytes, kind: type[_T]) -> _T:
     """Decode a value; raise ValueError if it is invalid or nested too deeply."""
     try:
         return msgspec.json.decode(value, type=kind)
--- a/dalehollow/platform/operator.py
+++ b/dalehollow/platform/operator.py
@@ -15,7 +15,7 @@
     Service,
     Target,
 )
-from dalehollow.platform.entries import decode_nested
+from dalehollow.platform.entries import decode_json
 
 _KINDS = {
     "safe": RequestKind.REPEATABLE,
@@ -101,7 +101,7 @@
 
 def decode_config(value: bytes) -> RoutingTable:
     """Return the routing table of a configuration; raise ValueError if it is invalid."""
-    config = decode_nested(value, _Config)
+    config = decode_json(value, _Config)
     accounts = config.tenants or []
     return RoutingTable(
         version=config.version,
--- a/dalehollow/platform/servers.py
+++ b/dalehollow/platform/servers.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from dalehollow.gateway.listed import ListedUpstream
-from dalehollow.platform.entries import MAX_NUMBER, decode_nested, is_address
+from dalehollow.platform.entries import MAX_NUMBER, decode_json, is_address
 from dalehollow.platform.names import UPSTREAM_PREFIX
 
 _READY, _LEAVING = "ready", "draining"
@@ -48,7 +48,7 @@
 
     Other programs may write entries too, so incomplete entries and unknown values are rejected.
     """
-    entry = decode_nested(value, _Entry)
+    entry = decode_json(value, _Entry)
     mistakes = _find_mistakes(read_incarnation(key), entry)
     if mistakes:
         raise ValueError("; ".join(mistakes))
--- a/dalehollow/web/bodies.py
+++ b/dalehollow/web/bodies.py
@@ -8,7 +8,7 @@
 import threading
 from typing import Any
 
-from dalehollow.memory import MemoryBudget, MemoryConsumer
+from dalehollow.memory import BODY_COPIES, MemoryBudget, MemoryConsumer
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_TRAILER_BYTES = 32 * 1024
@@ -16,8 +16,6 @@
 """Maximum size of the line before a chunk, with extensions."""
 _CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 _READ_BYTES = 16 * 1024
-_BODY_COPIES = 2
-"""A body is copied when it is complete."""
 
 
 class BodySizeError(ValueError):
@@ -73,7 +71,7 @@
             if self._is_dropped:
                 raise MemoryFullError from None
             raise
-        size_bytes = len(self._data) * _BODY_COPIES
+        size_bytes = len(self._data) * BODY_COPIES
         if size_bytes and not self._memory.may_serve(size_bytes):
             raise MemoryFullError
         body, self._data = bytes(self._data), bytearray()
@@ -99,7 +97,7 @@
                 raise ValueError(f"request body truncated: {missing_bytes} bytes are missing")
             missing_bytes -= len(piece)
             self._data += piece
-            self._memory.update(self, 0, len(self._data) * _BODY_COPIES)
+            self._memory.update(self, 0, len(self._data) * BODY_COPIES)
 
     def _read_chunks(self, source: Any) -> None:
         while size_bytes := _read_chunk_size(source):
--- a/tests/test_odd_entries.py
+++ b/tests/test_malformed_entries.py
@@ -13,7 +13,7 @@
 _NESTED = "[" * 100_000 + "]" * 100_000
 _NUMBERS = ("1e400", str(2**63), str(2**80), "9" * 400, "-" + "9" * 400, _HUGE, "-1")
 
-# Own entries, with a gap for an odd value.
+# Entries, with a gap for a malformed value.
 _ENTRIES = {
     "op/config": (json.dumps(make_config(7))[:-1] + ', "extra": %s}', '{"version": %s}'),
     "servers/odd": (
@@ -45,17 +45,17 @@
 
 
 def _list_values(patterns: tuple[str, ...]) -> list[bytes]:
-    odd = (*_NUMBERS, _NESTED, "null", "0", "99999", '"text"')
-    values = [pattern.replace("%s", value).encode() for pattern in patterns for value in odd]
+    malformed = (*_NUMBERS, _NESTED, "null", "0", "99999", '"text"')
+    values = [pattern.replace("%s", value).encode() for pattern in patterns for value in malformed]
     return [*values, b"", b"null", b"\xff\xfe", _NESTED.encode(), b"{" * 10, b"[]", b"{}"]
 
 
 @pytest.mark.parametrize("key", _ENTRIES)
 @pytest.mark.parametrize("is_read_anew", [True, False])
-def test_odd_entry_of_another_writer_stops_no_reader(
+def test_malformed_entry_of_another_writer_stops_no_reader(
     key: str, is_read_anew: bool, caplog: pytest.LogCaptureFixture
 ) -> None:
-    """Guards against gateways that end, or stop following the store, for one odd entry."""
+    """Guards against gateways that end, or stop following the store, for one malformed entry."""
 
     async def scenario(bench: GatewayBench) -> None:
         await bench.apply(make_config())
